Set up the workspace, the result codes and the configuration model

Cause: the project needs one layout, one table of result codes and one set of configuration types before its parts can be written independently.

--- /dev/null
+++ b/packages/administration/administration-api/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The HTTP API for operators, with authority per organisation.
+ */
+export {};
--- /dev/null
+++ b/packages/control/configuration-log/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The log of configuration changes in the store: commit, read, watch, snapshot.
+ */
+export {};
--- /dev/null
+++ b/packages/control/configuration-spread/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Spreads configuration revisions between daemons and starts a daemon from its peers.
+ */
+export {};
--- /dev/null
+++ b/packages/daemon/command-line/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The dogwoodstall command.
+ */
+export {};
--- /dev/null
+++ b/packages/daemon/daemon/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Wires the roles of one daemon and its planned stop.
+ */
+export {};
--- /dev/null
+++ b/packages/foundation/hashing/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Rendezvous ranking, stable assignment and request fingerprints on xxHash.
+ */
+export { type StreamHash, createStreamHash, hashText, hashTextShort } from './hash.js';
+export { assignGroup, rankMembers } from './rendezvous.js';
--- /dev/null
+++ b/packages/foundation/hashing/src/rendezvous.ts
@@ -0,0 +1,40 @@
+/**
+ * Rendezvous (highest random weight) hashing: when one member leaves, only what it owned moves.
+ */
+import { hashTextShort } from './hash.js';
+
+interface Scored<Member> {
+  readonly member: Member;
+  readonly name: string;
+  readonly score: number;
+}
+
+function compareScores<Member>(left: Scored<Member>, right: Scored<Member>): number {
+  if (left.score !== right.score) {
+    return right.score - left.score;
+  }
+  return left.name < right.name ? -1 : 1;
+}
+
+/**
+ * Ranks members for a key, the owner first. Equal scores are ordered by name, so that two daemons
+ * with the same members always agree.
+ */
+export function rankMembers<Member>(
+  key: string,
+  members: Iterable<Member>,
+  nameOf: (member: Member) => string,
+): Member[] {
+  const scored: Scored<Member>[] = [];
+  for (const member of members) {
+    const name = nameOf(member);
+    scored.push({ member, name, score: hashTextShort(`${name}\u0000${key}`) });
+  }
+  scored.sort(compareScores);
+  return scored.map((entry) => entry.member);
+}
+
+/** Assigns a name to one of `count` groups; the assignment depends on the name alone. */
+export function assignGroup(name: string, count: number): number {
+  return count <= 1 ? 0 : hashTextShort(name) % count;
+}
--- /dev/null
+++ b/packages/foundation/hashing/test/rendezvous.test.ts
@@ -0,0 +1,33 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as fastCheck from 'fast-check';
+import * as hashing from '../src/index.js';
+
+const identity = (member: string): string => member;
+
+test('removing a member moves only the keys that it owned', () => {
+  const names = fastCheck.uniqueArray(fastCheck.string({ minLength: 1 }), {
+    minLength: 2,
+    maxLength: 20,
+  });
+  fastCheck.assert(
+    fastCheck.property(names, fastCheck.string(), (members, key) => {
+      const before = hashing.rankMembers(key, members, identity);
+      const removed = before.at(-1);
+      const after = hashing.rankMembers(
+        key,
+        members.filter((member) => member !== removed),
+        identity,
+      );
+      assert.deepEqual(after, before.slice(0, -1));
+    }),
+    { seed: 1, numRuns: 200 },
+  );
+});
+
+test('the order of the input does not change the ranking', () => {
+  const members = ['a', 'b', 'c', 'd'];
+  const forwards = hashing.rankMembers('cell', members, identity);
+  const backwards = hashing.rankMembers('cell', [...members].reverse(), identity);
+  assert.deepEqual(forwards, backwards);
+});
--- /dev/null
+++ b/packages/foundation/observability/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Structured logs with a prefix per part, the decision log, and metrics.
+ */
+export {
+  type LogFields,
+  type LogOptions,
+  type LogPart,
+  type PartLogger,
+  ProcessLog,
+  createSilentLog,
+} from './logger.js';
+export { type Metrics, type MetricsOptions, createMetrics } from './metrics.js';
--- /dev/null
+++ b/packages/foundation/results/src/index.ts
@@ -0,0 +1,22 @@
+/**
+ * Numbered result codes, failures and invariant assertions.
+ */
+export { type Execution, type ResultDefinition, defineResult } from './definition.js';
+export { type ResultName, findResult, findResultName, resultTable } from './table.js';
+export {
+  type Failure,
+  type FailureDetails,
+  type FailureOptions,
+  FailureError,
+  createFailure,
+  isFailure,
+  toFailure,
+} from './failure.js';
+export {
+  type InvariantName,
+  type ViolationListener,
+  checkInvariant,
+  countViolations,
+  onViolation,
+  reportViolation,
+} from './invariant.js';
--- /dev/null
+++ b/packages/peers/membership/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * SWIM membership: probes, suspicion, incarnations, leaving.
+ */
+export {};
--- /dev/null
+++ b/packages/peers/peer-link/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * tRPC router and client between daemons over mutual TLS.
+ */
+export {};
--- /dev/null
+++ b/packages/platform/machine-list/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Follows the platform list of live and leaving VMs.
+ */
+export {};
--- /dev/null
+++ b/packages/routing/crash-guard/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Recognises requests that crash backend servers.
+ */
+export {};
--- /dev/null
+++ b/packages/routing/dispatch/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Dispatch cells: queue, slots, admission by deadline, fair shares.
+ */
+export type { DispatchRequest, SlotGrant } from './request.js';
--- /dev/null
+++ b/packages/routing/idempotency/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Idempotency keys, records of executions, replay and hand-over.
+ */
+export {};
--- /dev/null
+++ b/packages/testing/load/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Open-loop load with histograms free of coordinated omission.
+ */
+export {};
--- /dev/null
+++ b/packages/testing/measure/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Measurements, the local example fleet and reports.
+ */
+export {};
