Add stand-ins for the platform, backend servers and faulty links

Cause: tests and measurements need the platform and backend servers on loopback, with faults that can be set at run time.

Change: the package stand-ins has the store, the list of VMs, the balancer, backend servers with an execution log, a fault-injecting TCP proxy and certificates, as classes and as subcommands of one program.

--- /dev/null
+++ b/packages/testing/stand-ins/src/backend/load-report.ts
@@ -0,0 +1,46 @@
+/**
+ * The load that a backend server reports on each answer (ORCA), possibly old or false.
+ */
+import type { BackendFaults } from './faults.js';
+
+/** Requests that run and that wait in the server's own queue. */
+export interface Load {
+  readonly inFlight: number;
+  readonly queued: number;
+}
+
+interface Sample extends Load {
+  readonly at: number;
+}
+
+const MAXIMUM_SAMPLES = 10_000;
+
+/** Keeps the recent load, so that an old one can be reported. */
+export class LoadHistory {
+  private samples: Sample[] = [];
+
+  record(load: Load, now: number): void {
+    this.samples.push({ ...load, at: now });
+    if (this.samples.length > MAXIMUM_SAMPLES) {
+      this.samples = this.samples.slice(MAXIMUM_SAMPLES / 2);
+    }
+  }
+
+  /** Returns the load that a report shows under the given faults. */
+  report(current: Load, faults: BackendFaults, now: number): Load {
+    if (faults.falseReport !== undefined) {
+      return faults.falseReport;
+    }
+    if (faults.reportLagMilliseconds === 0) {
+      return current;
+    }
+    const wantedAt = now - faults.reportLagMilliseconds;
+    const old = this.samples.findLast((sample) => sample.at <= wantedAt);
+    return old ?? { inFlight: 0, queued: 0 };
+  }
+}
+
+/** Formats the header `endpoint-load-metrics`. */
+export function formatLoadHeader(load: Load): string {
+  return `TEXT named_metrics.in_flight=${load.inFlight}, named_metrics.queued=${load.queued}`;
+}
--- /dev/null
+++ b/packages/testing/stand-ins/src/backend/work.ts
@@ -0,0 +1,88 @@
+/**
+ * One request at a backend server stand-in: its parameters and its service time.
+ */
+import type * as http from 'node:http';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** What a request asks of the server. */
+export interface WorkRequest {
+  readonly path: string;
+  /** Identifies the request in the answer's content; `?token=`, else the request id. */
+  readonly token: string;
+  readonly requestId: string | undefined;
+  readonly idempotencyKey: string | undefined;
+  readonly workMilliseconds: number | undefined;
+  /** Size of the streamed answer; undefined asks for a JSON summary. */
+  readonly answerBytes: number | undefined;
+  /** Whether the streamed answer announces no length. */
+  readonly chunked: boolean;
+  /** Monotonic time of the deadline; infinite without one. */
+  readonly deadlineAt: number;
+  readonly crashMarker: string | undefined;
+}
+
+function readHeader(request: http.IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function readNumber(text: string | null | undefined): number | undefined {
+  const value = Number(text ?? '');
+  return text === null || text === undefined || !(value >= 0) ? undefined : value;
+}
+
+/** Reads the parameters from URL and headers. */
+export function readWorkRequest(request: http.IncomingMessage, arrivedAt: number): WorkRequest {
+  const url = new URL(request.url ?? '/', 'http://backend');
+  const requestId = readHeader(request, 'request-id');
+  const timeout = readNumber(readHeader(request, 'request-timeout-milliseconds'));
+  return {
+    path: url.pathname,
+    token: url.searchParams.get('token') ?? requestId ?? '',
+    requestId,
+    idempotencyKey: readHeader(request, 'idempotency-key'),
+    workMilliseconds: readNumber(url.searchParams.get('work')),
+    answerBytes: readNumber(url.searchParams.get('answer')),
+    chunked: url.searchParams.has('chunked'),
+    deadlineAt: arrivedAt + (timeout ?? Infinity),
+    crashMarker: readHeader(request, 'crash-marker'),
+  };
+}
+
+/** How the service time of a server varies. */
+export interface ServiceTimeOptions {
+  readonly seed: number;
+  /** Used by requests that name no service time. */
+  readonly defaultMilliseconds: number;
+  /** Relative spread around the asked service time, 0.2 gives 80% to 120%. */
+  readonly variation: number;
+  /** Factor right after the start, which falls to 1 over `coldStartMilliseconds`. */
+  readonly coldStartFactor: number;
+  readonly coldStartMilliseconds: number;
+}
+
+/** Draws service times. */
+export class ServiceTime {
+  private readonly random;
+
+  private readonly options: ServiceTimeOptions;
+
+  constructor(options: ServiceTimeOptions) {
+    this.options = options;
+    this.random = xoroshiro128plus(options.seed);
+  }
+
+  /** Returns a number from 0 up to 1 of the same seeded sequence. */
+  draw(): number {
+    return uniformFloat64(this.random);
+  }
+
+  next(asked: number | undefined, ageMilliseconds: number): number {
+    const { defaultMilliseconds, variation, coldStartFactor, coldStartMilliseconds } = this.options;
+    const spread = 1 + variation * (2 * this.draw() - 1);
+    const coldness = Math.max(0, 1 - ageMilliseconds / Math.max(1, coldStartMilliseconds));
+    const cold = 1 + (coldStartFactor - 1) * coldness;
+    return (asked ?? defaultMilliseconds) * spread * cold;
+  }
+}
--- /dev/null
+++ b/packages/testing/stand-ins/src/network/machine-list.ts
@@ -0,0 +1,85 @@
+/**
+ * Stand-in of the platform's list of VMs. A change is visible only after a lag.
+ */
+import * as http from 'node:http';
+import * as zod from 'zod';
+import { ControlServer, closeServer, listen, writeJson } from '../control-server.js';
+
+export const machineSchema = zod.strictObject({
+  name: zod.string(),
+  zone: zod.string(),
+  region: zod.string(),
+  peerAddress: zod.string(),
+  state: zod.enum(['live', 'leaving']),
+});
+
+export type Machine = zod.output<typeof machineSchema>;
+
+const machinesCallSchema = zod.strictObject({ machines: zod.array(machineSchema) });
+
+interface VisibleList {
+  readonly machines: readonly Machine[];
+  readonly visibleAt: number;
+}
+
+/** The list of VMs. */
+export class MachineListStandIn {
+  readonly control: ControlServer;
+
+  private readonly server: http.Server;
+
+  private lists: VisibleList[] = [{ machines: [], visibleAt: 0 }];
+
+  private lagMilliseconds: number;
+
+  private requests = 0;
+
+  private boundAddress = '';
+
+  constructor(lagMilliseconds = 0) {
+    this.lagMilliseconds = lagMilliseconds;
+    this.server = http.createServer((request, response) => this.answer(request, response));
+    this.control = new ControlServer({
+      'GET /requests': () => ({ requests: this.requests }),
+      'POST /lag': (body) => {
+        this.lagMilliseconds = zod
+          .strictObject({ milliseconds: zod.number() })
+          .parse(body).milliseconds;
+      },
+      'POST /machines': (body) => this.setMachines(machinesCallSchema.parse(body).machines),
+    });
+  }
+
+  get address(): string {
+    return this.boundAddress;
+  }
+
+  async start(address = '127.0.0.1:0', controlAddress = '127.0.0.1:0'): Promise<void> {
+    this.boundAddress = await listen(this.server, address);
+    await this.control.start(controlAddress);
+  }
+
+  async stop(): Promise<void> {
+    await closeServer(this.server);
+    await this.control.stop();
+  }
+
+  /** Replaces the list; callers see it after the lag. */
+  setMachines(machines: readonly Machine[]): void {
+    const now = performance.now();
+    const visible = this.lists.findLastIndex((list) => list.visibleAt <= now);
+    this.lists = this.lists.slice(Math.max(0, visible));
+    this.lists.push({ machines, visibleAt: now + this.lagMilliseconds });
+  }
+
+  private answer(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (request.url !== '/machines') {
+      writeJson(response, 404, { message: 'not found' });
+      return;
+    }
+    this.requests += 1;
+    const now = performance.now();
+    const current = this.lists.findLast((list) => list.visibleAt <= now);
+    writeJson(response, 200, { machines: current?.machines ?? [] });
+  }
+}
--- /dev/null
+++ b/packages/testing/stand-ins/src/store/token-bucket.ts
@@ -0,0 +1,26 @@
+/**
+ * Rate limit of the store stand-in.
+ */
+
+/** Allows a number of calls in each second, with a burst of one second's allowance. */
+export class TokenBucket {
+  private tokens: number;
+
+  private filledAt: number;
+
+  constructor(perSecond: number, now: number) {
+    this.tokens = perSecond;
+    this.filledAt = now;
+  }
+
+  take(perSecond: number, now: number): boolean {
+    const refill = ((now - this.filledAt) / 1000) * perSecond;
+    this.tokens = Math.min(perSecond, this.tokens + refill);
+    this.filledAt = now;
+    if (this.tokens < 1) {
+      return false;
+    }
+    this.tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/testing/stand-ins/test/backend-server.test.ts
@@ -0,0 +1,162 @@
+import * as assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { test } from 'node:test';
+import * as undici from 'undici';
+import * as standIns from '../src/index.js';
+
+const options = { name: 'server-1', slots: 1, connectionLimit: 50, workMilliseconds: 0 };
+
+interface Context {
+  readonly server: standIns.BackendServerStandIn;
+  readonly group: standIns.BackendGroup;
+  readonly url: string;
+}
+
+async function withServer(
+  run: (context: Context) => Promise<void>,
+  further: Partial<standIns.BackendServerOptions> = {},
+): Promise<void> {
+  const group = new standIns.BackendGroup([{ ...options, ...further }]);
+  await group.start();
+  const server = group.find('server-1');
+  try {
+    await run({ server, group, url: `http://${server.address}` });
+  } finally {
+    await group.stop();
+  }
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+test('executions are counted per key, so that a second execution can not hide', async () => {
+  await withServer(async ({ group, url }) => {
+    for (const requestId of ['r1', 'r2']) {
+      const headers = { 'idempotency-key': 'k', 'request-id': requestId };
+      const answer = await undici.request(`${url}/`, { method: 'POST', headers });
+      await answer.body.dump();
+    }
+    assert.equal(group.log.findKey('k')?.started, 2);
+    assert.equal(group.log.countStarts('r1'), 1);
+  });
+});
+
+test('work is not started after its deadline or after its caller went away', async () => {
+  await withServer(async ({ server, group, url }) => {
+    server.setFaults({ stalled: true });
+    const running = undici.request(`${url}/`);
+    await waitFor(() => server.load.inFlight === 1);
+    const expired = undici.request(`${url}/`, {
+      headers: { 'request-timeout-milliseconds': '0', 'request-id': 'expired' },
+    });
+    const abort = new AbortController();
+    const cancelled = undici.request(`${url}/`, {
+      signal: abort.signal,
+      headers: { 'request-id': 'cancelled' },
+    });
+    await waitFor(() => server.load.queued === 2);
+    abort.abort();
+    await assert.rejects(cancelled);
+    await waitFor(() => server.counters.cancelled === 1);
+    server.setFaults({ stalled: false });
+    await (await running).body.dump();
+    const refusal = await expired;
+    await refusal.body.dump();
+    assert.equal(refusal.headers['request-not-run'], 'true');
+    assert.equal(group.log.countStarts('expired') + group.log.countStarts('cancelled'), 0);
+  });
+});
+
+test('a full queue is shed with the statement that the request was not run', async () => {
+  await withServer(
+    async ({ server, url }) => {
+      server.setFaults({ stalled: true });
+      const running = undici.request(`${url}/`);
+      await waitFor(() => server.load.inFlight === 1);
+      const shed = await undici.request(`${url}/`);
+      await shed.body.dump();
+      assert.equal(shed.statusCode, 503);
+      assert.equal(shed.headers['request-not-run'], 'true');
+      assert.match(String(shed.headers['endpoint-load-metrics']), /named_metrics.in_flight=1,/);
+      server.clearFaults();
+      await (await running).body.dump();
+    },
+    { queueLimit: 0 },
+  );
+});
+
+test('a streamed answer reveals a cut and a mix-up', async () => {
+  await withServer(async ({ server, url }) => {
+    const answer = await undici.request(`${url}/?answer=200000&token=mine`);
+    const body = new Uint8Array(await answer.body.arrayBuffer());
+    const check = (token: string, bytes: Uint8Array): standIns.ContentFinding => {
+      const verifier = standIns.createVerifier(token, 200_000);
+      verifier.update(bytes);
+      return verifier.finish();
+    };
+    assert.equal(check('mine', body), 'complete');
+    assert.equal(check('mine', body.subarray(0, 199_999)), 'cut');
+    assert.equal(check('other', body), 'foreign');
+    server.setFaults({ cutShare: 1 });
+    const cut = await undici.request(`${url}/?answer=200000&token=mine`);
+    await assert.rejects(cut.body.arrayBuffer());
+  });
+});
+
+test('an upload is answered with the digest of all of its bytes', async () => {
+  await withServer(async ({ url }) => {
+    const upload = Buffer.alloc(300_000, 'upload');
+    const answer = await undici.request(`${url}/`, { method: 'PUT', body: upload });
+    await answer.body.dump();
+    const digest = createHash('sha256').update(upload).digest('hex');
+    assert.equal(answer.headers['upload-digest'], digest);
+  });
+});
+
+test('real work fails while the health check passes', async () => {
+  await withServer(async ({ server, url }) => {
+    server.setFaults({ failPathPrefix: '/broken' });
+    const statuses: number[] = [];
+    for (const path of ['/broken/x', '/fine', '/health']) {
+      const answer = await undici.request(`${url}${path}`);
+      await answer.body.dump();
+      statuses.push(answer.statusCode);
+    }
+    assert.deepEqual(statuses, [500, 200, 200]);
+  });
+});
+
+test('a marked request crashes the server, which then refuses connections and comes back', async () => {
+  await withServer(async ({ server, url }) => {
+    server.setFaults({ crashRefusalMilliseconds: 100 });
+    await assert.rejects(undici.request(`${url}/`, { headers: { 'crash-marker': 'crash' } }));
+    await assert.rejects(undici.request(`${url}/`), { code: 'ECONNREFUSED' });
+    let status = 0;
+    while (status !== 200) {
+      const attempt = undici.request(`${url}/`);
+      status = await attempt.then(
+        async (answer) => {
+          await answer.body.dump();
+          return answer.statusCode;
+        },
+        () => 0,
+      );
+    }
+    assert.equal(server.counters.crashes, 1);
+  });
+});
+
+test('work that starts on a draining server is counted', async () => {
+  await withServer(async ({ server, url }) => {
+    server.setDraining(true);
+    const answer = await undici.request(`${url}/`);
+    await answer.body.dump();
+    assert.equal(answer.headers['backend-draining'], 'true');
+    assert.equal(server.counters.startedWhileDraining, 1);
+  });
+});
