Add the open-loop load with histograms free of coordinated omission

Cause: measurements need a load whose latencies include the time that a stalled service makes later requests wait.

Change: the package load has seeded arrivals with a rate profile, request classes, the caller's side of idempotency keys, classification of every result, summaries for each class and interval, and two reports.

--- a/packages/testing/load/src/index.ts
+++ b/packages/testing/load/src/index.ts
@@ -1,4 +1,34 @@
 /**
  * Open-loop load with histograms free of coordinated omission.
  */
-export {};
+export {
+  type ArrivalOptions,
+  type RatePoint,
+  type RateProfile,
+  createFlatProfile,
+  createRampProfile,
+  generateArrivals,
+  rateAt,
+} from './arrivals.js';
+export { type AnswerVerifier, type VerifierFactory } from './attempt.js';
+export { type LoadOptions, type LoadResult, runLoad } from './load.js';
+export {
+  type AttemptResult,
+  type KeyRecord,
+  type KeyStatement,
+  type OutcomeKind,
+  type RequestOutcome,
+  type ToldExecution,
+} from './outcome.js';
+export { type RequestClass } from './request-class.js';
+export { type LatencySummary, Summary } from './summary.js';
+export { type IntervalSummary, SummaryBook } from './summary-book.js';
+export {
+  type Target,
+  type TargetChooser,
+  chooseLeastOutstanding,
+  chooseRandomly,
+  createRoundRobin,
+} from './target.js';
+export { formatTextReport } from './report/text-report.js';
+export { type PlotSeries, drawPlot, formatHtmlReport } from './report/html-report.js';
--- /dev/null
+++ b/packages/testing/load/src/load.ts
@@ -0,0 +1,179 @@
+/**
+ * Open-loop load. Requests start at their intended times whether or not earlier ones were answered,
+ * and latencies are measured from the intended times, so that a stalled service can't hide.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { generateArrivals, type RateProfile } from './arrivals.js';
+import { runAttempt, type VerifierFactory } from './attempt.js';
+import { runKeyFlow, type KeyFlowResult } from './key-flow.js';
+import type { AttemptResult, KeyRecord, RequestOutcome } from './outcome.js';
+import { ClassPicker, type RequestClass } from './request-class.js';
+import { SummaryBook } from './summary-book.js';
+import { TargetConnections, createRoundRobin, type TargetChooser } from './target.js';
+
+const DEFAULT_CONNECTIONS = 256;
+const DEFAULT_INTERVAL_MILLISECONDS = 1000;
+const DEFAULT_RESENDS = 2;
+
+/** Options of a load. */
+export interface LoadOptions {
+  /** `IP address:port` of each target. */
+  readonly targets: readonly string[];
+  readonly chooseTarget?: TargetChooser;
+  readonly classes: readonly RequestClass[];
+  readonly arrivals: 'constant' | 'poisson';
+  readonly profile: RateProfile;
+  readonly durationMilliseconds: number;
+  readonly seed: number;
+  /** Connections for each target. */
+  readonly connections?: number;
+  readonly intervalMilliseconds?: number;
+  /** Checks that an answer is complete and the caller's own. */
+  readonly createVerifier?: VerifierFactory;
+  /** Further attempts with the same idempotency key. */
+  readonly maximumResends?: number;
+  /** Share of the keyed requests that are sent twice at the same time. */
+  readonly sendTwiceShare?: number;
+  /** Called with each outcome. */
+  readonly onOutcome?: (outcome: RequestOutcome) => void;
+  /** Ends the arrivals early; started requests are completed. */
+  readonly signal?: AbortSignal;
+}
+
+/** What a load observed. */
+export interface LoadResult {
+  readonly seed: number;
+  readonly durationMilliseconds: number;
+  readonly book: SummaryBook;
+  readonly keys: readonly KeyRecord[];
+  /** Largest delay between an intended start and the real one; large values mean an overloaded caller. */
+  readonly largestStartDelayMilliseconds: number;
+}
+
+class LoadRun {
+  private readonly options: LoadOptions;
+
+  private readonly picker: ClassPicker;
+
+  private readonly targets: readonly TargetConnections[];
+
+  private readonly choose: TargetChooser;
+
+  private readonly book: SummaryBook;
+
+  private readonly keys: KeyRecord[] = [];
+
+  private startedAt = 0;
+
+  private largestStartDelay = 0;
+
+  private requestNumber = 0;
+
+  constructor(options: LoadOptions) {
+    this.options = options;
+    // A different sequence than that of the arrivals, which is seeded with the seed itself.
+    this.picker = new ClassPicker(options.classes, options.seed + 1);
+    this.choose = options.chooseTarget ?? createRoundRobin();
+    this.book = new SummaryBook(options.intervalMilliseconds ?? DEFAULT_INTERVAL_MILLISECONDS);
+    const connections = options.connections ?? DEFAULT_CONNECTIONS;
+    this.targets = options.targets.map((target) => new TargetConnections(target, connections));
+  }
+
+  async run(): Promise<LoadResult> {
+    const pending = new Set<Promise<void>>();
+    this.startedAt = performance.now();
+    for (const intendedAt of generateArrivals({ ...this.options, kind: this.options.arrivals })) {
+      const wait = this.startedAt + intendedAt - performance.now();
+      if (wait > 1) {
+        await sleep(wait);
+      }
+      if (this.options.signal?.aborted === true) {
+        break;
+      }
+      this.largestStartDelay = Math.max(this.largestStartDelay, this.now() - intendedAt);
+      const request = this.runRequest(intendedAt).finally(() => pending.delete(request));
+      pending.add(request);
+    }
+    await Promise.all(pending);
+    await Promise.all(this.targets.map((target) => target.pool.destroy()));
+    return {
+      seed: this.options.seed,
+      durationMilliseconds: this.options.durationMilliseconds,
+      book: this.book,
+      keys: this.keys,
+      largestStartDelayMilliseconds: this.largestStartDelay,
+    };
+  }
+
+  private now(): number {
+    return performance.now() - this.startedAt;
+  }
+
+  private async runRequest(intendedAt: number): Promise<void> {
+    // A timer may fire up to a millisecond early; such a request is measured from its real start.
+    const measuredFrom = Math.min(intendedAt, this.now());
+    const requestClass = this.picker.next();
+    this.requestNumber += 1;
+    const token = `${this.options.seed}-${this.requestNumber}`;
+    const flow = await this.runFlow(requestClass, token, intendedAt);
+    if (flow.record !== undefined) {
+      this.keys.push(flow.record);
+    }
+    const outcome: RequestOutcome = {
+      ...flow.result,
+      className: requestClass.name,
+      intendedAt,
+      latencyMilliseconds: this.now() - measuredFrom,
+      attempts: flow.attempts,
+    };
+    this.book.record(outcome);
+    this.options.onOutcome?.(outcome);
+  }
+
+  private async runFlow(
+    requestClass: RequestClass,
+    token: string,
+    intendedAt: number,
+  ): Promise<KeyFlowResult> {
+    const deadlineAt = this.startedAt + intendedAt + requestClass.deadlineMilliseconds;
+    const send = (key: string | undefined): Promise<AttemptResult> =>
+      this.send(requestClass, token, key, deadlineAt);
+    if (requestClass.idempotent) {
+      return { result: await send(undefined), record: undefined, attempts: 1 };
+    }
+    return runKeyFlow({
+      className: requestClass.name,
+      send,
+      maximumResends: this.options.maximumResends ?? DEFAULT_RESENDS,
+      sendTwice: this.picker.draw() < (this.options.sendTwiceShare ?? 0),
+      now: () => this.now(),
+    });
+  }
+
+  private async send(
+    requestClass: RequestClass,
+    token: string,
+    idempotencyKey: string | undefined,
+    deadlineAt: number,
+  ): Promise<AttemptResult> {
+    const index = this.choose(this.targets, () => this.picker.draw());
+    const target = this.targets[index] as TargetConnections;
+    target.outstanding += 1;
+    const result = await runAttempt({
+      dispatcher: target.pool,
+      origin: `http://${target.address}`,
+      requestClass,
+      token,
+      idempotencyKey,
+      createVerifier: this.options.createVerifier,
+      deadlineAt,
+    });
+    target.outstanding -= 1;
+    return result;
+  }
+}
+
+/** Runs a load to its end and returns what was observed. */
+export async function runLoad(options: LoadOptions): Promise<LoadResult> {
+  return new LoadRun(options).run();
+}
--- /dev/null
+++ b/packages/testing/load/src/summary-book.ts
@@ -0,0 +1,52 @@
+/**
+ * Summaries of a load: for each class, for all classes together and for each interval of time.
+ */
+import type { RequestOutcome } from './outcome.js';
+import { Summary } from './summary.js';
+
+/** The requests whose intended start lies in one interval. */
+export interface IntervalSummary {
+  readonly startMilliseconds: number;
+  readonly summary: Summary;
+}
+
+/** Collects the outcomes of a load. */
+export class SummaryBook {
+  readonly total = new Summary();
+
+  private readonly byClass = new Map<string, Summary>();
+
+  private readonly byInterval: Summary[] = [];
+
+  readonly intervalMilliseconds: number;
+
+  constructor(intervalMilliseconds: number) {
+    this.intervalMilliseconds = intervalMilliseconds;
+  }
+
+  record(outcome: RequestOutcome): void {
+    this.total.record(outcome);
+    let ofClass = this.byClass.get(outcome.className);
+    if (ofClass === undefined) {
+      ofClass = new Summary();
+      this.byClass.set(outcome.className, ofClass);
+    }
+    ofClass.record(outcome);
+    const index = Math.floor(outcome.intendedAt / this.intervalMilliseconds);
+    while (this.byInterval.length <= index) {
+      this.byInterval.push(new Summary());
+    }
+    this.byInterval[index]?.record(outcome);
+  }
+
+  get classes(): ReadonlyMap<string, Summary> {
+    return this.byClass;
+  }
+
+  get intervals(): IntervalSummary[] {
+    return this.byInterval.map((summary, index) => ({
+      startMilliseconds: index * this.intervalMilliseconds,
+      summary,
+    }));
+  }
+}
