--- /dev/null
+++ b/packages/routing/crash-guard/src/fingerprint.ts
@@ -0,0 +1,32 @@
+/**
+ * The fingerprint by which a request is recognised when its caller resends it.
+ */
+import * as hashing from '@dogwoodstall/hashing';
+
+/** What identifies a request. */
+export interface RequestIdentity {
+  readonly organisation: string;
+  readonly routeName: string;
+  /** The idempotency key, or an empty text. */
+  readonly idempotencyKey: string;
+  /** Digest of the request body, or an empty text. */
+  readonly bodyDigest: string;
+}
+
+/** A fingerprint; the organisation is kept beside the digest, so that none can affect another. */
+export interface Fingerprint {
+  readonly organisation: string;
+  readonly digest: string;
+}
+
+/** Computes the fingerprint of a request. */
+export function createFingerprint(identity: RequestIdentity): Fingerprint {
+  const parts = [
+    identity.organisation,
+    identity.routeName,
+    identity.idempotencyKey,
+    identity.bodyDigest,
+  ];
+  const digest = hashing.hashText(JSON.stringify(parts)).toString(16);
+  return { organisation: identity.organisation, digest };
+}
--- /dev/null
+++ b/packages/routing/dispatch/src/cell-dispatcher.ts
@@ -0,0 +1,446 @@
+/**
+ * The dispatcher of one cell: queue, slots and the health evidence of its endpoints.
+ */
+import type { AttemptEnd } from '@dogwoodstall/crash-guard';
+import * as health from '@dogwoodstall/health';
+import type { BackendServer, Contract } from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import { Admission, type Expectation } from './admission.js';
+import type { DispatchDecision, RefusalResult } from './decision.js';
+import { EndpointPool } from './endpoint-pool.js';
+import type { EndpointSlots } from './endpoint-slots.js';
+import { LongShare } from './long-share.js';
+import { type CellDispatcherOptions, type Schedule, scheduleTimer } from './options.js';
+import { OrganisationLimits } from './organisation-limits.js';
+import type { DispatchRequest, SlotGrant } from './request.js';
+import { ServiceTimes } from './service-times.js';
+import { type CellSnapshot, describeEndpoints } from './snapshot.js';
+import type { Waiter } from './waiter.js';
+import { WaitingRoom } from './waiting-room.js';
+
+/** Longest time between two evaluations of health while requests are in flight or waiting. */
+const TICK_MILLISECONDS = 50;
+
+const MINIMUM_TICK_MILLISECONDS = 1;
+
+/** Parked requests that are looked at for each free slot. */
+const PARKED_SEARCH_LIMIT = 32;
+
+const attemptEnds: Partial<Record<health.OutcomeKind, AttemptEnd>> = {
+  success: 'answered',
+  'server-error': 'answered',
+  shed: 'answered',
+  'cut-answer': 'reset',
+  reset: 'reset',
+  refused: 'refused',
+};
+
+/** Grants slots of the endpoints of one cell. */
+export class CellDispatcher {
+  /** Evidence and ejections; `changes` is its stream. */
+  readonly health: health.CellHealth;
+
+  private readonly options: CellDispatcherOptions;
+
+  private readonly schedule: Schedule;
+
+  private readonly pool: EndpointPool;
+
+  private readonly room: WaitingRoom;
+
+  private readonly times = new ServiceTimes();
+
+  private readonly limits: OrganisationLimits;
+
+  private readonly admission: Admission;
+
+  private readonly longShare: LongShare;
+
+  private contract: Contract;
+
+  private cancelTick: (() => void) | undefined;
+
+  private grants = 0;
+
+  private refusals = 0;
+
+  private inFlight = 0;
+
+  private usedAt: number;
+
+  constructor(options: CellDispatcherOptions) {
+    const { servers, contract, now, random, logHealth } = options;
+    this.options = options;
+    this.contract = contract;
+    this.schedule = options.schedule ?? scheduleTimer;
+    this.usedAt = now();
+    const logDecision = logHealth ?? ((): void => {});
+    this.health = new health.CellHealth({ servers, contract, now, random, logDecision });
+    this.pool = new EndpointPool(servers, this.health);
+    this.room = new WaitingRoom(options.findWeight ?? (() => 1));
+    this.limits = new OrganisationLimits(contract);
+    this.admission = new Admission(this.times, this.room, now());
+    this.longShare = new LongShare(contract.longSlotShare);
+  }
+
+  /**
+   * Waits for a slot.
+   *
+   * Rejects with a `FailureError` of one of the kinds of `RefusalResult`; the request was not run.
+   */
+  acquire(request: DispatchRequest): Promise<SlotGrant> {
+    return new Promise((resolve, reject) => {
+      this.enter(request, resolve, reject);
+    });
+  }
+
+  /** Follows the configuration. */
+  updateEndpoints(servers: readonly BackendServer[], contract = this.contract): void {
+    this.contract = contract;
+    this.limits.updateContract(contract);
+    this.longShare.share = contract.longSlotShare;
+    this.health.updateEndpoints(servers, contract);
+    this.pool.update(servers);
+    this.refuseStranded();
+    this.pump();
+  }
+
+  /** Stops new work at an endpoint at once. */
+  markDraining(endpointName: string): void {
+    this.pool.markDraining(endpointName);
+    this.refuseStranded();
+  }
+
+  /** Returns whether nothing waits or runs, and since when. */
+  idleSince(): number | undefined {
+    return this.inFlight === 0 && this.room.size === 0 ? this.usedAt : undefined;
+  }
+
+  /** Refuses what waits and stops the timer; the cell moved or is idle. */
+  close(): void {
+    for (let waiter = this.room.findExpired(Infinity); waiter !== undefined;) {
+      this.refuseWaiter(waiter, 'NoEndpoint');
+      waiter = this.room.findExpired(Infinity);
+    }
+    this.cancelTick?.();
+    this.cancelTick = undefined;
+  }
+
+  /** Describes endpoints and queues. */
+  snapshot(): CellSnapshot {
+    return {
+      name: this.options.cellName,
+      endpoints: describeEndpoints(this.pool, this.health.snapshot(), this.options.now()),
+      waitingShort: this.room.count('short'),
+      waitingLong: this.room.count('long'),
+      grants: this.grants,
+      refusals: this.refusals,
+      meanShortMilliseconds: this.times.mean('short'),
+      meanLongMilliseconds: this.times.mean('long'),
+    };
+  }
+
+  private enter(
+    request: DispatchRequest,
+    resolve: (grant: SlotGrant) => void,
+    reject: (error: Error) => void,
+  ): void {
+    const now = this.options.now();
+    this.usedAt = now;
+    this.health.evaluate();
+    this.longShare.noteArrival(request.sizeClass, now);
+    const capacity = this.pool.measure(now);
+    const longLimit = this.longShare.limit(capacity.slots, now);
+    const expectation = this.admission.judge(request, capacity, longLimit, now);
+    const refusal = this.findRefusal(request, expectation, now);
+    if (refusal !== undefined) {
+      this.logRefusal(request, refusal, 0, expectation.waitMilliseconds);
+      reject(new results.FailureError(refusal));
+      return;
+    }
+    const waiter: Waiter = {
+      request,
+      enteredAt: now,
+      latestStartAt: request.deadlineAt - expectation.neededMilliseconds,
+      expectedWaitMilliseconds: expectation.waitMilliseconds,
+      resolve,
+      reject,
+      heapIndex: -1,
+      previous: undefined,
+      next: undefined,
+      stopListening: () => {},
+    };
+    this.listen(waiter);
+    this.room.push(waiter);
+    this.pump();
+  }
+
+  private findRefusal(
+    request: DispatchRequest,
+    expectation: Expectation,
+    now: number,
+  ): RefusalResult | undefined {
+    const { fingerprint, organisation, signal } = request;
+    if (signal.aborted) {
+      return 'CancelledInQueue';
+    }
+    if (fingerprint !== undefined && this.options.crashGuard?.isCrashing(fingerprint) === true) {
+      return 'CrashingRequest';
+    }
+    if (!this.pool.hasCandidate(request.excludedEndpoints)) {
+      return 'NoEndpoint';
+    }
+    if (!expectation.admitted) {
+      return 'DeadlineUnreachable';
+    }
+    const exceeded = this.limits.enter(organisation, now);
+    if (exceeded !== undefined) {
+      return exceeded;
+    }
+    if (!this.makePlace(request, now)) {
+      this.limits.leave(organisation);
+      return 'QueueFull';
+    }
+    return undefined;
+  }
+
+  // A request that finds a free slot needs no place in the queue.
+  private makePlace(request: DispatchRequest, now: number): boolean {
+    const { priority, sizeClass, organisation } = request;
+    if (this.room.size < this.contract.queueLimit) {
+      return true;
+    }
+    if (this.room.size === 0 && this.pool.hasRoom(now)) {
+      return true;
+    }
+    const displaced = this.room.findDisplaceable(priority, sizeClass, organisation);
+    if (displaced === undefined) {
+      return false;
+    }
+    const result = displaced.request.priority > priority ? 'ShedByPriority' : 'QueueFull';
+    this.refuseWaiter(displaced, result);
+    return true;
+  }
+
+  private listen(waiter: Waiter): void {
+    const listened = waiter;
+    const { signal } = waiter.request;
+    const cancel = (): void => this.refuseWaiter(waiter, 'CancelledInQueue');
+    signal.addEventListener('abort', cancel, { once: true });
+    listened.stopListening = () => signal.removeEventListener('abort', cancel);
+  }
+
+  /** Gives free slots to waiting requests, as long as there are both. */
+  private pump(): void {
+    const now = this.options.now();
+    for (
+      let expired = this.room.findExpired(now);
+      expired !== undefined;
+      expired = this.room.findExpired(now)
+    ) {
+      this.refuseWaiter(expired, 'DeadlineInQueue');
+    }
+    this.serveParked(now);
+    while (this.pool.hasRoom(now)) {
+      const waiter = this.nextWaiter(now);
+      if (waiter === undefined) {
+        break;
+      }
+      const endpoint = this.pool.choose(waiter.request, now);
+      if (endpoint === undefined) {
+        this.room.park(waiter);
+      } else {
+        this.room.take(waiter);
+        this.grant(waiter, endpoint, now);
+      }
+    }
+    if (this.room.size === 0) {
+      this.admission.noteEmpty(now);
+    }
+    this.armTick(now);
+  }
+
+  private serveParked(now: number): void {
+    let searched = 0;
+    for (const waiter of this.room.parked) {
+      searched += 1;
+      const endpoint = this.pool.choose(waiter.request, now);
+      if (endpoint !== undefined && this.mayStart(waiter, now)) {
+        this.room.take(waiter);
+        this.grant(waiter, endpoint, now);
+      }
+      if (searched >= PARKED_SEARCH_LIMIT) {
+        return;
+      }
+    }
+  }
+
+  private mayStart(waiter: Waiter, now: number): boolean {
+    const capacity = this.pool.measure(now);
+    return waiter.request.sizeClass === 'short' || this.longShare.allows(capacity, now);
+  }
+
+  private nextWaiter(now: number): Waiter | undefined {
+    if (this.room.count('long') === 0) {
+      return this.room.peek(false);
+    }
+    const capacity = this.pool.measure(now);
+    if (this.longShare.isGuaranteed(capacity)) {
+      return this.room.peekLong();
+    }
+    return this.room.peek(this.longShare.allows(capacity, now));
+  }
+
+  private grant(waiter: Waiter, endpoint: EndpointSlots, now: number): void {
+    const { request } = waiter;
+    const long = request.sizeClass === 'long';
+    waiter.stopListening();
+    const { name, slots } = endpoint.server;
+    results.checkInvariant(
+      !endpoint.draining,
+      'WorkAfterDrain',
+      () => `${name} drains and was about to receive request ${request.requestId}`,
+    );
+    endpoint.occupy(now, long);
+    results.checkInvariant(
+      endpoint.inFlight <= slots,
+      'SlotsOverrun',
+      () => `${endpoint.inFlight} requests were granted at ${name}, which has ${slots} slots`,
+    );
+    this.grants += 1;
+    this.inFlight += 1;
+    const grant = this.createGrant(waiter, endpoint, now);
+    this.logGrant(waiter, endpoint, now);
+    waiter.resolve(grant);
+  }
+
+  private createGrant(waiter: Waiter, endpoint: EndpointSlots, grantedAt: number): SlotGrant {
+    const { request } = waiter;
+    const { server } = endpoint;
+    const { fingerprint } = request;
+    const attempt = this.health.started(server.name, request);
+    const guard = fingerprint === undefined ? undefined : this.options.crashGuard;
+    const guarded = fingerprint && guard?.started(server.name, fingerprint);
+    let released = false;
+    return {
+      endpoint: server,
+      queuedMilliseconds: grantedAt - waiter.enteredAt,
+      release: (outcome) => {
+        if (released) {
+          return;
+        }
+        released = true;
+        this.health.finished(attempt, outcome);
+        const end = attemptEnds[outcome.kind] ?? 'other';
+        if (guarded !== undefined && guard?.finished(guarded, end) === true) {
+          this.health.markLost(server.name);
+        }
+        this.release(request, endpoint, outcome, grantedAt);
+      },
+    };
+  }
+
+  private release(
+    request: DispatchRequest,
+    endpoint: EndpointSlots,
+    outcome: health.AttemptOutcome,
+    grantedAt: number,
+  ): void {
+    const now = this.options.now();
+    this.usedAt = now;
+    this.inFlight -= 1;
+    this.limits.leave(request.organisation);
+    if (outcome.kind === 'success') {
+      this.times.add(request.sizeClass, now - grantedAt);
+      if (request.sizeClass === 'short') {
+        endpoint.learnTime(now - grantedAt, this.times.mean('short'), now);
+      }
+    }
+    endpoint.vacate(outcome, request.sizeClass === 'long', now);
+    if (outcome.draining) {
+      this.markDraining(endpoint.server.name);
+    }
+    this.health.evaluate();
+    this.pump();
+  }
+
+  // Requests whose every endpoint drains now would wait in vain.
+  private refuseStranded(): void {
+    if (this.pool.hasCandidate(new Set())) {
+      return;
+    }
+    for (let waiter = this.room.findExpired(Infinity); waiter !== undefined;) {
+      this.refuseWaiter(waiter, 'NoEndpoint');
+      waiter = this.room.findExpired(Infinity);
+    }
+  }
+
+  private refuseWaiter(waiter: Waiter, result: RefusalResult): void {
+    this.room.remove(waiter);
+    waiter.stopListening();
+    this.limits.leave(waiter.request.organisation);
+    const queued = this.options.now() - waiter.enteredAt;
+    this.logRefusal(waiter.request, result, queued, waiter.expectedWaitMilliseconds);
+    waiter.reject(new results.FailureError(result));
+  }
+
+  private armTick(now: number): void {
+    if (this.cancelTick !== undefined || (this.inFlight === 0 && this.room.size === 0)) {
+      return;
+    }
+    const untilExpiry = Math.max(MINIMUM_TICK_MILLISECONDS, this.room.nextExpiryAt - now);
+    this.cancelTick = this.schedule(
+      () => {
+        this.cancelTick = undefined;
+        this.health.evaluate();
+        this.pump();
+      },
+      Math.min(TICK_MILLISECONDS, untilExpiry),
+    );
+  }
+
+  private logGrant(waiter: Waiter, endpoint: EndpointSlots, now: number): void {
+    this.options.logDecision?.({
+      ...this.describe(waiter.request, now - waiter.enteredAt, waiter.expectedWaitMilliseconds),
+      kind: 'grant',
+      endpoint: endpoint.server.name,
+      endpointZone: endpoint.server.zone,
+      endpointInFlight: endpoint.inFlight,
+      endpointLimit: endpoint.limit(now),
+    });
+  }
+
+  private logRefusal(
+    request: DispatchRequest,
+    result: RefusalResult,
+    queued: number,
+    expectedWait: number,
+  ): void {
+    this.refusals += 1;
+    const facts = this.describe(request, queued, expectedWait);
+    this.options.logDecision?.({ ...facts, kind: 'refusal', result });
+  }
+
+  private describe(
+    request: DispatchRequest,
+    queuedMilliseconds: number,
+    expectedWaitMilliseconds: number,
+  ): Omit<DispatchDecision, 'kind'> {
+    const { requestId, routeName, organisation, sizeClass, priority, originZone } = request;
+    const at = this.options.now();
+    return {
+      cell: this.options.cellName,
+      requestId,
+      routeName,
+      organisation,
+      sizeClass,
+      priority,
+      originZone,
+      at,
+      remainingMilliseconds: request.deadlineAt - at,
+      queuedMilliseconds,
+      expectedWaitMilliseconds,
+      waiting: this.room.size,
+    };
+  }
+}
--- a/packages/routing/dispatch/src/request.ts
+++ b/packages/routing/dispatch/src/request.ts
@@ -1,6 +1,7 @@
 /**
  * What the request path asks of a dispatcher, and what it gets.
  */
+import type { Fingerprint } from '@dogwoodstall/crash-guard';
 import type { AttemptOutcome } from '@dogwoodstall/health';
 import type { BackendServer, SizeClass } from '@dogwoodstall/model';
 
@@ -21,6 +22,8 @@
   readonly excludedEndpoints: ReadonlySet<string>;
   /** Aborted when the caller goes away. */
   readonly signal: AbortSignal;
+  /** Identifies the request when it is resent after it crashed a backend server. */
+  readonly fingerprint?: Fingerprint | undefined;
 }
 
 /** A slot of a backend server, held until it is released. */
--- /dev/null
+++ b/packages/routing/health/src/cell-health.ts
@@ -0,0 +1,236 @@
+/**
+ * The health of the endpoints of one cell: collects evidence, ejects outliers, keeps the floor and
+ * lets endpoints return gradually.
+ */
+import type { BackendServer, Contract, SizeClass } from '@dogwoodstall/model';
+import type * as most from 'most';
+import type { EjectionEvidence, EndpointHealthSnapshot, HealthChange } from './change.js';
+import { ChangeFeed } from './change-feed.js';
+import { EndpointRecord, type HealthAttempt } from './endpoint-record.js';
+import { EvidenceBook } from './evidence-book.js';
+import { assertFloor, chooseEjected } from './floor.js';
+import type { AttemptOutcome } from './outcome.js';
+import { findOutliers } from './outlier-search.js';
+import * as recovery from './recovery.js';
+
+/** The promises of a contract that health keeps. */
+export type HealthContract = Pick<Contract, 'healthyCapacityFloor' | 'coldStartMilliseconds'>;
+
+/** Options of `CellHealth`. */
+export interface CellHealthOptions {
+  readonly servers: readonly BackendServer[];
+  readonly contract: HealthContract;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  /** Random number from 0 to below 1. */
+  readonly random: () => number;
+  /** Receives each ejection and return for the decision log. */
+  readonly logDecision?: (change: HealthChange) => void;
+}
+
+/** What health is told about an attempt when it is sent. */
+export interface AttemptStart {
+  readonly routeName: string;
+  readonly organisation: string;
+  readonly sizeClass: SizeClass;
+}
+
+/** Time between two runs of the tests. */
+const EVALUATION_MILLISECONDS = 50;
+
+/** Evidence, ejections and returns of the endpoints of one cell. */
+export class CellHealth {
+  private readonly options: CellHealthOptions;
+
+  private readonly records = new Map<string, EndpointRecord>();
+
+  private readonly book: EvidenceBook;
+
+  private readonly feed = new ChangeFeed<HealthChange>();
+
+  private contract: HealthContract;
+
+  private evaluatedAt = -Infinity;
+
+  /** Ejections and returns as they happen. */
+  readonly changes: most.Stream<HealthChange> = this.feed.stream;
+
+  constructor(options: CellHealthOptions) {
+    this.options = options;
+    this.contract = options.contract;
+    this.book = new EvidenceBook();
+    for (const server of options.servers) {
+      this.records.set(server.name, new EndpointRecord(server, options.now(), false));
+    }
+  }
+
+  /** Follows the configuration: endpoints that are new get a cold start allowance. */
+  updateEndpoints(servers: readonly BackendServer[], contract = this.contract): void {
+    this.contract = contract;
+    const names = new Set(servers.map((server) => server.name));
+    for (const name of this.records.keys()) {
+      if (!names.has(name)) {
+        this.records.delete(name);
+      }
+    }
+    for (const server of servers) {
+      const record = this.records.get(server.name);
+      if (record === undefined || record.server.address !== server.address) {
+        this.records.set(server.name, new EndpointRecord(server, this.options.now(), true));
+      } else {
+        record.server = server;
+      }
+    }
+    this.applyFloor();
+  }
+
+  /** Takes a draining endpoint out of the capacity that the floor counts. */
+  markDraining(endpointName: string, draining = true): void {
+    const record = this.records.get(endpointName);
+    if (record !== undefined && record.server.draining !== draining) {
+      record.server = { ...record.server, draining };
+      this.applyFloor();
+    }
+  }
+
+  /** Registers an attempt that is sent to an endpoint. */
+  started(endpointName: string, start: AttemptStart): HealthAttempt {
+    const attempt = this.book.open(endpointName, start, this.options.now());
+    this.records.get(endpointName)?.inFlight.add(attempt);
+    return attempt;
+  }
+
+  /** Registers the outcome of an attempt. */
+  finished(attempt: HealthAttempt, outcome: AttemptOutcome): void {
+    const record = this.records.get(attempt.endpointName);
+    if (record?.inFlight.delete(attempt) === true) {
+      this.addOutcome(record, attempt, outcome);
+    }
+  }
+
+  /** Registers the outcome of an attempt that was not announced by `started`. */
+  record(endpointName: string, outcome: AttemptOutcome, sizeClass: SizeClass = 'short'): void {
+    const record = this.records.get(endpointName);
+    if (record !== undefined) {
+      const start = { ...outcome, sizeClass };
+      const startedAt = this.options.now() - outcome.milliseconds;
+      this.addOutcome(record, this.book.open(endpointName, start, startedAt), outcome);
+    }
+  }
+
+  /** Registers a probe result. A failed probe supports other evidence; a passed one proves nothing. */
+  recordProbe(endpointName: string, passed: boolean): void {
+    const record = this.records.get(endpointName);
+    if (record !== undefined) {
+      record.failedProbes = passed ? 0 : record.failedProbes + 1;
+    }
+  }
+
+  /** Takes a lost server out of use until it answers, without blaming it for the loss. */
+  markLost(endpointName: string): void {
+    const record = this.records.get(endpointName);
+    if (record !== undefined && record.condemnation?.evidence.reason !== 'lost') {
+      this.condemn(record, recovery.lostEvidence);
+      this.applyFloor();
+    }
+  }
+
+  /** Runs the tests when they are due, and returns the changes that followed. */
+  evaluate(): HealthChange[] {
+    const now = this.options.now();
+    if (now - this.evaluatedAt < EVALUATION_MILLISECONDS) {
+      return [];
+    }
+    this.evaluatedAt = now;
+    const changes: HealthChange[] = [];
+    for (const record of this.records.values()) {
+      const change = recovery.advance(record, now, this.contract.coldStartMilliseconds);
+      if (change !== undefined) {
+        changes.push(change);
+      }
+    }
+    const found = findOutliers([...this.records.values()], this.book, now);
+    for (const [record, evidence] of found) {
+      this.condemn(record, evidence);
+    }
+    changes.forEach((change) => this.publish(change));
+    if (changes.length > 0 || found.size > 0) {
+      changes.push(...this.applyFloor());
+    }
+    return changes;
+  }
+
+  /** Returns the share of its slots that an endpoint may use: 0 ejected, up to 1. */
+  admissionWeight(endpointName: string): number {
+    const record = this.records.get(endpointName);
+    return record === undefined
+      ? 0
+      : recovery.weightOf(record, this.options.now(), this.contract.coldStartMilliseconds);
+  }
+
+  /** Returns whether an endpoint is used only because of the floor. */
+  isKeptByFloor(endpointName: string): boolean {
+    return this.records.get(endpointName)?.condition === 'kept-by-floor';
+  }
+
+  /** Returns the state of every endpoint. */
+  snapshot(): EndpointHealthSnapshot[] {
+    const list: EndpointHealthSnapshot[] = [];
+    for (const [name, record] of this.records) {
+      list.push({
+        name,
+        condition: record.condition,
+        weight: this.admissionWeight(name),
+        ejections: record.ejections,
+        ejectedUntil: record.condemnation?.until,
+        evidence: record.condemnation?.evidence,
+        inFlight: record.inFlight.size,
+        failedProbes: record.failedProbes,
+      });
+    }
+    return list;
+  }
+
+  private addOutcome(
+    record: EndpointRecord,
+    attempt: HealthAttempt,
+    outcome: AttemptOutcome,
+  ): void {
+    const now = this.options.now();
+    const allowSlow = record.condition === 'cold-start';
+    const sample = this.book.judge(record, attempt, outcome, now, allowSlow);
+    if (sample === undefined) {
+      return;
+    }
+    record.addSample(sample);
+    const failure = recovery.countTrial(record, sample, outcome, now);
+    if (failure !== undefined) {
+      this.condemn(record, failure);
+      this.applyFloor();
+    }
+  }
+
+  private condemn(record: EndpointRecord, evidence: EjectionEvidence): void {
+    recovery.condemn(record, evidence, this.options.now(), this.options.random());
+  }
+
+  private applyFloor(): HealthChange[] {
+    const records = [...this.records.values()];
+    chooseEjected(records, this.contract.healthyCapacityFloor);
+    assertFloor(records, this.contract.healthyCapacityFloor);
+    const changes: HealthChange[] = [];
+    for (const record of records) {
+      const change = recovery.applyCondemnation(record, this.options.now());
+      if (change !== undefined) {
+        changes.push(change);
+        this.publish(change);
+      }
+    }
+    return changes;
+  }
+
+  private publish(change: HealthChange): void {
+    this.options.logDecision?.(change);
+    this.feed.publish(change);
+  }
+}
--- /dev/null
+++ b/packages/routing/health/src/evidence-book.ts
@@ -0,0 +1,106 @@
+/**
+ * Turns the outcomes of attempts into samples: decides what speaks against an endpoint and what is no
+ * statement about it.
+ */
+import type { SizeClass } from '@dogwoodstall/model';
+import type { EndpointRecord, HealthAttempt } from './endpoint-record.js';
+import { LatencyScale } from './latency-scale.js';
+import type { AttemptOutcome } from './outcome.js';
+import { marks, type Sample } from './samples.js';
+import { Strata } from './strata.js';
+
+/** Medians of the route beyond which an answer is slow, and very slow. */
+const SLOW_FACTOR = 4;
+const VERY_SLOW_FACTOR = 8;
+
+/** Samples of a route before its service times are compared. */
+const MINIMUM_SCALE_SAMPLES = 100;
+
+/** Differences below this time are never slow: the timers of both sides are not more exact. */
+const MINIMUM_SLOW_MILLISECONDS = 5;
+
+/** Routes with a scale; the one that was added first is dropped beyond that. */
+const MAXIMUM_SCALES = 500;
+
+/** The service times of the cell's routes and the judgement of outcomes. */
+export class EvidenceBook {
+  private readonly strata = new Strata();
+
+  private readonly scales = new Map<string, LatencyScale>();
+
+  /** Describes an attempt that begins. */
+  open(
+    endpointName: string,
+    start: { routeName: string; organisation: string; sizeClass: SizeClass },
+    startedAt: number,
+  ): HealthAttempt {
+    const { routeName, organisation, sizeClass } = start;
+    const stratum = this.strata.stratumOf(routeName, sizeClass, organisation);
+    return { endpointName, routeName, sizeClass, stratum, startedAt };
+  }
+
+  /** Returns the service times behind an attempt, or undefined while too few are known. */
+  findScale(attempt: HealthAttempt): LatencyScale | undefined {
+    const scale = this.scales.get(Strata.routeKey(attempt.routeName, attempt.sizeClass));
+    return scale === undefined || scale.samples < MINIMUM_SCALE_SAMPLES ? undefined : scale;
+  }
+
+  /** Returns the marks of a time that an attempt took or has taken so far. */
+  markTime(record: EndpointRecord, attempt: HealthAttempt, milliseconds: number): number {
+    const scale = this.findScale(attempt);
+    if (scale === undefined || milliseconds < MINIMUM_SLOW_MILLISECONDS) {
+      return 0;
+    }
+    let found = milliseconds > scale.median * SLOW_FACTOR ? marks.slow : 0;
+    found |= milliseconds > scale.median * VERY_SLOW_FACTOR ? marks.verySlow : 0;
+    const past = record.pastMilliseconds(Strata.routeKey(attempt.routeName, attempt.sizeClass));
+    if (past !== undefined && milliseconds > past * SLOW_FACTOR) {
+      found |= marks.slowerThanPast;
+    }
+    return found;
+  }
+
+  /** Returns the sample of an outcome, or undefined when it is no statement about the endpoint. */
+  judge(
+    record: EndpointRecord,
+    attempt: HealthAttempt,
+    outcome: AttemptOutcome,
+    now: number,
+    allowSlow: boolean,
+  ): Sample | undefined {
+    record.reportedLoad = outcome.reportedLoad ?? record.reportedLoad;
+    const slowMarks = allowSlow ? 0 : this.markTime(record, attempt, outcome.milliseconds);
+    const { routeName, stratum } = attempt;
+    const sample = (found: number): Sample => ({ at: now, routeName, stratum, marks: found });
+    switch (outcome.kind) {
+      case 'success':
+        record.lastAnswerAt = now;
+        if (!allowSlow) {
+          this.learn(record, attempt, outcome.milliseconds);
+        }
+        return sample(slowMarks);
+      // Work that was given up early says nothing; work that was late already is slow. A timeout is
+      // early when the request spent its deadline in the queue of the fleet.
+      case 'cancelled':
+        return slowMarks === 0 ? undefined : sample(slowMarks);
+      case 'timeout':
+        return slowMarks === 0 ? undefined : sample(slowMarks | marks.failed);
+      default:
+        return sample(marks.failed);
+    }
+  }
+
+  private learn(record: EndpointRecord, attempt: HealthAttempt, milliseconds: number): void {
+    const key = Strata.routeKey(attempt.routeName, attempt.sizeClass);
+    let scale = this.scales.get(key);
+    if (scale === undefined) {
+      scale = new LatencyScale();
+      this.scales.set(key, scale);
+      if (this.scales.size > MAXIMUM_SCALES) {
+        this.scales.delete(this.scales.keys().next().value ?? '');
+      }
+    }
+    scale.add(milliseconds);
+    record.addPast(key, milliseconds);
+  }
+}
--- /dev/null
+++ b/packages/routing/health/src/floor.ts
@@ -0,0 +1,65 @@
+/**
+ * The healthy-capacity floor: which of the condemned endpoints may be ejected at the same time.
+ */
+import * as results from '@dogwoodstall/results';
+import type { EndpointRecord } from './endpoint-record.js';
+
+/** Slots of a cell and how many of them must stay selectable. */
+export interface FloorState {
+  readonly totalSlots: number;
+  readonly selectableSlots: number;
+  readonly requiredSlots: number;
+}
+
+/** Returns the slots of the endpoints that do not drain, and the floor over them. */
+export function measureFloor(records: Iterable<EndpointRecord>, floor: number): FloorState {
+  let totalSlots = 0;
+  let selectableSlots = 0;
+  for (const record of records) {
+    if (!record.server.draining) {
+      totalSlots += record.server.slots;
+      selectableSlots += record.condemnation?.ejected === true ? 0 : record.server.slots;
+    }
+  }
+  // At least one slot stays in use, even where the contract has no floor.
+  const requiredSlots = Math.min(totalSlots, Math.max(1, Math.ceil(totalSlots * floor - 1e-9)));
+  return { totalSlots, selectableSlots, requiredSlots };
+}
+
+function severity(record: EndpointRecord): number {
+  return record.condemnation?.evidence.strength ?? 0;
+}
+
+/**
+ * Decides for every condemned endpoint whether it is ejected: the worst first, as far as the floor
+ * allows. The others stay in use.
+ */
+export function chooseEjected(records: readonly EndpointRecord[], floor: number): void {
+  const condemned = records.filter((record) => record.condemnation !== undefined);
+  for (const { condemnation } of condemned) {
+    if (condemnation !== undefined) {
+      condemnation.ejected = false;
+    }
+  }
+  const { selectableSlots, requiredSlots } = measureFloor(records, floor);
+  let spare = selectableSlots - requiredSlots;
+  condemned.sort((left, right) => severity(right) - severity(left));
+  for (const { condemnation, server } of condemned) {
+    const slots = server.draining ? 0 : server.slots;
+    if (condemnation !== undefined && slots <= spare) {
+      condemnation.ejected = true;
+      spare -= slots;
+    }
+  }
+}
+
+/** Asserts that the floor holds. */
+export function assertFloor(records: Iterable<EndpointRecord>, floor: number): void {
+  const state = measureFloor(records, floor);
+  results.checkInvariant(
+    state.selectableSlots >= state.requiredSlots,
+    'FloorViolated',
+    () =>
+      `${state.selectableSlots} of ${state.totalSlots} slots are selectable, the floor is ${state.requiredSlots}`,
+  );
+}
--- /dev/null
+++ b/packages/routing/health/src/outlier-search.ts
@@ -0,0 +1,150 @@
+/**
+ * Runs the tests over all endpoints of a cell and decides which of them are outliers.
+ */
+import type { EjectionEvidence } from './change.js';
+import type { EndpointRecord } from './endpoint-record.js';
+import type { EvidenceBook } from './evidence-book.js';
+import { findEvidence, StratumCounts } from './outlier-test.js';
+import { findStall } from './stall-test.js';
+
+/** Windows over which endpoints are compared. */
+const WINDOWS_MILLISECONDS = [500, 1000, 2000, 4000, 8000] as const;
+
+/**
+ * Strength needed to eject: a chance of 1e-10 in each comparison of a window. The README derives the
+ * rate of false ejections from it.
+ */
+const NEEDED_STRENGTH = 23;
+
+/** Strength needed for a stall; it is tested per request and not per comparison. */
+const NEEDED_STALL_STRENGTH = 16;
+
+/** An endpoint that comes back from an ejection is ejected again on weaker evidence. */
+const RETURNED_FACTOR = 0.4;
+
+/** Failed probes or a long queue of its own support evidence from real work. */
+const SUPPORTED_FACTOR = 0.7;
+const SUPPORTING_PROBES = 3;
+const SUPPORTING_QUEUE_RATIO = 4;
+
+/** Suspicion below which the windows are not counted. */
+const NEEDED_SUSPICION = 3;
+
+/** With more outliers than this share of the endpoints, the service as a whole is degraded. */
+const MAXIMUM_OUTLIER_SHARE = 0.5;
+
+interface WindowCounts {
+  readonly record: EndpointRecord;
+  readonly own: StratumCounts;
+  position: number;
+}
+
+function hasLongQueue(record: EndpointRecord, records: readonly EndpointRecord[]): boolean {
+  const queues = records.map((peer) => peer.reportedLoad?.queued ?? 0).sort((a, b) => a - b);
+  const median = queues[Math.floor(queues.length / 2)] ?? 0;
+  return (record.reportedLoad?.queued ?? 0) > SUPPORTING_QUEUE_RATIO * (median + 1);
+}
+
+function strengthFactor(record: EndpointRecord, records: readonly EndpointRecord[]): number {
+  const returned = record.condition === 'trial' || record.condition === 'slow-start';
+  const supported = record.failedProbes >= SUPPORTING_PROBES || hasLongQueue(record, records);
+  return (returned ? RETURNED_FACTOR : 1) * (supported ? SUPPORTED_FACTOR : 1);
+}
+
+// Requests in flight that are late already count as slow before they end.
+function countLateRequests(
+  counts: WindowCounts,
+  all: StratumCounts,
+  book: EvidenceBook,
+  now: number,
+): void {
+  const { record } = counts;
+  if (record.condition === 'cold-start') {
+    return;
+  }
+  for (const attempt of record.inFlight) {
+    const found = book.markTime(record, attempt, now - attempt.startedAt);
+    if (found !== 0) {
+      const { routeName, stratum } = attempt;
+      const sample = { at: now, routeName, stratum, marks: found };
+      counts.own.add(sample);
+      all.add(sample);
+    }
+  }
+}
+
+function isSuspicious(record: EndpointRecord, book: EvidenceBook, now: number): boolean {
+  let { suspicion } = record;
+  for (const attempt of record.inFlight) {
+    suspicion += book.markTime(record, attempt, now - attempt.startedAt) === 0 ? 0 : 1;
+  }
+  return suspicion >= NEEDED_SUSPICION;
+}
+
+function searchWindows(
+  records: readonly EndpointRecord[],
+  book: EvidenceBook,
+  now: number,
+  found: Map<EndpointRecord, EjectionEvidence>,
+): void {
+  const all = new StratumCounts();
+  const suspects = new Set(records.filter((record) => isSuspicious(record, book, now)));
+  if (suspects.size === 0) {
+    return;
+  }
+  const windows: WindowCounts[] = [];
+  for (const record of records) {
+    const counts = { record, own: new StratumCounts(), position: record.samples.length };
+    countLateRequests(counts, all, book, now);
+    windows.push(counts);
+  }
+  for (const milliseconds of WINDOWS_MILLISECONDS) {
+    for (const counts of windows) {
+      counts.position = counts.record.samples.visitOlder(
+        counts.position,
+        now - milliseconds,
+        (sample) => {
+          counts.own.add(sample);
+          all.add(sample);
+        },
+      );
+    }
+    for (const { record, own } of windows) {
+      if (!suspects.has(record) || found.has(record)) {
+        continue;
+      }
+      const evidence = findEvidence(own, all);
+      if (
+        evidence !== undefined &&
+        evidence.strength >= NEEDED_STRENGTH * strengthFactor(record, records)
+      ) {
+        const { kind, ...facts } = evidence;
+        found.set(record, { reason: kind, ...facts });
+      }
+    }
+  }
+}
+
+/** Returns the endpoints that are outliers, with the evidence against each. */
+export function findOutliers(
+  records: readonly EndpointRecord[],
+  book: EvidenceBook,
+  now: number,
+): Map<EndpointRecord, EjectionEvidence> {
+  const tested = records.filter((record) => record.condemnation === undefined);
+  const found = new Map<EndpointRecord, EjectionEvidence>();
+  for (const record of tested) {
+    const stall =
+      record.condition === 'cold-start'
+        ? undefined
+        : findStall(record, tested, (attempt) => book.findScale(attempt), now);
+    if (
+      stall !== undefined &&
+      stall.strength >= NEEDED_STALL_STRENGTH * strengthFactor(record, records)
+    ) {
+      found.set(record, stall);
+    }
+  }
+  searchWindows(tested, book, now, found);
+  return found.size > tested.length * MAXIMUM_OUTLIER_SHARE ? new Map() : found;
+}
--- /dev/null
+++ b/packages/routing/health/src/outlier-test.ts
@@ -0,0 +1,141 @@
+/**
+ * The statistical test: whether the marked outcomes of one endpoint exceed what its peers lead to
+ * expect, by more than chance explains.
+ */
+import { marks, type Sample } from './samples.js';
+
+/** Counts within one stratum. */
+interface Counts {
+  total: number;
+  readonly marked: [number, number, number, number];
+}
+
+/** The marks in the order of `Counts.marked`. */
+const markBits = [marks.failed, marks.slow, marks.verySlow, marks.slowerThanPast] as const;
+
+const markNames = ['failures', 'slow', 'very-slow', 'slower-than-past'] as const;
+
+/** What a test is about. */
+export type EvidenceKind = (typeof markNames)[number];
+
+/** The strongest evidence against one endpoint. */
+export interface Evidence {
+  readonly kind: EvidenceKind;
+  /** The route, or `*` for all routes together. */
+  readonly routeName: string;
+  readonly samples: number;
+  readonly observed: number;
+  /** Marked outcomes that the peers' shares lead to expect. */
+  readonly expected: number;
+  /** Natural logarithm of one over the bound on the probability by chance. */
+  readonly strength: number;
+}
+
+/** Below this number of the peers' samples a stratum is not compared. */
+const MINIMUM_PEER_SAMPLES = 10;
+
+/** Lowest share of marked outcomes that is taken as normal. */
+const LOWEST_SHARE = 0.005;
+
+/** Standard deviations by which the peers' share is raised, because it is estimated itself. */
+const SHARE_MARGIN_DEVIATIONS = 1.5;
+
+const MINIMUM_MARKED = 3;
+
+/** Smallest excess of the share of marked outcomes that matters, by kind of mark. */
+const MINIMUM_EXCESS = [0.1, 0.35, 0.25, 0.35] as const;
+
+/** The outcomes of one endpoint or of all endpoints in a window, by stratum. */
+export class StratumCounts {
+  readonly strata = new Map<string, Counts>();
+
+  readonly routeOf = new Map<string, string>();
+
+  /** Adds one outcome. */
+  add(sample: Sample): void {
+    let counts = this.strata.get(sample.stratum);
+    if (counts === undefined) {
+      counts = { total: 0, marked: [0, 0, 0, 0] };
+      this.strata.set(sample.stratum, counts);
+      this.routeOf.set(sample.stratum, sample.routeName);
+    }
+    counts.total += 1;
+    if (sample.marks === 0) {
+      return;
+    }
+    for (const [index, bit] of markBits.entries()) {
+      counts.marked[index as 0] += (sample.marks & bit) === 0 ? 0 : 1;
+    }
+  }
+}
+
+/**
+ * Returns the Chernoff bound on a sum of independent events with the given mean, as the natural
+ * logarithm of one over the probability to reach `observed`.
+ */
+export function boundChance(observed: number, expected: number): number {
+  if (observed <= expected) {
+    return 0;
+  }
+  return observed * Math.log(observed / expected) - observed + expected;
+}
+
+interface RouteSum {
+  samples: number;
+  observed: number;
+  expected: number;
+}
+
+function normalShare(peerTotal: number, peerMarked: number): number {
+  const margin = SHARE_MARGIN_DEVIATIONS * Math.sqrt(peerMarked + 1);
+  return Math.min(
+    1,
+    Math.max(LOWEST_SHARE, (peerMarked + (peerMarked > 0 ? margin : 0)) / peerTotal),
+  );
+}
+
+function sumRoutes(own: StratumCounts, all: StratumCounts, index: number): Map<string, RouteSum> {
+  const sums = new Map<string, RouteSum>([['*', { samples: 0, observed: 0, expected: 0 }]]);
+  for (const [stratum, counts] of own.strata) {
+    const total = all.strata.get(stratum);
+    const peerTotal = (total?.total ?? 0) - counts.total;
+    if (total === undefined || peerTotal < MINIMUM_PEER_SAMPLES) {
+      continue;
+    }
+    const observed = counts.marked[index] ?? 0;
+    const peerMarked = (total.marked[index] ?? 0) - observed;
+    const expected = counts.total * normalShare(peerTotal, peerMarked);
+    const routeName = own.routeOf.get(stratum) ?? '*';
+    const route = sums.get(routeName) ?? { samples: 0, observed: 0, expected: 0 };
+    sums.set(routeName, route);
+    for (const sum of [route, sums.get('*') ?? route]) {
+      sum.samples += counts.total;
+      sum.observed += observed;
+      sum.expected += expected;
+    }
+  }
+  return sums;
+}
+
+/**
+ * Tests one endpoint against its peers in one window.
+ *
+ * `all` contains the endpoint's own outcomes too. Returns the strongest evidence, or undefined when
+ * nothing is both larger than chance allows and large enough to matter.
+ */
+export function findEvidence(own: StratumCounts, all: StratumCounts): Evidence | undefined {
+  let strongest: Evidence | undefined;
+  for (const [index, kind] of markNames.entries()) {
+    for (const [routeName, sum] of sumRoutes(own, all, index)) {
+      const excess = (sum.observed - sum.expected) / Math.max(1, sum.samples);
+      if (sum.observed < MINIMUM_MARKED || excess < (MINIMUM_EXCESS[index] ?? 1)) {
+        continue;
+      }
+      const strength = boundChance(sum.observed, sum.expected);
+      if (strength > (strongest?.strength ?? 0)) {
+        strongest = { kind, routeName, ...sum, strength };
+      }
+    }
+  }
+  return strongest;
+}
--- /dev/null
+++ b/packages/routing/health/src/samples.ts
@@ -0,0 +1,80 @@
+/**
+ * The recent outcomes of one endpoint, oldest first, bounded in number and in age.
+ */
+
+/** The properties of an outcome that the tests count, as bits of `Sample.marks`. */
+export const marks = {
+  /** Error, timeout, reset, cut answer, refused connection, shed request. */
+  failed: 1,
+  /** Longer than `SLOW_FACTOR` medians of the route. */
+  slow: 2,
+  /** Longer than `VERY_SLOW_FACTOR` medians of the route. */
+  verySlow: 4,
+  /** Longer than `SLOW_FACTOR` times what the endpoint itself used to take. */
+  slowerThanPast: 8,
+} as const;
+
+/** One outcome as evidence. */
+export interface Sample {
+  readonly at: number;
+  readonly routeName: string;
+  /** Route and group of organisations: outcomes are compared within a stratum only. */
+  readonly stratum: string;
+  readonly marks: number;
+}
+
+/** Samples kept for one endpoint; at 20 to 200 requests/s this covers the longest window. */
+const MAXIMUM_SAMPLES = 1024;
+
+/** Samples dropped at once when the list is full, so that dropping costs O(1) per sample. */
+const DROPPED_SAMPLES = 256;
+
+/** The recent outcomes of one endpoint. */
+export class SampleList {
+  private samples: Sample[] = [];
+
+  private lastMarkedAt = -Infinity;
+
+  /** Adds an outcome; `at` never decreases. */
+  add(sample: Sample): void {
+    if (this.samples.length >= MAXIMUM_SAMPLES) {
+      this.samples.splice(0, DROPPED_SAMPLES);
+    }
+    this.samples.push(sample);
+    if (sample.marks !== 0) {
+      this.lastMarkedAt = sample.at;
+    }
+  }
+
+  /** Time of the latest outcome that speaks against the endpoint. */
+  get latestMarkAt(): number {
+    return this.lastMarkedAt;
+  }
+
+  /** Samples kept. */
+  get length(): number {
+    return this.samples.length;
+  }
+
+  /**
+   * Visits samples from position `from - 1` downwards while they are younger than `after`.
+   *
+   * Returns the position at which a longer window continues.
+   */
+  visitOlder(from: number, after: number, visit: (sample: Sample) => void): number {
+    for (let index = from - 1; index >= 0; index -= 1) {
+      const sample = this.samples[index];
+      if (sample === undefined || sample.at <= after) {
+        return index + 1;
+      }
+      visit(sample);
+    }
+    return 0;
+  }
+
+  /** Forgets all samples. */
+  clear(): void {
+    this.samples = [];
+    this.lastMarkedAt = -Infinity;
+  }
+}
--- /dev/null
+++ b/packages/routing/health/src/stall-test.ts
@@ -0,0 +1,76 @@
+/**
+ * The test for stalled endpoints: the ages of the requests in flight, before any of them times out.
+ */
+import type { EjectionEvidence } from './change.js';
+import type { EndpointRecord, HealthAttempt } from './endpoint-record.js';
+import type { LatencyScale } from './latency-scale.js';
+
+/**
+ * A pause of the server's process, such as garbage collection, is no fault; younger requests are no
+ * evidence.
+ */
+const MINIMUM_STALL_MILLISECONDS = 400;
+
+/** Peers' requests older than this share of the age under test count as old too. */
+const PEER_AGE_SHARE = 1 / 3;
+
+/** With more old requests than this share among the peers', the service as a whole is slow. */
+const MAXIMUM_OLD_PEER_SHARE = 0.3;
+
+/** Finds the service times behind an attempt. */
+export type FindScale = (attempt: HealthAttempt) => LatencyScale | undefined;
+
+function measureOldPeers(
+  record: EndpointRecord,
+  records: Iterable<EndpointRecord>,
+  bornBefore: number,
+): number {
+  let old = 0;
+  let total = 0;
+  for (const peer of records) {
+    if (peer === record || peer.condemnation !== undefined) {
+      continue;
+    }
+    for (const attempt of peer.inFlight) {
+      total += 1;
+      old += attempt.startedAt <= bornBefore ? 1 : 0;
+    }
+  }
+  return total === 0 ? 0 : old / total;
+}
+
+/**
+ * Returns evidence when the requests in flight are older than chance explains.
+ *
+ * The logarithms of the probabilities of the ages add up; Chernoff's bound on a sum of exponential
+ * variables gives the strength.
+ */
+export function findStall(
+  record: EndpointRecord,
+  records: Iterable<EndpointRecord>,
+  findScale: FindScale,
+  now: number,
+): EjectionEvidence | undefined {
+  let sum = 0;
+  let oldest: HealthAttempt | undefined;
+  for (const attempt of record.inFlight) {
+    const scale = findScale(attempt);
+    const age = now - attempt.startedAt;
+    sum += scale === undefined || age <= 0 ? 0 : -Math.log(scale.exceedance(age));
+    oldest = oldest === undefined || attempt.startedAt < oldest.startedAt ? attempt : oldest;
+  }
+  const count = record.inFlight.size;
+  if (oldest === undefined || sum <= count) {
+    return undefined;
+  }
+  const age = now - oldest.startedAt;
+  if (age < MINIMUM_STALL_MILLISECONDS) {
+    return undefined;
+  }
+  if (measureOldPeers(record, records, now - age * PEER_AGE_SHARE) > MAXIMUM_OLD_PEER_SHARE) {
+    return undefined;
+  }
+  const strength = sum - count - count * Math.log(sum / count);
+  const routeName = count === 1 ? oldest.routeName : '*';
+  return { reason: 'stalled', routeName, samples: count, observed: count, expected: 0, strength };
+}
