Restructure health and crash guard around objects that own their state

Change: EndpointLife holds the condition of an endpoint and EndpointLosses the resets of one; marks are records of booleans.

--- a/packages/routing/crash-guard/src/index.ts
+++ b/packages/routing/crash-guard/src/index.ts
@@ -3,9 +3,5 @@
  */
 export { type Fingerprint, type RequestIdentity, createFingerprint } from './fingerprint.js';
 export type { CrashEntry } from './entries.js';
-export {
-  type AttemptEnd,
-  type CrashGuardOptions,
-  type GuardedAttempt,
-  CrashGuard,
-} from './guard.js';
+export type { AttemptEnd, GuardedAttempt } from './endpoint-losses.js';
+export { type CrashGuardOptions, CrashGuard } from './guard.js';
--- a/packages/routing/dispatch/src/fair-queue.ts
+++ b/packages/routing/dispatch/src/fair-queue.ts
@@ -91,15 +91,16 @@
     if (queue === undefined) {
       return;
     }
-    if (waiter.previous === undefined) {
-      queue.head = waiter.next;
+    const { previous, next } = waiter;
+    if (previous === undefined) {
+      queue.head = next;
     } else {
-      waiter.previous.next = waiter.next;
+      previous.next = next;
     }
-    if (waiter.next === undefined) {
-      queue.tail = waiter.previous;
+    if (next === undefined) {
+      queue.tail = previous;
     } else {
-      waiter.next.previous = waiter.previous;
+      next.previous = previous;
     }
     queue.length -= 1;
     this.size -= 1;
--- a/packages/routing/dispatch/src/organisation-limits.ts
+++ b/packages/routing/dispatch/src/organisation-limits.ts
@@ -23,6 +23,14 @@
 /** Organisations that are remembered; idle ones are forgotten first. */
 const SWEEP_SIZE = 1024;
 
+function refill(use: OrganisationUse, rate: number, now: number): void {
+  const filled = use;
+  const capacity = Math.max(1, rate * BURST_SECONDS);
+  const added = ((now - use.filledAt) * rate) / MILLISECONDS_PER_SECOND;
+  filled.tokens = Math.min(capacity, use.tokens + added);
+  filled.filledAt = now;
+}
+
 /** Counts the requests of each organisation. */
 export class OrganisationLimits {
   private readonly uses = new Map<string, OrganisationUse>();
@@ -47,7 +55,7 @@
       return 'OrganisationConcurrencyExceeded';
     }
     if (rate !== undefined) {
-      this.refill(use, rate, now);
+      refill(use, rate, now);
       if (use.tokens < 1) {
         return 'OrganisationRateExceeded';
       }
@@ -68,14 +76,6 @@
     }
   }
 
-  private refill(use: OrganisationUse, rate: number, now: number): void {
-    const filled = use;
-    const capacity = Math.max(1, rate * BURST_SECONDS);
-    const added = ((now - use.filledAt) * rate) / MILLISECONDS_PER_SECOND;
-    filled.tokens = Math.min(capacity, use.tokens + added);
-    filled.filledAt = now;
-  }
-
   private openUse(organisation: string, now: number): OrganisationUse {
     let use = this.uses.get(organisation);
     if (use === undefined) {
--- a/packages/routing/health/src/cell-health.ts
+++ b/packages/routing/health/src/cell-health.ts
@@ -6,12 +6,12 @@
 import type * as most from 'most';
 import type { EjectionEvidence, EndpointHealthSnapshot, HealthChange } from './change.js';
 import { ChangeFeed } from './change-feed.js';
+import { lostEvidence } from './endpoint-life.js';
 import { EndpointRecord, type HealthAttempt } from './endpoint-record.js';
 import { EvidenceBook } from './evidence-book.js';
 import { assertFloor, chooseEjected } from './floor.js';
 import type { AttemptOutcome } from './outcome.js';
 import { findOutliers } from './outlier-search.js';
-import * as recovery from './recovery.js';
 
 /** The promises of a contract that health keeps. */
 export type HealthContract = Pick<Contract, 'healthyCapacityFloor' | 'coldStartMilliseconds'>;
@@ -129,8 +129,8 @@
   /** Takes a lost server out of use until it answers, without blaming it for the loss. */
   markLost(endpointName: string): void {
     const record = this.records.get(endpointName);
-    if (record !== undefined && record.condemnation?.evidence.reason !== 'lost') {
-      this.condemn(record, recovery.lostEvidence);
+    if (record !== undefined && record.life.condemnation?.evidence.reason !== 'lost') {
+      this.condemn(record, lostEvidence);
       this.applyFloor();
     }
   }
@@ -144,7 +144,7 @@
     this.evaluatedAt = now;
     const changes: HealthChange[] = [];
     for (const record of this.records.values()) {
-      const change = recovery.advance(record, now, this.contract.coldStartMilliseconds);
+      const change = this.advance(record, now);
       if (change !== undefined) {
         changes.push(change);
       }
@@ -163,14 +163,13 @@
   /** Returns the share of its slots that an endpoint may use: 0 ejected, up to 1. */
   admissionWeight(endpointName: string): number {
     const record = this.records.get(endpointName);
-    return record === undefined
-      ? 0
-      : recovery.weightOf(record, this.options.now(), this.contract.coldStartMilliseconds);
+    const now = this.options.now();
+    return record?.life.weight(now, this.contract.coldStartMilliseconds) ?? 0;
   }
 
   /** Returns whether an endpoint is used only because of the floor. */
   isKeptByFloor(endpointName: string): boolean {
-    return this.records.get(endpointName)?.condition === 'kept-by-floor';
+    return this.records.get(endpointName)?.life.condition === 'kept-by-floor';
   }
 
   /** Returns the state of every endpoint. */
@@ -179,11 +178,11 @@
     for (const [name, record] of this.records) {
       list.push({
         name,
-        condition: record.condition,
+        condition: record.life.condition,
         weight: this.admissionWeight(name),
-        ejections: record.ejections,
-        ejectedUntil: record.condemnation?.until,
-        evidence: record.condemnation?.evidence,
+        ejections: record.life.ejections,
+        ejectedUntil: record.life.condemnation?.until,
+        evidence: record.life.condemnation?.evidence,
         inFlight: record.inFlight.size,
         failedProbes: record.failedProbes,
       });
@@ -197,21 +196,32 @@
     outcome: AttemptOutcome,
   ): void {
     const now = this.options.now();
-    const allowSlow = record.condition === 'cold-start';
-    const sample = this.book.judge(record, attempt, outcome, now, allowSlow);
+    if (outcome.reportedLoad !== undefined) {
+      record.noteLoad(outcome.reportedLoad);
+    }
+    const sample = this.book.judge(record, attempt, outcome, now);
     if (sample === undefined) {
       return;
     }
     record.addSample(sample);
-    const failure = recovery.countTrial(record, sample, outcome, now);
+    const failure = record.life.countTrial(sample, outcome, now);
     if (failure !== undefined) {
       this.condemn(record, failure);
       this.applyFloor();
     }
   }
 
+  private advance(record: EndpointRecord, now: number): HealthChange | undefined {
+    const change = record.life.advance(now, this.contract.coldStartMilliseconds);
+    if (change?.kind === 'trial') {
+      record.clearEvidence();
+    }
+    return change;
+  }
+
   private condemn(record: EndpointRecord, evidence: EjectionEvidence): void {
-    recovery.condemn(record, evidence, this.options.now(), this.options.random());
+    record.life.condemn(evidence, this.options.now(), this.options.random());
+    record.clearEvidence();
   }
 
   private applyFloor(): HealthChange[] {
@@ -220,7 +230,7 @@
     assertFloor(records, this.contract.healthyCapacityFloor);
     const changes: HealthChange[] = [];
     for (const record of records) {
-      const change = recovery.applyCondemnation(record, this.options.now());
+      const change = record.life.applyCondemnation(this.options.now());
       if (change !== undefined) {
         changes.push(change);
         this.publish(change);
--- a/packages/routing/health/src/endpoint-record.ts
+++ b/packages/routing/health/src/endpoint-record.ts
@@ -2,9 +2,9 @@
  * What health knows about one endpoint.
  */
 import type { BackendServer, SizeClass } from '@dogwoodstall/model';
-import type { EjectionEvidence, EndpointCondition } from './change.js';
+import { EndpointLife } from './endpoint-life.js';
 import type { ReportedLoad } from './outcome.js';
-import { SampleList, type Sample } from './samples.js';
+import { isMarked, SampleList, type Sample } from './samples.js';
 
 /** An attempt that is in flight. */
 export interface HealthAttempt {
@@ -15,14 +15,6 @@
   readonly startedAt: number;
 }
 
-/** A finding against an endpoint, until it ends. */
-export interface Condemnation {
-  readonly evidence: EjectionEvidence;
-  readonly until: number;
-  /** False while the floor keeps the endpoint in use. */
-  ejected: boolean;
-}
-
 interface PastTime {
   meanLogarithm: number;
   samples: number;
@@ -45,22 +37,7 @@
 
   readonly inFlight = new Set<HealthAttempt>();
 
-  condemnation: Condemnation | undefined;
-
-  condition: EndpointCondition;
-
-  /** Ejections that count for the length of the next one. */
-  ejections = 0;
-
-  lastEjectionEndedAt = -Infinity;
-
-  trialSuccesses = 0;
-
-  trialFailures = 0;
-
-  slowStartAt = -Infinity;
-
-  lastAnswerAt: number;
+  readonly life: EndpointLife;
 
   failedProbes = 0;
 
@@ -73,26 +50,33 @@
 
   constructor(
     public server: BackendServer,
-    readonly addedAt: number,
+    addedAt: number,
     cold: boolean,
   ) {
-    this.condition = cold ? 'cold-start' : 'healthy';
-    this.lastAnswerAt = addedAt;
+    this.life = new EndpointLife(server.name, addedAt, cold);
+  }
+
+  /** Whether the endpoint comes back from an ejection. */
+  get returning(): boolean {
+    return this.life.condition === 'trial' || this.life.condition === 'slow-start';
   }
 
   /** Adds an outcome to the evidence. */
   addSample(sample: Sample): void {
     this.samples.add(sample);
-    const step = sample.marks === 0 ? -SUSPICION_RELIEF : SUSPICION_STEP;
+    const step = !isMarked(sample.marks) ? -SUSPICION_RELIEF : SUSPICION_STEP;
     this.suspicion = Math.min(MAXIMUM_SUSPICION, Math.max(0, this.suspicion + step));
   }
 
+  /** Keeps the load that the endpoint reported last. */
+  noteLoad(load: ReportedLoad): void {
+    this.reportedLoad = load;
+  }
+
   /** Forgets the evidence, when an ejection begins or ends. */
   clearEvidence(): void {
     this.samples.clear();
     this.suspicion = 0;
-    this.trialSuccesses = 0;
-    this.trialFailures = 0;
   }
 
   /** Returns what the endpoint used to take on a route, or undefined while that is not known. */
--- a/packages/routing/health/src/evidence-book.ts
+++ b/packages/routing/health/src/evidence-book.ts
@@ -6,7 +6,7 @@
 import type { EndpointRecord, HealthAttempt } from './endpoint-record.js';
 import { LatencyScale } from './latency-scale.js';
 import type { AttemptOutcome } from './outcome.js';
-import { marks, type Sample } from './samples.js';
+import { isMarked, type Marks, noMarks, type Sample } from './samples.js';
 import { Strata } from './strata.js';
 
 /** Medians of the route beyond which an answer is slow, and very slow. */
@@ -46,18 +46,19 @@
   }
 
   /** Returns the marks of a time that an attempt took or has taken so far. */
-  markTime(record: EndpointRecord, attempt: HealthAttempt, milliseconds: number): number {
+  markTime(record: EndpointRecord, attempt: HealthAttempt, milliseconds: number): Marks {
     const scale = this.findScale(attempt);
     if (scale === undefined || milliseconds < MINIMUM_SLOW_MILLISECONDS) {
-      return 0;
+      return noMarks;
     }
-    let found = milliseconds > scale.median * SLOW_FACTOR ? marks.slow : 0;
-    found |= milliseconds > scale.median * VERY_SLOW_FACTOR ? marks.verySlow : 0;
     const past = record.pastMilliseconds(Strata.routeKey(attempt.routeName, attempt.sizeClass));
-    if (past !== undefined && milliseconds > past * SLOW_FACTOR) {
-      found |= marks.slowerThanPast;
+    const slow = milliseconds > scale.median * SLOW_FACTOR;
+    const slowerThanPast = past !== undefined && milliseconds > past * SLOW_FACTOR;
+    if (!slow && !slowerThanPast) {
+      return noMarks;
     }
-    return found;
+    const verySlow = milliseconds > scale.median * VERY_SLOW_FACTOR;
+    return { failed: false, slow, verySlow, slowerThanPast };
   }
 
   /** Returns the sample of an outcome, or undefined when it is no statement about the endpoint. */
@@ -66,27 +67,26 @@
     attempt: HealthAttempt,
     outcome: AttemptOutcome,
     now: number,
-    allowSlow: boolean,
   ): Sample | undefined {
-    record.reportedLoad = outcome.reportedLoad ?? record.reportedLoad;
-    const slowMarks = allowSlow ? 0 : this.markTime(record, attempt, outcome.milliseconds);
+    const cold = record.life.condition === 'cold-start';
+    const timeMarks = cold ? noMarks : this.markTime(record, attempt, outcome.milliseconds);
+    const late = isMarked(timeMarks);
     const { routeName, stratum } = attempt;
-    const sample = (found: number): Sample => ({ at: now, routeName, stratum, marks: found });
+    const sample = (marks: Marks): Sample => ({ at: now, routeName, stratum, marks });
     switch (outcome.kind) {
       case 'success':
-        record.lastAnswerAt = now;
-        if (!allowSlow) {
+        if (!cold) {
           this.learn(record, attempt, outcome.milliseconds);
         }
-        return sample(slowMarks);
+        return sample(timeMarks);
       // Work that was given up early says nothing; work that was late already is slow. A timeout is
       // early when the request spent its deadline in the queue of the fleet.
       case 'cancelled':
-        return slowMarks === 0 ? undefined : sample(slowMarks);
+        return late ? sample(timeMarks) : undefined;
       case 'timeout':
-        return slowMarks === 0 ? undefined : sample(slowMarks | marks.failed);
+        return late ? sample({ ...timeMarks, failed: true }) : undefined;
       default:
-        return sample(marks.failed);
+        return sample({ ...noMarks, failed: true });
     }
   }
 
--- a/packages/routing/health/src/floor.ts
+++ b/packages/routing/health/src/floor.ts
@@ -18,7 +18,7 @@
   for (const record of records) {
     if (!record.server.draining) {
       totalSlots += record.server.slots;
-      selectableSlots += record.condemnation?.ejected === true ? 0 : record.server.slots;
+      selectableSlots += record.life.condemnation?.ejected === true ? 0 : record.server.slots;
     }
   }
   // At least one slot stays in use, even where the contract has no floor.
@@ -27,7 +27,7 @@
 }
 
 function severity(record: EndpointRecord): number {
-  return record.condemnation?.evidence.strength ?? 0;
+  return record.life.condemnation?.evidence.strength ?? 0;
 }
 
 /**
@@ -35,8 +35,9 @@
  * allows. The others stay in use.
  */
 export function chooseEjected(records: readonly EndpointRecord[], floor: number): void {
-  const condemned = records.filter((record) => record.condemnation !== undefined);
-  for (const { condemnation } of condemned) {
+  const condemned = records.filter((record) => record.life.condemnation !== undefined);
+  for (const { life } of condemned) {
+    const { condemnation } = life;
     if (condemnation !== undefined) {
       condemnation.ejected = false;
     }
@@ -44,7 +45,8 @@
   const { selectableSlots, requiredSlots } = measureFloor(records, floor);
   let spare = selectableSlots - requiredSlots;
   condemned.sort((left, right) => severity(right) - severity(left));
-  for (const { condemnation, server } of condemned) {
+  for (const { life, server } of condemned) {
+    const { condemnation } = life;
     const slots = server.draining ? 0 : server.slots;
     if (condemnation !== undefined && slots <= spare) {
       condemnation.ejected = true;
--- a/packages/routing/health/src/outlier-search.ts
+++ b/packages/routing/health/src/outlier-search.ts
@@ -5,6 +5,7 @@
 import type { EndpointRecord } from './endpoint-record.js';
 import type { EvidenceBook } from './evidence-book.js';
 import { findEvidence, StratumCounts } from './outlier-test.js';
+import { isMarked } from './samples.js';
 import { findStall } from './stall-test.js';
 
 /** Windows over which endpoints are compared. */
@@ -46,9 +47,8 @@
 }
 
 function strengthFactor(record: EndpointRecord, records: readonly EndpointRecord[]): number {
-  const returned = record.condition === 'trial' || record.condition === 'slow-start';
   const supported = record.failedProbes >= SUPPORTING_PROBES || hasLongQueue(record, records);
-  return (returned ? RETURNED_FACTOR : 1) * (supported ? SUPPORTED_FACTOR : 1);
+  return (record.returning ? RETURNED_FACTOR : 1) * (supported ? SUPPORTED_FACTOR : 1);
 }
 
 // Requests in flight that are late already count as slow before they end.
@@ -59,12 +59,12 @@
   now: number,
 ): void {
   const { record } = counts;
-  if (record.condition === 'cold-start') {
+  if (record.life.condition === 'cold-start') {
     return;
   }
   for (const attempt of record.inFlight) {
     const found = book.markTime(record, attempt, now - attempt.startedAt);
-    if (found !== 0) {
+    if (isMarked(found)) {
       const { routeName, stratum } = attempt;
       const sample = { at: now, routeName, stratum, marks: found };
       counts.own.add(sample);
@@ -76,7 +76,7 @@
 function isSuspicious(record: EndpointRecord, book: EvidenceBook, now: number): boolean {
   let { suspicion } = record;
   for (const attempt of record.inFlight) {
-    suspicion += book.markTime(record, attempt, now - attempt.startedAt) === 0 ? 0 : 1;
+    suspicion += isMarked(book.markTime(record, attempt, now - attempt.startedAt)) ? 1 : 0;
   }
   return suspicion >= NEEDED_SUSPICION;
 }
@@ -131,11 +131,11 @@
   book: EvidenceBook,
   now: number,
 ): Map<EndpointRecord, EjectionEvidence> {
-  const tested = records.filter((record) => record.condemnation === undefined);
+  const tested = records.filter((record) => record.life.condemnation === undefined);
   const found = new Map<EndpointRecord, EjectionEvidence>();
   for (const record of tested) {
     const stall =
-      record.condition === 'cold-start'
+      record.life.condition === 'cold-start'
         ? undefined
         : findStall(record, tested, (attempt) => book.findScale(attempt), now);
     if (
--- a/packages/routing/health/src/outlier-test.ts
+++ b/packages/routing/health/src/outlier-test.ts
@@ -2,7 +2,7 @@
  * The statistical test: whether the marked outcomes of one endpoint exceed what its peers lead to
  * expect, by more than chance explains.
  */
-import { marks, type Sample } from './samples.js';
+import { isMarked, type Marks, type Sample } from './samples.js';
 
 /** Counts within one stratum. */
 interface Counts {
@@ -11,7 +11,7 @@
 }
 
 /** The marks in the order of `Counts.marked`. */
-const markBits = [marks.failed, marks.slow, marks.verySlow, marks.slowerThanPast] as const;
+const markKeys: readonly (keyof Marks)[] = ['failed', 'slow', 'verySlow', 'slowerThanPast'];
 
 const markNames = ['failures', 'slow', 'very-slow', 'slower-than-past'] as const;
 
@@ -60,11 +60,11 @@
       this.routeOf.set(sample.stratum, sample.routeName);
     }
     counts.total += 1;
-    if (sample.marks === 0) {
+    if (!isMarked(sample.marks)) {
       return;
     }
-    for (const [index, bit] of markBits.entries()) {
-      counts.marked[index as 0] += (sample.marks & bit) === 0 ? 0 : 1;
+    for (const [index, key] of markKeys.entries()) {
+      counts.marked[index as 0] += sample.marks[key] ? 1 : 0;
     }
   }
 }
--- a/packages/routing/health/src/samples.ts
+++ b/packages/routing/health/src/samples.ts
@@ -2,17 +2,30 @@
  * The recent outcomes of one endpoint, oldest first, bounded in number and in age.
  */
 
-/** The properties of an outcome that the tests count, as bits of `Sample.marks`. */
-export const marks = {
+/** The properties of an outcome that the tests count. */
+export interface Marks {
   /** Error, timeout, reset, cut answer, refused connection, shed request. */
-  failed: 1,
+  readonly failed: boolean;
   /** Longer than `SLOW_FACTOR` medians of the route. */
-  slow: 2,
+  readonly slow: boolean;
   /** Longer than `VERY_SLOW_FACTOR` medians of the route. */
-  verySlow: 4,
+  readonly verySlow: boolean;
   /** Longer than `SLOW_FACTOR` times what the endpoint itself used to take. */
-  slowerThanPast: 8,
-} as const;
+  readonly slowerThanPast: boolean;
+}
+
+/** The marks of an outcome without anything to say against the endpoint. */
+export const noMarks: Marks = {
+  failed: false,
+  slow: false,
+  verySlow: false,
+  slowerThanPast: false,
+};
+
+/** Returns whether anything speaks against the endpoint. */
+export function isMarked(marks: Marks): boolean {
+  return marks.failed || marks.slow || marks.slowerThanPast;
+}
 
 /** One outcome as evidence. */
 export interface Sample {
@@ -20,7 +33,7 @@
   readonly routeName: string;
   /** Route and group of organisations: outcomes are compared within a stratum only. */
   readonly stratum: string;
-  readonly marks: number;
+  readonly marks: Marks;
 }
 
 /** Samples kept for one endpoint; at 20 to 200 requests/s this covers the longest window. */
@@ -33,22 +46,12 @@
 export class SampleList {
   private samples: Sample[] = [];
 
-  private lastMarkedAt = -Infinity;
-
   /** Adds an outcome; `at` never decreases. */
   add(sample: Sample): void {
     if (this.samples.length >= MAXIMUM_SAMPLES) {
       this.samples.splice(0, DROPPED_SAMPLES);
     }
     this.samples.push(sample);
-    if (sample.marks !== 0) {
-      this.lastMarkedAt = sample.at;
-    }
-  }
-
-  /** Time of the latest outcome that speaks against the endpoint. */
-  get latestMarkAt(): number {
-    return this.lastMarkedAt;
   }
 
   /** Samples kept. */
@@ -75,6 +78,5 @@
   /** Forgets all samples. */
   clear(): void {
     this.samples = [];
-    this.lastMarkedAt = -Infinity;
   }
 }
--- a/packages/routing/health/src/stall-test.ts
+++ b/packages/routing/health/src/stall-test.ts
@@ -28,7 +28,7 @@
   let old = 0;
   let total = 0;
   for (const peer of records) {
-    if (peer === record || peer.condemnation !== undefined) {
+    if (peer === record || peer.life.condemnation !== undefined) {
       continue;
     }
     for (const attempt of peer.inFlight) {
