--- a/packages/foundation/results/src/codes/idempotency.ts
+++ b/packages/foundation/results/src/codes/idempotency.ts
@@ -15,4 +15,6 @@
   KeyHomeUnreachable: defineResult(4009, 503, 'not-run', 'The home of the key could not be reached; this attempt was not run.'),
   KeyHomeMoving: defineResult(4010, 503, 'not-run', 'The records of this key are being handed over; this attempt was not run.'),
   StillRunning: defineResult(4011, 409, 'not-known', 'An earlier attempt under this key is still running.'),
+  KeyRecordsFull: defineResult(4012, 503, 'not-run', 'The home of the key holds as many records as it may; new keys are refused until records expire.'),
+  HandoverStale: defineResult(4013, 409, 'not-applicable', 'A message of a hand-over does not fit the state of its receiver.'),
 } as const;
--- /dev/null
+++ b/packages/routing/idempotency/src/key-home.ts
@@ -0,0 +1,340 @@
+/**
+ * The home of idempotency keys: at most one attempt per key reaches a backend server.
+ */
+import { FailureError, type ResultName } from '@dogwoodstall/results';
+import type { KeyContents } from './key-issuer.js';
+import { AttemptPermit, type ExecutionPermit } from './permit.js';
+import { RecordTable, type StoredRecord, startRecord, toMessageRecord } from './record-table.js';
+import type {
+  ActivateRecords,
+  CompleteRecord,
+  InstallRecords,
+  KeyRecord,
+  RecordedAnswer,
+} from './record.js';
+
+const DEFAULT_MAXIMUM_RECORDS = 100_000;
+const DEFAULT_MAXIMUM_ANSWER_BYTES = 67_108_864;
+
+/** Options of `KeyHome`. */
+export interface KeyHomeOptions {
+  /** The daemon's own incarnation, as in the keys that name it. */
+  readonly incarnation: string;
+  /** At this number of records new keys are refused with `KeyRecordsFull`. */
+  readonly maximumRecords?: number;
+  /** Above this total, answers are no longer kept; resends get `AnswerNotKept`. */
+  readonly maximumAnswerBytes?: number;
+  /** Wall clock; `Date.now` by default. */
+  readonly epochNow?: () => number;
+  /** Receives each record that ends after `seal`, so that it can be sent to the new home. */
+  readonly onCompletedAfterSeal?: (message: CompleteRecord) => void;
+}
+
+/** One use of a key. */
+export interface KeyUse {
+  readonly key: KeyContents;
+  /** Digest of the request; another request under the same key is refused. */
+  readonly fingerprint: string;
+  /** Ends the wait for another attempt's answer with `StillRunning`. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Sends the request. Calls the permit around each transmission; resolves with the answer, or with
+ * undefined when the answer is too large to be kept; rejects when there is no whole answer.
+ */
+export type KeyAttempt = (permit: ExecutionPermit) => Promise<RecordedAnswer | undefined>;
+
+/** How a use of a key ended well. */
+export type HomeAnswer =
+  /** This use ran the request; its attempt has delivered the answer. */
+  | { readonly source: 'attempt' }
+  /** An earlier use ran the request. */
+  | { readonly source: 'record'; readonly answer: RecordedAnswer };
+
+interface HeldIncarnation {
+  readonly table: RecordTable;
+  epoch: number;
+  activated: boolean;
+}
+
+function failureOfRecord(record: StoredRecord): FailureError {
+  const name: ResultName = record.state === 'ran' ? 'AnswerNotKept' : 'OutcomeNotKnown';
+  return new FailureError(name);
+}
+
+function waitUntilSettled(record: StoredRecord, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const stop = (): void => reject(new FailureError('StillRunning'));
+    if (signal.aborted) {
+      stop();
+      return;
+    }
+    signal.addEventListener('abort', stop, { once: true });
+    record.waiters.add(() => {
+      signal.removeEventListener('abort', stop);
+      resolve();
+    });
+  });
+}
+
+function replay(record: StoredRecord): HomeAnswer {
+  if (record.answer !== undefined) {
+    return { source: 'record', answer: record.answer };
+  }
+  if (record.state === 'not-run') {
+    throw record.failure instanceof FailureError && record.failure.execution === 'not-run'
+      ? record.failure
+      : new FailureError('KeyHomeMoving', 'the attempt that this resend waited for was not run');
+  }
+  throw failureOfRecord(record);
+}
+
+/** Holds the records of its own incarnation's keys and of incarnations handed over to it. */
+export class KeyHome {
+  private readonly held = new Map<string, HeldIncarnation>();
+
+  private readonly epochNow: () => number;
+
+  private latestNow = 0;
+
+  private sealed = false;
+
+  private readonly answerBytes = { used: 0 };
+
+  constructor(private readonly options: KeyHomeOptions) {
+    this.epochNow = options.epochNow ?? Date.now;
+    this.held.set(options.incarnation, { table: this.createTable(), epoch: 0, activated: true });
+  }
+
+  /** Number of records of all incarnations. */
+  get recordCount(): number {
+    let count = 0;
+    for (const { table } of this.held.values()) {
+      count += table.size;
+    }
+    return count;
+  }
+
+  /** Incarnations whose keys this home may run or replay. */
+  get activeIncarnations(): string[] {
+    const names: string[] = [];
+    for (const [name, incarnation] of this.held) {
+      if (incarnation.activated) {
+        names.push(name);
+      }
+    }
+    return names;
+  }
+
+  /**
+   * Runs the request, waits for the attempt that runs it, or replays the recorded answer.
+   *
+   * Throws the attempt's own failure, `KeyExpired`, `KeyReused`, `KeyHomeLost`, `KeyHomeMoving`,
+   * `KeyRecordsFull`, `OutcomeNotKnown`, `AnswerNotKept` or `StillRunning`.
+   */
+  async run(use: KeyUse, attempt: KeyAttempt): Promise<HomeAnswer> {
+    const { key } = use;
+    const now = this.now();
+    if (now >= key.expiresAtEpochMilliseconds) {
+      throw new FailureError('KeyExpired');
+    }
+    const { table } = this.openIncarnation(key.incarnation);
+    const record = table.get(key.id);
+    if (record === undefined) {
+      return this.runFirst(use, table, attempt);
+    }
+    if (record.fingerprint !== use.fingerprint) {
+      throw new FailureError('KeyReused');
+    }
+    if (record.state === 'running') {
+      await waitUntilSettled(record, use.signal);
+      return replay(record);
+    }
+    if (record.state !== 'not-run') {
+      return replay(record);
+    }
+    return this.runRecord(record, table, key, attempt);
+  }
+
+  /** Runs no further key; running attempts go on and completed records are still replayed. */
+  seal(): void {
+    this.sealed = true;
+  }
+
+  /** Returns the records of every incarnation held here, each with its next epoch; needs `seal`. */
+  exportRecords(): InstallRecords[] {
+    if (!this.sealed) {
+      throw new FailureError('HandoverStale', 'records are exported before the home is sealed');
+    }
+    const exports: InstallRecords[] = [];
+    for (const [origin, { table, epoch, activated }] of this.held) {
+      if (activated) {
+        table.dropExpired(this.now());
+        exports.push({ origin, epoch: epoch + 1, records: table.toMessages() });
+      }
+    }
+    return exports;
+  }
+
+  /** Keeps records of another incarnation, which run nothing before `activateRecords`. */
+  installRecords(message: InstallRecords): void {
+    this.refuseWhenSealed();
+    const known = this.held.get(message.origin);
+    if (known !== undefined && (known.activated || known.epoch > message.epoch)) {
+      return;
+    }
+    let incarnation = known;
+    if (incarnation === undefined || incarnation.epoch < message.epoch) {
+      incarnation?.table.clear();
+      incarnation = { table: this.createTable(), epoch: message.epoch, activated: false };
+      this.held.set(message.origin, incarnation);
+    }
+    for (const record of message.records) {
+      incarnation.table.merge(record);
+    }
+  }
+
+  /**
+   * Makes this daemon the home of the installed records. Throws `HandoverStale` unless all of them
+   * have been installed; repeating an activation changes nothing.
+   */
+  activateRecords(message: ActivateRecords): void {
+    const incarnation = this.held.get(message.origin);
+    if (incarnation?.activated === true && incarnation.epoch >= message.epoch) {
+      return;
+    }
+    this.refuseWhenSealed();
+    if (incarnation?.epoch !== message.epoch || incarnation.table.size < message.recordCount) {
+      if (incarnation !== undefined || message.recordCount > 0) {
+        throw new FailureError('HandoverStale', 'the records are not installed');
+      }
+      this.installRecords({ ...message, records: [] });
+    }
+    (this.held.get(message.origin) as HeldIncarnation).activated = true;
+  }
+
+  /** Applies the final state of a record that was handed over as running. */
+  completeRecord(message: CompleteRecord): void {
+    const incarnation = this.held.get(message.origin);
+    if (incarnation === undefined || message.record.state === 'running') {
+      throw new FailureError('HandoverStale', 'the record does not belong to this home');
+    }
+    const record = incarnation.table.get(message.record.id);
+    if (record === undefined && !incarnation.activated) {
+      incarnation.table.add(message.record);
+    }
+    if (record?.runningAt !== message.record.runningAt || record.state !== 'running') {
+      return;
+    }
+    this.settle(incarnation.table, record, message.record);
+  }
+
+  /** Turns records that ran at a daemon that disappeared into "not known". */
+  markOriginLost(runningAt: string): void {
+    if (runningAt === this.options.incarnation) {
+      return;
+    }
+    for (const { table } of this.held.values()) {
+      for (const record of table.running(runningAt)) {
+        this.settle(table, record, { state: 'not-known' });
+      }
+    }
+  }
+
+  private now(): number {
+    // A clock that is set back must not revive keys whose records have been dropped.
+    this.latestNow = Math.max(this.latestNow, this.epochNow());
+    return this.latestNow;
+  }
+
+  private createTable(): RecordTable {
+    return new RecordTable(
+      this.answerBytes,
+      this.options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
+    );
+  }
+
+  private refuseWhenSealed(): void {
+    if (this.sealed) {
+      throw new FailureError('KeyHomeMoving');
+    }
+  }
+
+  private openIncarnation(name: string): HeldIncarnation {
+    const incarnation = this.held.get(name);
+    if (incarnation === undefined) {
+      throw new FailureError('KeyHomeLost');
+    }
+    if (!incarnation.activated) {
+      throw new FailureError('KeyHomeMoving');
+    }
+    return incarnation;
+  }
+
+  private makeRoom(): void {
+    const limit = this.options.maximumRecords ?? DEFAULT_MAXIMUM_RECORDS;
+    for (const { table, activated } of this.held.values()) {
+      // The number of installed records is compared at activation, so none may be dropped before.
+      if (activated) {
+        table.dropExpired(this.now());
+      }
+    }
+    if (this.recordCount >= limit) {
+      throw new FailureError('KeyRecordsFull');
+    }
+  }
+
+  private runFirst(use: KeyUse, table: RecordTable, attempt: KeyAttempt): Promise<HomeAnswer> {
+    this.refuseWhenSealed();
+    this.makeRoom();
+    const record = table.add({
+      id: use.key.id,
+      fingerprint: use.fingerprint,
+      state: 'not-run',
+      runningAt: this.options.incarnation,
+      expiresAtEpochMilliseconds: use.key.expiresAtEpochMilliseconds,
+    });
+    return this.runRecord(record, table, use.key, attempt);
+  }
+
+  private async runRecord(
+    record: StoredRecord,
+    table: RecordTable,
+    key: KeyContents,
+    attempt: KeyAttempt,
+  ): Promise<HomeAnswer> {
+    this.refuseWhenSealed();
+    const permit = new AttemptPermit(key.id);
+    startRecord(record, this.options.incarnation);
+    try {
+      const answer = await attempt(permit);
+      permit.close();
+      this.settle(table, record, { state: 'ran', answer });
+      return { source: 'attempt' };
+    } catch (error) {
+      permit.close();
+      const state = permit.mayHaveRun ? 'not-known' : 'not-run';
+      this.settle(table, record, { state }, error);
+      throw error;
+    }
+  }
+
+  private settle(
+    table: RecordTable,
+    record: StoredRecord,
+    end: Pick<KeyRecord, 'state' | 'answer'>,
+    error?: unknown,
+  ): void {
+    table.settle(record, end.state, end.answer, error);
+    if (!this.sealed) {
+      return;
+    }
+    for (const [origin, incarnation] of this.held) {
+      if (incarnation.table === table) {
+        const message = { origin, epoch: incarnation.epoch + 1, record: toMessageRecord(record) };
+        this.options.onCompletedAfterSeal?.(message);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/answer-recorder.ts
@@ -0,0 +1,50 @@
+/**
+ * Copies an answer while it streams to its caller, up to the limit of the contract, so that a resend
+ * of a non-idempotent request gets the same answer.
+ */
+import type { OutgoingHttpHeaders } from 'node:http';
+import type { RecordedAnswer } from '@dogwoodstall/idempotency';
+
+/** The copy of one answer. */
+export class AnswerRecorder {
+  private readonly chunks: Buffer[] = [];
+
+  private bytes = 0;
+
+  private status = 0;
+
+  private headers: OutgoingHttpHeaders = {};
+
+  constructor(private readonly maximumBytes: number) {}
+
+  /** Keeps status and headers. */
+  start(status: number, headers: OutgoingHttpHeaders): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  /** Keeps a chunk; above the limit everything is dropped. */
+  readonly add = (chunk: Buffer): void => {
+    this.bytes += chunk.length;
+    if (this.bytes <= this.maximumBytes) {
+      this.chunks.push(chunk);
+    } else {
+      this.chunks.length = 0;
+    }
+  };
+
+  /** Returns the whole answer, or undefined when it was too large. */
+  finish(): RecordedAnswer | undefined {
+    if (this.bytes > this.maximumBytes) {
+      return undefined;
+    }
+    const headers: [string, string][] = [];
+    for (const [name, value] of Object.entries(this.headers)) {
+      for (const single of Array.isArray(value) ? value : [value]) {
+        headers.push([name, String(single)]);
+      }
+    }
+    const body = Buffer.concat(this.chunks).toString('base64');
+    return { status: this.status, headers, body };
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/answer.ts
@@ -0,0 +1,87 @@
+/**
+ * Failure answers: the numbered result, what is known about the execution, and a small JSON body.
+ */
+import { type IncomingMessage, STATUS_CODES, type ServerResponse } from 'node:http';
+import { type Failure, findResult } from '@dogwoodstall/results';
+import { EXECUTION, RESULT } from './headers.js';
+
+const MAXIMUM_DRAINED_BYTES = 4_194_304;
+
+/** Value of the result header of an answer that came from a backend server. */
+export const ANSWERED = '0';
+
+/** Returns the statement about the execution that the caller gets. */
+export function describeExecution(failure: Failure): 'ran' | 'not-run' | 'not-known' {
+  if (failure.kind === 'KeyReused') {
+    return 'not-run';
+  }
+  const { execution } = findResult(failure.kind);
+  return execution === 'not-applicable' ? 'not-known' : execution;
+}
+
+function formatBody(failure: Failure): string {
+  return JSON.stringify({
+    number: findResult(failure.kind).number,
+    name: failure.kind,
+    execution: describeExecution(failure),
+    message: failure.message,
+  });
+}
+
+function listHeaders(failure: Failure, requestId: string, length: number): Record<string, string> {
+  return {
+    'Content-Type': 'application/json',
+    'Content-Length': String(length),
+    [RESULT]: String(findResult(failure.kind).number),
+    [EXECUTION]: describeExecution(failure),
+    'Request-Id': requestId,
+  };
+}
+
+// Closing while the caller still sends would reset the connection, and the answer with it.
+function drainRequest(request: IncomingMessage): void {
+  let drained = 0;
+  request.on('error', () => {});
+  request.on('data', (chunk: Buffer) => {
+    drained += chunk.length;
+    if (drained > MAXIMUM_DRAINED_BYTES) {
+      request.destroy();
+    }
+  });
+  request.resume();
+}
+
+/**
+ * Answers with a failure. Up to 4 MiB of an unread body are read and dropped, so that its sender gets
+ * to the answer.
+ */
+export function sendFailure(
+  response: ServerResponse,
+  failure: Failure,
+  requestId: string,
+  extraHeaders: Readonly<Record<string, string>> = {},
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const body = formatBody(failure);
+  const headers = listHeaders(failure, requestId, Buffer.byteLength(body));
+  response.writeHead(findResult(failure.kind).httpStatus, { ...headers, ...extraHeaders });
+  response.end(body);
+  if (!response.req.complete) {
+    drainRequest(response.req);
+  }
+}
+
+/** Returns a whole failure answer as text, for connections without a parsed request. */
+export function formatRawFailure(failure: Failure, requestId: string): string {
+  const body = formatBody(failure);
+  const status = findResult(failure.kind).httpStatus;
+  const lines = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`, 'Connection: close'];
+  const headers = listHeaders(failure, requestId, Buffer.byteLength(body));
+  for (const [name, value] of Object.entries(headers)) {
+    lines.push(`${name}: ${value}`);
+  }
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
--- /dev/null
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -0,0 +1,214 @@
+/**
+ * The caller port: strict checks, organisation, route, key issue, readiness, TLS and planned stop.
+ */
+import { randomBytes } from 'node:crypto';
+import { once } from 'node:events';
+import * as http from 'node:http';
+import * as https from 'node:https';
+import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { Configuration } from '@dogwoodstall/model';
+import { type Failure, FailureError, createFailure, reportViolation } from '@dogwoodstall/results';
+import { formatRawFailure } from './answer.js';
+import { BodyWatch } from './body-watch.js';
+import { CallerAdmission, type CallerAdmissionOptions, isKeyRequest } from './caller-admission.js';
+import type { ExchangeServer } from './exchange-server.js';
+import { classifyParserError } from './request-check.js';
+import type { RequestPath } from './request-path.js';
+
+/** `GET` on this path tells the platform's balancer whether the daemon takes callers. */
+export const READY_PATH = '/.well-known/dogwoodstall/ready';
+
+/** Certificate and private key in PEM. */
+export interface TlsMaterial {
+  readonly certificate: string | Buffer;
+  readonly key: string | Buffer;
+}
+
+/** Limits towards callers; the names are those of the settings. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly headerMilliseconds: number;
+  readonly bodyPauseMilliseconds: number;
+  readonly callerConnections: number;
+}
+
+/** Options of `EntryServer`. */
+export interface EntryServerOptions extends Omit<CallerAdmissionOptions, 'requestPrefix'> {
+  readonly server: ExchangeServer;
+  readonly path: RequestPath;
+  readonly limits: CallerLimits;
+  readonly tls?: TlsMaterial | undefined;
+  /** Whether the daemon has a configuration that may be in force and is not leaving. */
+  readonly isReady: () => boolean;
+  readonly findConfiguration: () => Configuration | undefined;
+  /** Time between the failing readiness check and the closing of the port. */
+  readonly balancerMilliseconds: number;
+}
+
+const PREFIX_BYTES = 6;
+const MINIMUM_CHECK_MILLISECONDS = 50;
+const CHECKS_PER_LIMIT = 4;
+
+/** Serves callers. */
+export class EntryServer {
+  private readonly listener: http.Server | https.Server;
+
+  private readonly admission: CallerAdmission;
+
+  private readonly bodies: BodyWatch;
+
+  private closed = false;
+
+  private readonly portClosed = new AbortController();
+
+  private stopTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: EntryServerOptions) {
+    const requestPrefix = randomBytes(PREFIX_BYTES).toString('hex');
+    this.admission = new CallerAdmission({ ...options, requestPrefix });
+    this.bodies = new BodyWatch(options.limits.bodyPauseMilliseconds);
+    this.listener = this.createListener();
+  }
+
+  /** Starts to listen; throws `ListenFailed`. Port 0 chooses a free port. */
+  async listen(host: string, port: number): Promise<AddressInfo> {
+    await new Promise<void>((resolve, reject) => {
+      this.listener.once('error', (cause) =>
+        reject(new FailureError('ListenFailed', cause.message, { cause })),
+      );
+      this.listener.listen(port, host, resolve);
+    });
+    return this.listener.address() as AddressInfo;
+  }
+
+  /** Uses a new certificate for connections that begin from now on. */
+  reloadTls(material: TlsMaterial): void {
+    if (this.listener instanceof https.Server) {
+      this.listener.setSecureContext({ cert: material.certificate, key: material.key });
+    }
+  }
+
+  /**
+   * Begins a planned stop: readiness fails and connections close with their next answer. After the
+   * balancer's time the port closes and no further request is accepted.
+   */
+  beginStop(): void {
+    if (this.options.server.stopping) {
+      return;
+    }
+    Object.assign(this.options.server, { stopping: true });
+    this.stopTimer = setTimeout(() => this.stopAccepting(), this.options.balancerMilliseconds);
+  }
+
+  /** Resolves when the last request, however long, has ended after a stop began. */
+  async whenIdle(): Promise<void> {
+    if (!this.portClosed.signal.aborted) {
+      await once(this.portClosed.signal, 'abort');
+    }
+    await this.options.server.inFlight.whenIdle();
+  }
+
+  /** Closes everything at once; a request that is cut off by it violates an invariant. */
+  close(): void {
+    const { count } = this.options.server.inFlight;
+    if (count > 0) {
+      reportViolation('RequestCutByStop', `${count} requests were in flight`);
+    }
+    clearTimeout(this.stopTimer);
+    this.stopAccepting();
+    this.bodies.close();
+    this.listener.closeAllConnections();
+  }
+
+  private stopAccepting(): void {
+    if (this.closed) {
+      return;
+    }
+    this.closed = true;
+    // Connections without a request are ended; the others end with their answers.
+    this.listener.close();
+    this.portClosed.abort();
+  }
+
+  private createListener(): http.Server | https.Server {
+    const { limits, tls } = this.options;
+    const checks = Math.floor(limits.headerMilliseconds / CHECKS_PER_LIMIT);
+    const options: http.ServerOptions = {
+      insecureHTTPParser: false,
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headerMilliseconds,
+      requestTimeout: 0,
+      // The checks answer a missing host with a numbered result; the parser's own answer has none.
+      requireHostHeader: false,
+      connectionsCheckingInterval: Math.max(MINIMUM_CHECK_MILLISECONDS, checks),
+      noDelay: true,
+    };
+    const listener =
+      tls === undefined
+        ? http.createServer(options)
+        : https.createServer({ ...options, cert: tls.certificate, key: tls.key });
+    listener.maxConnections = limits.callerConnections;
+    // Beyond a limit the parser would drop headers silently; the size limit bounds them already.
+    listener.maxHeadersCount = 0;
+    listener.on('request', this.onRequest);
+    listener.on('checkContinue', (request, response: http.ServerResponse) => {
+      response.writeContinue();
+      this.onRequest(request, response);
+    });
+    listener.on('checkExpectation', this.onRequest);
+    listener.on('connect', (_request, socket: Duplex) =>
+      this.refuseRaw(socket, createFailure('MethodUnsupported')),
+    );
+    listener.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
+      this.refuseRaw(socket, createFailure(classifyParserError(error.code))),
+    );
+    return listener;
+  }
+
+  private readonly onRequest = (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void => {
+    if (request.url === READY_PATH) {
+      this.answerReadiness(response);
+      return;
+    }
+    const requestId = this.admission.nextRequestId();
+    const { server, path } = this.options;
+    // `track` answers every failure itself and never rejects.
+    server.track(response, requestId, async () => {
+      if (this.closed) {
+        throw new FailureError('NotReady', 'the daemon is stopping');
+      }
+      if (isKeyRequest(request)) {
+        this.admission.answerKeys(request, response, requestId);
+        return;
+      }
+      const exchange = await this.admission.open(request, response, requestId, this.bodies);
+      await server.run(
+        exchange,
+        (opened) => path.serve(opened),
+        (failure) => this.admission.listExtraHeaders(exchange, failure),
+      );
+    });
+  };
+
+  private answerReadiness(response: http.ServerResponse): void {
+    const ready = !this.options.server.stopping && this.options.isReady();
+    if (this.options.server.stopping) {
+      Object.assign(response, { shouldKeepAlive: false });
+    }
+    response.writeHead(ready ? 200 : 503, { 'Content-Type': 'text/plain' });
+    response.end(ready ? 'ready\n' : 'not ready\n');
+  }
+
+  private refuseRaw(socket: Duplex, failure: Failure): void {
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.on('error', () => {});
+    socket.end(formatRawFailure(failure, this.admission.nextRequestId()));
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/fingerprint.ts
@@ -0,0 +1,37 @@
+/**
+ * Fingerprints of requests: for the crash guard, and to tell a resend from another request.
+ */
+import { createStreamHash } from '@dogwoodstall/hashing';
+import type { Exchange } from './exchange.js';
+
+const RADIX = 36;
+const SEPARATOR = '\u0000';
+
+function hashParts(parts: readonly string[], body: Buffer | undefined): string {
+  const hash = createStreamHash().update(parts.join(SEPARATOR));
+  if (body !== undefined) {
+    hash.update(SEPARATOR).update(body);
+  }
+  return hash.digest().toString(RADIX);
+}
+
+/** Fingerprint of the work that a request causes: organisation, route, key and small body. */
+export function fingerprintWork(exchange: Exchange): string {
+  const { facts, body } = exchange;
+  const parts = [
+    facts.organisation,
+    facts.route.name,
+    facts.method,
+    facts.target,
+    facts.idempotencyKey ?? '',
+    String(body.length ?? ''),
+  ];
+  return `${facts.organisation}/${hashParts(parts, body.kept)}`;
+}
+
+/** Fingerprint of a request apart from its key: the same for each resend. */
+export function fingerprintRequest(exchange: Exchange): string {
+  const { facts, body } = exchange;
+  const parts = [facts.route.name, facts.method, facts.target, String(body.length ?? '')];
+  return hashParts(parts, body.kept);
+}
--- /dev/null
+++ b/packages/routing/proxy/src/forward-headers.ts
@@ -0,0 +1,108 @@
+/**
+ * The headers that forwarded requests carry between daemons.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import { FailureError } from '@dogwoodstall/results';
+import type { Exchange } from './exchange.js';
+import { IDEMPOTENCY_KEY } from './headers.js';
+
+/** Largest number of daemons after the entry: the home and the dispatcher. */
+export const MAXIMUM_HOPS = 2;
+
+const MAXIMUM_DEADLINE_MILLISECONDS = 86_400_000;
+
+/** What the receiving daemon is to the request. */
+export type HopKind = 'home' | 'dispatch';
+
+/** The facts of a forwarded request. */
+export interface ForwardFacts {
+  readonly requestId: string;
+  readonly kind: HopKind;
+  readonly hops: number;
+  readonly cell: string;
+  readonly routeName: string;
+  readonly organisation: string;
+  readonly originZone: string;
+  readonly host: string;
+  readonly remainingMilliseconds: number;
+  readonly idempotencyKey: string | undefined;
+}
+
+/** Separates the host from the other headers. */
+export function splitHost(headers: readonly string[]): { host: string; others: string[] } {
+  const others: string[] = [];
+  let host = '';
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index] === 'host') {
+      host = headers[index + 1] as string;
+    } else {
+      others.push(headers[index] as string, headers[index + 1] as string);
+    }
+  }
+  return { host, others };
+}
+
+/** Returns the headers of a request that goes to a peer. */
+export function formatForwardHeaders(exchange: Exchange, kind: HopKind, cell: string): string[] {
+  const { facts } = exchange;
+  // The host of the caller is not the name of the peer's certificate.
+  const { host, others } = splitHost(facts.headers);
+  return [
+    ...others,
+    'request-id',
+    facts.requestId,
+    'dogwoodstall-forward-kind',
+    kind,
+    'dogwoodstall-forward-hops',
+    String(facts.hops + 1),
+    'dogwoodstall-forward-cell',
+    cell,
+    'dogwoodstall-forward-route',
+    facts.route.name,
+    'dogwoodstall-forward-organisation',
+    facts.organisation,
+    'dogwoodstall-forward-zone',
+    facts.originZone,
+    'dogwoodstall-forward-host',
+    host,
+    'dogwoodstall-forward-milliseconds',
+    exchange.remainingMilliseconds.toFixed(1),
+  ];
+}
+
+function requireHeader(headers: IncomingHttpHeaders, name: string): string {
+  const value = headers[name];
+  if (typeof value !== 'string') {
+    throw new FailureError('PeerMessageInvalid', `the header ${name} is missing`);
+  }
+  return value;
+}
+
+/** Reads the headers of a forwarded request; throws `PeerMessageInvalid` or `ForwardLoop`. */
+export function parseForwardHeaders(headers: IncomingHttpHeaders): ForwardFacts {
+  const kind = requireHeader(headers, 'dogwoodstall-forward-kind');
+  const hops = Number(requireHeader(headers, 'dogwoodstall-forward-hops'));
+  const remaining = Number(requireHeader(headers, 'dogwoodstall-forward-milliseconds'));
+  if ((kind !== 'home' && kind !== 'dispatch') || !Number.isInteger(hops) || hops < 1) {
+    throw new FailureError('PeerMessageInvalid');
+  }
+  if (!(remaining >= 0 && remaining <= MAXIMUM_DEADLINE_MILLISECONDS)) {
+    throw new FailureError('PeerMessageInvalid', 'the remaining time is invalid');
+  }
+  if (hops > MAXIMUM_HOPS) {
+    throw new FailureError('ForwardLoop');
+  }
+  const key = headers[IDEMPOTENCY_KEY];
+  return {
+    requestId: requireHeader(headers, 'request-id'),
+    kind,
+    hops,
+    cell: requireHeader(headers, 'dogwoodstall-forward-cell'),
+    routeName: requireHeader(headers, 'dogwoodstall-forward-route'),
+    organisation: requireHeader(headers, 'dogwoodstall-forward-organisation'),
+    originZone: requireHeader(headers, 'dogwoodstall-forward-zone'),
+    host: requireHeader(headers, 'dogwoodstall-forward-host'),
+    remainingMilliseconds: remaining,
+    idempotencyKey: typeof key === 'string' ? key : undefined,
+  };
+}
--- /dev/null
+++ b/packages/routing/proxy/src/forward-receiver.ts
@@ -0,0 +1,100 @@
+/**
+ * The receiving side of forwarded requests on the peer port.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Configuration } from '@dogwoodstall/model';
+import { FailureError } from '@dogwoodstall/results';
+import { KEPT_BODY_BYTES, openCallerBody } from './caller-body.js';
+import { createDecision } from './decision.js';
+import { Exchange } from './exchange.js';
+import type { ExchangeServer } from './exchange-server.js';
+import { type ForwardFacts, parseForwardHeaders, splitHost } from './forward-headers.js';
+import { selectRequestHeaders } from './headers.js';
+import { HEARTBEAT_PATH } from './link.js';
+import type { RequestPath } from './request-path.js';
+
+const FORWARD_PREFIX = '/forward';
+
+/** Options of `ForwardReceiver`. */
+export interface ForwardReceiverOptions {
+  readonly server: ExchangeServer;
+  readonly path: RequestPath;
+  readonly findConfiguration: () => Configuration | undefined;
+}
+
+function readLength(request: IncomingMessage): number | undefined {
+  const length = request.headers['content-length'];
+  if (length !== undefined) {
+    return Number(length);
+  }
+  return request.headers['transfer-encoding'] === undefined ? 0 : undefined;
+}
+
+/** Serves forwarded requests. */
+export class ForwardReceiver {
+  /** Set when dispatch work is no longer accepted; homes of keys go on answering. */
+  refusing = false;
+
+  constructor(private readonly options: ForwardReceiverOptions) {}
+
+  /** Handles a request under `/forward/`; never rejects. */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === HEARTBEAT_PATH) {
+      response.writeHead(204).end();
+      return;
+    }
+    const requestId = String(request.headers['request-id'] ?? '');
+    await this.options.server.track(response, requestId, async () => {
+      const facts = parseForwardHeaders(request.headers);
+      if (this.refusing && facts.kind === 'dispatch') {
+        throw new FailureError('NotReady');
+      }
+      const exchange = await this.openExchange(facts, request, response);
+      const { path, server } = this.options;
+      await server.run(
+        exchange,
+        (opened) =>
+          facts.kind === 'home'
+            ? path.serveAtHome(opened)
+            : path.serveAsDispatcher(opened, facts.cell),
+        () => ({}),
+      );
+    });
+  }
+
+  private async openExchange(
+    facts: ForwardFacts,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Exchange> {
+    const deadlineAt = performance.now() + facts.remainingMilliseconds;
+    const configuration = this.options.findConfiguration();
+    const route = configuration?.routes.get(facts.routeName);
+    const service = route && configuration?.services.get(route.service);
+    if (route === undefined || service === undefined) {
+      throw new FailureError('NotReady', 'the route is not known at this daemon');
+    }
+    const limit = Math.max(KEPT_BODY_BYTES, route.maximumBodyBytes);
+    const body = await openCallerBody(request, readLength(request), limit);
+    const { requestId, organisation, hops } = facts;
+    return new Exchange(
+      {
+        ...facts,
+        route,
+        service,
+        method: request.method ?? '',
+        target: (request.url ?? '').slice(FORWARD_PREFIX.length),
+        headers: [
+          ...splitHost(selectRequestHeaders(request.rawHeaders)).others,
+          'host',
+          facts.host,
+        ],
+        deadlineAt,
+      },
+      request,
+      response,
+      body,
+      createDecision(requestId, route.name, organisation, hops),
+    );
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/headers.ts
@@ -0,0 +1,98 @@
+/**
+ * Header lists: removal of hop-by-hop headers and of the fleet's own headers in both directions.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Prefix of the headers that only the fleet writes. */
+export const FLEET_PREFIX = 'dogwoodstall-';
+export const REQUEST_ID = 'request-id';
+export const IDEMPOTENCY_KEY = 'idempotency-key';
+export const ORGANISATION_TOKEN = 'dogwoodstall-organisation-token';
+export const RESULT = 'Dogwoodstall-Result';
+export const EXECUTION = 'Dogwoodstall-Execution';
+export const REQUEST_TIMEOUT = 'request-timeout-milliseconds';
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+// `Expect` is answered by the entry itself; the others are written anew for each hop.
+const REWRITTEN_REQUEST_HEADERS = new Set(['expect', REQUEST_ID, REQUEST_TIMEOUT]);
+
+const BACKEND_ONLY_HEADERS = new Set([
+  'endpoint-load-metrics',
+  'backend-draining',
+  'request-not-run',
+  REQUEST_ID,
+]);
+
+// A body without its length could not be told from a cut one, so Connection can't remove it.
+const NEVER_NAMED_BY_CONNECTION = new Set(['content-length', 'host']);
+
+function readConnectionNames(value: string, names: Set<string>): void {
+  for (const name of value.split(',')) {
+    const normalised = name.trim().toLowerCase();
+    if (!NEVER_NAMED_BY_CONNECTION.has(normalised)) {
+      names.add(normalised);
+    }
+  }
+}
+
+/** Returns a caller's headers as they go on, as a flat list of names and values. */
+export function selectRequestHeaders(rawHeaders: readonly string[]): string[] {
+  const named = new Set<string>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === 'connection') {
+      readConnectionNames(rawHeaders[index + 1] ?? '', named);
+    }
+  }
+  const selected: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] as string).toLowerCase();
+    const removed =
+      HOP_BY_HOP.has(name) ||
+      REWRITTEN_REQUEST_HEADERS.has(name) ||
+      named.has(name) ||
+      name.startsWith(FLEET_PREFIX);
+    if (!removed) {
+      selected.push(name, rawHeaders[index + 1] as string);
+    }
+  }
+  return selected;
+}
+
+/** Returns the headers of an answer as the caller gets them. */
+export function selectAnswerHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  const named = new Set<string>();
+  if (headers.connection !== undefined) {
+    readConnectionNames(String(headers.connection), named);
+  }
+  const selected: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const removed =
+      HOP_BY_HOP.has(name) ||
+      BACKEND_ONLY_HEADERS.has(name) ||
+      named.has(name) ||
+      name.startsWith(FLEET_PREFIX);
+    if (!removed && value !== undefined) {
+      selected[name] = value;
+    }
+  }
+  return selected;
+}
+
+/** Returns the single value of an answer's header. */
+export function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/routing/proxy/src/in-flight.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts requests in flight, so that a planned stop can wait for the last one.
+ */
+
+/** The number of requests in flight. */
+export class InFlight {
+  private current = 0;
+
+  private waiters: (() => void)[] = [];
+
+  get count(): number {
+    return this.current;
+  }
+
+  enter(): void {
+    this.current += 1;
+  }
+
+  leave(): void {
+    this.current -= 1;
+    if (this.current === 0) {
+      const { waiters } = this;
+      this.waiters = [];
+      for (const wake of waiters) {
+        wake();
+      }
+    }
+  }
+
+  /** Resolves when no request is in flight. */
+  whenIdle(): Promise<void> {
+    if (this.current === 0) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      this.waiters.push(resolve);
+    });
+  }
+}
--- a/packages/routing/proxy/src/index.ts
+++ b/packages/routing/proxy/src/index.ts
@@ -1,4 +1,32 @@
 /**
  * HTTP in and out: request checks, streaming, TLS reload, forwarding between daemons.
  */
-export {};
+export {
+  type CallerLimits,
+  type EntryServerOptions,
+  type TlsMaterial,
+  EntryServer,
+  READY_PATH,
+} from './entry-server.js';
+export { ANONYMOUS, KEY_PATH } from './caller-admission.js';
+export { type ExchangeServerOptions, ExchangeServer } from './exchange-server.js';
+export { type ForwardReceiverOptions, ForwardReceiver } from './forward-receiver.js';
+export {
+  type DispatchPlan,
+  type DispatchTarget,
+  type KeyLocation,
+  type RequestPathOptions,
+  RequestPath,
+} from './request-path.js';
+export {
+  type CrashGuardHooks,
+  type DispatchRunnerOptions,
+  DispatchRunner,
+} from './dispatch-runner.js';
+export { type AttemptEnd, type BackendClientOptions, BackendClient } from './backend-client.js';
+export { type ForwardEnd, PeerForwarder } from './peer-forwarder.js';
+export { type LinkMonitorOptions, type PeerTarget, HEARTBEAT_PATH } from './link.js';
+export { LinkMonitor } from './link-monitor.js';
+export { RetryBudget } from './retry-budget.js';
+export { type Decision, type DecisionAttempt, DecisionRing } from './decision.js';
+export { KEPT_BODY_BYTES } from './caller-body.js';
--- /dev/null
+++ b/packages/routing/proxy/src/request-check.ts
@@ -0,0 +1,106 @@
+/**
+ * Strict checks of a caller's request, beyond those of the parser. A request that two programs could
+ * read in two ways is refused, because the difference can smuggle a second request past the checks.
+ */
+import type { IncomingMessage } from 'node:http';
+import { FailureError, type ResultName } from '@dogwoodstall/results';
+
+const HOST_PATTERN = /^([a-z0-9._-]+|\[[0-9a-f:.]+\])(:\d{1,5})?$/i;
+const PORT_PATTERN = /:\d{1,5}$/;
+const LENGTH_PATTERN = /^\d{1,15}$/;
+// Control characters, space, quotes and backslash have no place in a request target.
+const TARGET_PATTERN = /^\/[!#-[\]-~]*$/;
+
+/** What the checks found out about a request. */
+export interface CheckedRequest {
+  /** Lower case, without port. */
+  readonly host: string;
+  /** Without query. */
+  readonly path: string;
+  readonly method: string;
+  /** Undefined for a chunked body. */
+  readonly contentLength: number | undefined;
+}
+
+interface CountedHeaders {
+  readonly hosts: string[];
+  readonly lengths: string[];
+  readonly encodings: string[];
+  upgrade: boolean;
+}
+
+function countHeaders(rawHeaders: readonly string[]): CountedHeaders {
+  const counted: CountedHeaders = { hosts: [], lengths: [], encodings: [], upgrade: false };
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]?.toLowerCase();
+    const value = rawHeaders[index + 1] as string;
+    if (name === 'host') {
+      counted.hosts.push(value);
+    } else if (name === 'content-length') {
+      counted.lengths.push(value);
+    } else if (name === 'transfer-encoding') {
+      counted.encodings.push(value);
+    } else if (name === 'upgrade') {
+      counted.upgrade = true;
+    }
+  }
+  return counted;
+}
+
+function checkLength({ lengths, encodings }: CountedHeaders): number | undefined {
+  if (lengths.length + encodings.length > 1) {
+    throw new FailureError('RequestAmbiguousLength');
+  }
+  if (encodings.length === 1) {
+    if (encodings[0]?.toLowerCase() !== 'chunked') {
+      throw new FailureError('RequestAmbiguousLength', 'only the encoding "chunked" is accepted');
+    }
+    return undefined;
+  }
+  const length = lengths[0] ?? '0';
+  if (!LENGTH_PATTERN.test(length)) {
+    throw new FailureError('RequestAmbiguousLength', 'the Content-Length is not a number');
+  }
+  return Number(length);
+}
+
+function checkHost(hosts: readonly string[]): string {
+  const [host] = hosts;
+  if (hosts.length !== 1 || host === undefined || !HOST_PATTERN.test(host)) {
+    throw new FailureError('RequestHostInvalid');
+  }
+  return host.replace(PORT_PATTERN, '').toLowerCase();
+}
+
+/** Checks a request; throws the failure that its caller gets. */
+export function checkRequest(request: IncomingMessage): CheckedRequest {
+  const counted = countHeaders(request.rawHeaders);
+  const contentLength = checkLength(counted);
+  const host = checkHost(counted.hosts);
+  if (request.httpVersion !== '1.1') {
+    throw new FailureError('RequestMalformed', 'only HTTP/1.1 is accepted');
+  }
+  if (counted.upgrade) {
+    throw new FailureError('MethodUnsupported', 'protocol upgrades are not supported');
+  }
+  const target = request.url ?? '';
+  if (!TARGET_PATTERN.test(target)) {
+    throw new FailureError('RequestMalformed', 'the request target is not in origin form');
+  }
+  const queryStart = target.indexOf('?');
+  const path = queryStart < 0 ? target : target.slice(0, queryStart);
+  return { host, path, method: request.method ?? '', contentLength };
+}
+
+const resultByParserCode: Readonly<Record<string, ResultName>> = {
+  HPE_HEADER_OVERFLOW: 'RequestHeadersTooLarge',
+  ERR_HTTP_REQUEST_TIMEOUT: 'RequestTooSlow',
+  HPE_INVALID_CONTENT_LENGTH: 'RequestAmbiguousLength',
+  HPE_UNEXPECTED_CONTENT_LENGTH: 'RequestAmbiguousLength',
+  HPE_INVALID_TRANSFER_ENCODING: 'RequestAmbiguousLength',
+};
+
+/** Returns the result of a request that the parser of Node.js refused. */
+export function classifyParserError(code: string | undefined): ResultName {
+  return resultByParserCode[code ?? ''] ?? 'RequestMalformed';
+}
--- /dev/null
+++ b/packages/routing/proxy/src/request-path.ts
@@ -0,0 +1,207 @@
+/**
+ * The way of one request from this daemon on: to the dispatcher of its cell, to the home of its key,
+ * or to a backend server.
+ */
+import * as idempotency from '@dogwoodstall/idempotency';
+import { FailureError } from '@dogwoodstall/results';
+import { composeAnswerHeaders } from './answer-headers.js';
+import type { DispatchRunner } from './dispatch-runner.js';
+import type { Exchange } from './exchange.js';
+import { fingerprintRequest } from './fingerprint.js';
+import type { PeerTarget } from './link.js';
+import type { ForwardEnd, PeerForwarder } from './peer-forwarder.js';
+import type { RetryBudget } from './retry-budget.js';
+
+/** A daemon that may dispatch a cell. */
+export type DispatchTarget =
+  { readonly kind: 'local' } | { readonly kind: 'peer'; readonly peer: PeerTarget };
+
+/** The cell of a request and the daemons to try, rank 0 first and this daemon last. */
+export interface DispatchPlan {
+  readonly cell: string;
+  readonly targets: readonly DispatchTarget[];
+}
+
+/** Where the keys of an incarnation live now. */
+export type KeyLocation =
+  | { readonly kind: 'local' }
+  | { readonly kind: 'peer'; readonly peer: PeerTarget }
+  /** The incarnation is gone and its records were not handed over. */
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'unreachable' };
+
+/** Options of `RequestPath`. */
+export interface RequestPathOptions {
+  /** Name of this daemon. */
+  readonly daemonName: string;
+  /** Chooses the cell of a request and ranks its daemons. */
+  readonly planDispatch: (service: string, requestId: string) => DispatchPlan;
+  /** Whether a peer is neither suspected nor known to be unreachable. */
+  readonly isReachable: (peer: string) => boolean;
+  /** Tells that a peer could not be reached or stalled. */
+  readonly reportUnreachable?: (peer: string) => void;
+  readonly locateKeyHome: (home: string, incarnation: string) => KeyLocation;
+  readonly keyIssuer: idempotency.KeyIssuer;
+  readonly keyHome: idempotency.KeyHome;
+  readonly runner: DispatchRunner;
+  readonly forwarder: PeerForwarder;
+  readonly retryBudget: RetryBudget;
+}
+
+type Permit = idempotency.ExecutionPermit | undefined;
+type Answer = idempotency.RecordedAnswer | undefined;
+
+/** Results of a peer that mean "ask another daemon". */
+const MOVED_RESULTS: ReadonlySet<string> = new Set([
+  'NotReady',
+  'PeerMessageInvalid',
+  'DispatcherUnreachable',
+]);
+
+function sendRecorded(exchange: Exchange, answer: idempotency.RecordedAnswer): void {
+  const { response } = exchange;
+  const headers = composeAnswerHeaders(exchange, {});
+  for (const [name, value] of answer.headers) {
+    const known = headers[name.toLowerCase()];
+    if (name.toLowerCase() === 'set-cookie' && known !== undefined) {
+      headers[name] = [...(known as string[]), value];
+    } else if (headers[name] === undefined) {
+      headers[name] = name.toLowerCase() === 'set-cookie' ? [value] : value;
+    }
+  }
+  Object.assign(exchange.decision, { status: answer.status });
+  if (!response.destroyed) {
+    response.writeHead(answer.status, headers);
+    response.end(Buffer.from(answer.body, 'base64'));
+  }
+}
+
+/** Carries requests on. */
+export class RequestPath {
+  constructor(private readonly options: RequestPathOptions) {}
+
+  /** Serves a request of this daemon's own caller; rejects with the failure to tell. */
+  async serve(exchange: Exchange): Promise<void> {
+    if (exchange.facts.route.idempotent) {
+      await this.dispatch(exchange, undefined);
+      return;
+    }
+    const key = this.verifyKey(exchange);
+    const location = this.options.locateKeyHome(key.home, key.incarnation);
+    if (location.kind === 'local') {
+      await this.serveAtHome(exchange);
+    } else if (location.kind === 'peer') {
+      await this.forwardHome(exchange, location.peer);
+    } else {
+      throw new FailureError(location.kind === 'lost' ? 'KeyHomeLost' : 'KeyHomeUnreachable');
+    }
+  }
+
+  /** Serves a request whose key names this daemon or an incarnation that was handed over to it. */
+  async serveAtHome(exchange: Exchange): Promise<void> {
+    const use = {
+      key: this.verifyKey(exchange),
+      fingerprint: fingerprintRequest(exchange),
+      signal: exchange.signal,
+    };
+    const answer = await this.options.keyHome.run(use, (permit) => {
+      const detaching: idempotency.ExecutionPermit = {
+        begin: () => {
+          permit.begin();
+          // The outcome is wanted although the caller goes: his resend gets the recorded answer.
+          Object.assign(exchange, { detached: true });
+        },
+        proveNotRun: () => permit.proveNotRun(),
+      };
+      return this.dispatch(exchange, detaching);
+    });
+    if (answer.source === 'record') {
+      sendRecorded(exchange, answer.answer);
+    }
+  }
+
+  /** Serves a request as the dispatcher of its cell. */
+  async serveAsDispatcher(exchange: Exchange, cell: string): Promise<void> {
+    await this.dispatchHere(exchange, cell, undefined);
+  }
+
+  private verifyKey(exchange: Exchange): idempotency.KeyContents {
+    const { facts } = exchange;
+    if (facts.idempotencyKey === undefined) {
+      throw new FailureError('KeyRequired');
+    }
+    const key = this.options.keyIssuer.verify(facts.idempotencyKey);
+    idempotency.checkKeyOwner(key, facts.organisation, facts.service.name);
+    return key;
+  }
+
+  private dispatchHere(exchange: Exchange, cell: string, permit: Permit): Promise<Answer> {
+    Object.assign(exchange.decision, { dispatcher: this.options.daemonName });
+    return this.options.runner.run(exchange, cell, permit);
+  }
+
+  private async dispatch(exchange: Exchange, permit: Permit): Promise<Answer> {
+    const { facts } = exchange;
+    const plan = this.options.planDispatch(facts.service.name, facts.requestId);
+    let last: FailureError | undefined;
+    for (const target of plan.targets) {
+      if (target.kind === 'local') {
+        return this.dispatchHere(exchange, plan.cell, permit);
+      }
+      if (!this.options.isReachable(target.peer.name)) {
+        continue;
+      }
+      Object.assign(exchange.decision, { dispatcher: target.peer.name });
+      const forward = { peer: target.peer, kind: 'dispatch' as const, cell: plan.cell, permit };
+      const end = await this.options.forwarder.forward(exchange, forward);
+      if (end.failure === undefined) {
+        return end.answer;
+      }
+      this.noteFailedForward(exchange, target.peer.name, end);
+      last = exchange.unproved ?? end.failure;
+      if (!this.mayMove(exchange, end)) {
+        throw last;
+      }
+    }
+    throw last ?? new FailureError('DispatcherUnreachable');
+  }
+
+  private noteFailedForward(exchange: Exchange, peer: string, end: ForwardEnd): void {
+    if (!end.notRun && exchange.unproved === undefined) {
+      Object.assign(exchange, { unproved: end.failure });
+    }
+    if (!end.statedByPeer && !exchange.signal.aborted) {
+      this.options.reportUnreachable?.(peer);
+    }
+  }
+
+  private mayMove(exchange: Exchange, end: ForwardEnd): boolean {
+    const { facts, response, body, signal } = exchange;
+    if (response.headersSent || signal.aborted || !body.replayable) {
+      return false;
+    }
+    if (end.notRun) {
+      return !end.statedByPeer || MOVED_RESULTS.has(end.failure?.failure.kind ?? '');
+    }
+    const lost = !end.statedByPeer || end.failure?.failure.kind === 'PeerMessageInvalid';
+    return facts.route.idempotent && lost && this.options.retryBudget.take(facts.service.name);
+  }
+
+  private async forwardHome(exchange: Exchange, peer: PeerTarget): Promise<void> {
+    Object.assign(exchange.decision, { dispatcher: peer.name });
+    const end = await this.options.forwarder.forward(exchange, { peer, kind: 'home', cell: '' });
+    if (end.failure === undefined) {
+      return;
+    }
+    if (end.statedByPeer || exchange.signal.aborted || exchange.response.headersSent) {
+      throw end.failure;
+    }
+    this.options.reportUnreachable?.(peer.name);
+    if (end.notRun && end.failure.failure.kind === 'DispatcherUnreachable') {
+      throw new FailureError('KeyHomeUnreachable', undefined, { cause: end.failure });
+    }
+    throw end.notRun
+      ? end.failure
+      : new FailureError('OutcomeNotKnown', 'the link to the home broke', { cause: end.failure });
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/streamed-body.ts
@@ -0,0 +1,79 @@
+/**
+ * A request body that is streamed: it can be sent again only while nothing of it was read.
+ */
+import type { IncomingMessage } from 'node:http';
+import { Readable } from 'node:stream';
+import { FailureError } from '@dogwoodstall/results';
+import type { CallerBody } from './caller-body.js';
+
+/** The body of a request that is too large to be kept. */
+export class StreamedBody implements CallerBody {
+  readonly kept = undefined;
+
+  private consumed = false;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    readonly length: number | undefined,
+    private readonly maximumBytes: number,
+  ) {}
+
+  get replayable(): boolean {
+    return !this.consumed;
+  }
+
+  get complete(): boolean {
+    return this.request.complete;
+  }
+
+  open(): Readable {
+    const { request, maximumBytes } = this;
+    let attached = false;
+    let received = 0;
+    let detach = (): void => {};
+    const attach = (stream: Readable): void => {
+      attached = true;
+      this.consumed = true;
+      const onData = (chunk: Buffer): void => {
+        received += chunk.length;
+        if (received > maximumBytes) {
+          const message = 'the request body exceeds the limit of the route';
+          stream.destroy(new FailureError('RequestBodyIncomplete', message));
+        } else if (!stream.push(chunk)) {
+          request.pause();
+        }
+      };
+      const onEnd = (): void => {
+        stream.push(null);
+      };
+      const onCut = (): void => {
+        if (!request.complete) {
+          stream.destroy(new FailureError('RequestBodyIncomplete'));
+        }
+      };
+      detach = () => {
+        request.off('data', onData).off('end', onEnd).off('close', onCut).off('error', onCut);
+        // Without a reader the rest of the body is dropped when the answer ends.
+        request.on('error', () => {});
+        request.pause();
+      };
+      request.on('data', onData).on('end', onEnd).on('close', onCut).on('error', onCut);
+    };
+    const opened = new Readable({
+      read() {
+        if (!attached) {
+          attach(this);
+        }
+        request.resume();
+      },
+      destroy(error, callback) {
+        detach();
+        callback(error);
+      },
+    });
+    // The failure reaches the exchange through the transmission; an error event without a listener
+    // would end the process when the transmission has already ended.
+    opened.on('error', () => {});
+    return opened;
+  }
+}
--- /dev/null
+++ b/packages/routing/proxy/src/transfer.ts
@@ -0,0 +1,277 @@
+/**
+ * One transmission of a request to one target, and the answer on its way back to the caller. Chunks
+ * pass without a promise or a timer each; a slow caller pauses the target's connection.
+ */
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { FailureError, checkInvariant } from '@dogwoodstall/results';
+import type { Dispatcher } from 'undici';
+import type { CallerBody } from './caller-body.js';
+
+/** What becomes of an answer. */
+export type Judgement =
+  | { readonly pass: true; readonly headers: OutgoingHttpHeaders }
+  /** The answer does not go to the caller; up to 16 KiB of its body are kept. */
+  | { readonly pass: false };
+
+/** Options of `transfer`. */
+export interface TransferOptions {
+  readonly dispatcher: Dispatcher;
+  readonly origin: string;
+  readonly path: string;
+  readonly method: string;
+  readonly headers: string[];
+  readonly body: CallerBody;
+  readonly response: ServerResponse;
+  readonly signal: AbortSignal;
+  /** Called before the first byte may leave; throwing keeps the request back. */
+  readonly begin: () => void;
+  readonly judge: (status: number, headers: IncomingHttpHeaders) => Judgement;
+  /** Sees each chunk that goes to the caller. */
+  readonly record?: ((chunk: Buffer) => void) | undefined;
+  /** Called when anything arrives from the target. */
+  readonly heard?: (() => void) | undefined;
+}
+
+/** How a transmission ended. */
+export interface TransferEnd {
+  readonly kind: 'complete' | 'discarded' | 'not-sent' | 'broken' | 'cut' | 'aborted';
+  /** Whether bytes of the request may have left. */
+  readonly sent: boolean;
+  readonly status: number | undefined;
+  readonly headers: IncomingHttpHeaders;
+  /** From the call to the first byte of the answer or to the end. */
+  readonly milliseconds: number;
+  readonly error: Error | undefined;
+  /** Whether the target was held back because the caller reads slowly. */
+  readonly heldByCaller: boolean;
+  /** Body of a discarded answer. */
+  readonly discardedBody: string;
+}
+
+const MAXIMUM_DISCARDED_BYTES = 16_384;
+const BODILESS_STATUS = new Set([204, 304]);
+
+class Transfer implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private readonly startedAt = performance.now();
+
+  private answeredAt: number | undefined;
+
+  private status: number | undefined;
+
+  private headers: IncomingHttpHeaders = {};
+
+  private passing = false;
+
+  private receivedBytes = 0;
+
+  private readonly discarded: Buffer[] = [];
+
+  private settled = false;
+
+  private waitingForDrain = false;
+
+  constructor(
+    private readonly options: TransferOptions,
+    private readonly resolve: (end: TransferEnd) => void,
+  ) {}
+
+  start(): void {
+    const { dispatcher, origin, path, method, headers, body, signal } = this.options;
+    if (signal.aborted) {
+      this.onAbort();
+      return;
+    }
+    signal.addEventListener('abort', this.onAbort, { once: true });
+    try {
+      dispatcher.dispatch({ origin, path, method, headers, body: body.open() }, this);
+    } catch (error) {
+      this.settle('not-sent', error as Error);
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.settled) {
+      controller.abort(new FailureError('CallerCancelled'));
+      return;
+    }
+    try {
+      this.options.begin();
+      this.controller = controller;
+    } catch (error) {
+      this.settle('not-sent', error as Error);
+      controller.abort(error as Error);
+    }
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    this.options.heard?.();
+    if (this.settled || status < 200) {
+      return;
+    }
+    this.answeredAt = performance.now();
+    this.status = status;
+    this.headers = headers;
+    if (!this.isDelimited(status, headers)) {
+      this.fail(new FailureError('BackendAnswerMalformed', 'the answer has no length'));
+      return;
+    }
+    try {
+      this.passHead(status, headers);
+    } catch (error) {
+      const cause = new FailureError('BackendAnswerMalformed', undefined, { cause: error });
+      this.fail(error instanceof FailureError ? error : cause);
+    }
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.options.heard?.();
+    if (this.settled) {
+      return;
+    }
+    this.receivedBytes += chunk.length;
+    if (!this.passing) {
+      this.discard(chunk);
+      return;
+    }
+    this.options.record?.(chunk);
+    const { response } = this.options;
+    if (response.destroyed) {
+      return;
+    }
+    if (!response.write(chunk) && !this.waitingForDrain) {
+      this.waitingForDrain = true;
+      controller.pause();
+      response.once('drain', this.onDrain);
+      response.once('close', this.onDrain);
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.settled) {
+      return;
+    }
+    if (!this.passing) {
+      this.settle('discarded');
+      return;
+    }
+    if (!this.hasWholeAnswer()) {
+      this.fail(new FailureError('BackendAnswerCut'));
+      return;
+    }
+    this.settle('complete');
+    this.options.response.end();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.fail(error);
+  }
+
+  private readonly onAbort = (): void => {
+    const reason = this.options.signal.reason as Error;
+    this.fail(reason, 'aborted');
+  };
+
+  private readonly onDrain = (): void => {
+    this.waitingForDrain = false;
+    this.options.response.off('drain', this.onDrain).off('close', this.onDrain);
+    if (!this.settled) {
+      this.controller?.resume();
+    }
+  };
+
+  private passHead(status: number, headers: IncomingHttpHeaders): void {
+    const judgement = this.options.judge(status, headers);
+    if (!judgement.pass) {
+      return;
+    }
+    this.passing = true;
+    const { response } = this.options;
+    if (!response.destroyed) {
+      response.writeHead(status, judgement.headers);
+    }
+  }
+
+  private isDelimited(status: number, headers: IncomingHttpHeaders): boolean {
+    // An answer that ends with its connection looks the same when it was cut.
+    return (
+      this.options.method === 'HEAD' ||
+      BODILESS_STATUS.has(status) ||
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined
+    );
+  }
+
+  private hasWholeAnswer(): boolean {
+    const announced = this.headers['content-length'];
+    if (
+      announced === undefined ||
+      this.options.method === 'HEAD' ||
+      BODILESS_STATUS.has(this.status ?? 0)
+    ) {
+      return true;
+    }
+    return checkInvariant(
+      Number(announced) === this.receivedBytes,
+      'AnswerMixedUp',
+      () => `${this.receivedBytes} bytes of ${announced} were about to look complete`,
+    );
+  }
+
+  private discard(chunk: Buffer): void {
+    if (this.receivedBytes <= MAXIMUM_DISCARDED_BYTES) {
+      this.discarded.push(chunk);
+      return;
+    }
+    this.settle('discarded');
+    this.controller?.abort(new FailureError('CallerCancelled', 'the answer is not wanted'));
+  }
+
+  private fail(error: Error, kind?: 'aborted'): void {
+    if (this.settled) {
+      return;
+    }
+    const cut = this.passing && this.options.response.headersSent;
+    let broken: TransferEnd['kind'] = this.controller === undefined ? 'not-sent' : 'broken';
+    if (this.status !== undefined) {
+      broken = 'cut';
+    }
+    this.settle(kind ?? broken, error);
+    if (cut) {
+      // The caller must not take the part for the whole.
+      this.options.response.destroy();
+    }
+    // An abandoned exchange takes its connection with it, so that no later answer can meet it.
+    this.controller?.abort(error);
+  }
+
+  private settle(kind: TransferEnd['kind'], error?: Error): void {
+    if (this.settled) {
+      return;
+    }
+    this.settled = true;
+    this.options.signal.removeEventListener('abort', this.onAbort);
+    this.resolve({
+      kind,
+      sent: this.controller !== undefined,
+      status: this.status,
+      headers: this.headers,
+      milliseconds: (this.answeredAt ?? performance.now()) - this.startedAt,
+      error,
+      heldByCaller: this.waitingForDrain,
+      discardedBody: Buffer.concat(this.discarded).toString(),
+    });
+  }
+}
+
+/** Sends a request to a target and streams the answer to the caller. Never rejects. */
+export function transfer(options: TransferOptions): Promise<TransferEnd> {
+  return new Promise((resolve) => {
+    new Transfer(options, resolve).start();
+  });
+}
