Add the hand-over of key records and tests of refusals, cuts and retries

Cause: A planned stop must not lose key records, and refusals, cut answers and retries had no tests.

Change: HandOver installs records at one peer and activates them only there. Links send at most one heartbeat at a time. Forwarded requests carry their time of sending, so that a daemon that was paused refuses expired ones. The port closes without destroying connections on which a request may arrive.

--- /dev/null
+++ b/packages/routing/idempotency/src/hand-over.ts
@@ -0,0 +1,162 @@
+/**
+ * The sending side of a hand-over at a planned stop: install at one peer, activate at the same peer.
+ * Once an activation has been sent, no other peer is tried, because a lost acknowledgement would
+ * otherwise create two homes of the same keys.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { KeyHome } from './key-home.js';
+import type { ActivateRecords, CompleteRecord, InstallRecords, KeyRecord } from './record.js';
+
+const MAXIMUM_BATCH_RECORDS = 500;
+const MAXIMUM_BATCH_CHARACTERS = 1_000_000;
+const DEFAULT_ATTEMPTS = 5;
+const DEFAULT_RETRY_MILLISECONDS = 200;
+
+/** A peer that may become the new home; each call rejects unless the peer acknowledged it. */
+export interface HandOverPeer {
+  readonly name: string;
+  install(message: InstallRecords): Promise<void>;
+  activate(message: ActivateRecords): Promise<void>;
+  complete(message: CompleteRecord): Promise<void>;
+}
+
+/** Options of `HandOver`. */
+export interface HandOverOptions {
+  readonly home: KeyHome;
+  /** Live peers, the preferred one first. */
+  readonly peers: readonly HandOverPeer[];
+  /** Announces where the keys of these incarnations live from now on. */
+  readonly announce: (peer: string, incarnations: readonly string[]) => void;
+  /** Calls per message before it counts as failed; 5 by default. */
+  readonly attempts?: number;
+  /** Pause between two calls; 200 by default. */
+  readonly retryMilliseconds?: number;
+}
+
+/** How a hand-over ended. */
+export interface HandOverResult {
+  /** The new home; undefined when no peer took the records. */
+  readonly peer: string | undefined;
+  /** False when the peer did not acknowledge the activation; it may be the home all the same. */
+  readonly acknowledged: boolean;
+}
+
+function splitRecords(records: readonly KeyRecord[]): KeyRecord[][] {
+  const batches: KeyRecord[][] = [[]];
+  let characters = 0;
+  for (const record of records) {
+    const size = record.answer?.body.length ?? 0;
+    let batch = batches[batches.length - 1];
+    const full = characters + size > MAXIMUM_BATCH_CHARACTERS && characters > 0;
+    if (batch === undefined || batch.length >= MAXIMUM_BATCH_RECORDS || full) {
+      batch = [];
+      batches.push(batch);
+      characters = 0;
+    }
+    batch.push(record);
+    characters += size;
+  }
+  return batches;
+}
+
+/** Hands all records of a home over to one peer. */
+export class HandOver {
+  private successor: HandOverPeer | undefined;
+
+  private readonly queued: CompleteRecord[] = [];
+
+  private readonly sending = new Set<Promise<void>>();
+
+  constructor(private readonly options: HandOverOptions) {}
+
+  /** Seals the home and hands its records over. Never rejects for an unreachable peer. */
+  async run(): Promise<HandOverResult> {
+    this.options.home.seal();
+    const exports = this.options.home.exportRecords();
+    const peer = await this.installAtOne(exports);
+    if (peer === undefined) {
+      return { peer: undefined, acknowledged: false };
+    }
+    const acknowledged = await this.activateAll(peer, exports);
+    this.options.announce(
+      peer.name,
+      exports.map(({ origin }) => origin),
+    );
+    this.successor = peer;
+    for (const message of this.queued.splice(0)) {
+      this.complete(message);
+    }
+    return { peer: peer.name, acknowledged };
+  }
+
+  /** Sends the end of a record that was handed over as running; see `onCompletedAfterSeal`. */
+  complete(message: CompleteRecord): void {
+    const { successor } = this;
+    if (successor === undefined) {
+      this.queued.push(message);
+      return;
+    }
+    const sent = this.repeat(() => successor.complete(message)).then(() => {
+      this.sending.delete(sent);
+    });
+    this.sending.add(sent);
+  }
+
+  /** Resolves when every completion so far was acknowledged or given up. */
+  async whenSent(): Promise<void> {
+    while (this.sending.size > 0) {
+      await Promise.all(this.sending);
+    }
+  }
+
+  private async installAtOne(
+    exports: readonly InstallRecords[],
+  ): Promise<HandOverPeer | undefined> {
+    for (const peer of this.options.peers) {
+      if (await this.installAll(peer, exports)) {
+        return peer;
+      }
+    }
+    return undefined;
+  }
+
+  private async installAll(
+    peer: HandOverPeer,
+    exports: readonly InstallRecords[],
+  ): Promise<boolean> {
+    for (const { origin, epoch, records } of exports) {
+      for (const batch of splitRecords(records)) {
+        if (!(await this.repeat(() => peer.install({ origin, epoch, records: batch })))) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private async activateAll(
+    peer: HandOverPeer,
+    exports: readonly InstallRecords[],
+  ): Promise<boolean> {
+    let acknowledged = true;
+    for (const { origin, epoch, records } of exports) {
+      const message = { origin, epoch, recordCount: records.length };
+      acknowledged = (await this.repeat(() => peer.activate(message))) && acknowledged;
+    }
+    return acknowledged;
+  }
+
+  private async repeat(call: () => Promise<void>): Promise<boolean> {
+    const attempts = this.options.attempts ?? DEFAULT_ATTEMPTS;
+    for (let attempt = 1; attempt <= attempts; attempt += 1) {
+      try {
+        await call();
+        return true;
+      } catch {
+        // Every message may be repeated; only the last failure counts.
+        await delay(this.options.retryMilliseconds ?? DEFAULT_RETRY_MILLISECONDS);
+      }
+    }
+    return false;
+  }
+}
--- a/packages/routing/idempotency/src/index.ts
+++ b/packages/routing/idempotency/src/index.ts
@@ -9,6 +9,12 @@
   checkKeyOwner,
   digestOrganisation,
 } from './key-issuer.js';
+export {
+  type HandOverOptions,
+  type HandOverPeer,
+  type HandOverResult,
+  HandOver,
+} from './hand-over.js';
 export { type ExecutionPermit } from './permit.js';
 export {
   type HomeAnswer,
--- /dev/null
+++ b/packages/routing/idempotency/test/key-home.test.ts
@@ -0,0 +1,194 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as results from '@dogwoodstall/results';
+import * as idempotency from '../src/index.js';
+
+const issuer = new idempotency.KeyIssuer({ fleetKeys: [Buffer.alloc(32, 1)] });
+const answer = { status: 200, headers: [], body: 'b2s=' };
+const { signal } = new AbortController();
+
+function issue(lifetimeMilliseconds = 60_000): idempotency.KeyContents {
+  const organisation = 'sertao';
+  const key = { home: 'a', incarnation: 'a-1', organisation, service: 's', lifetimeMilliseconds };
+  return issuer.verify(issuer.issue(key));
+}
+
+function use(key: idempotency.KeyContents, fingerprint = 'f'): idempotency.KeyUse {
+  return { key, fingerprint, signal };
+}
+
+async function failureOf(work: Promise<unknown>): Promise<string> {
+  return work.then(
+    () => 'none',
+    (error: unknown) => results.toFailure(error).kind,
+  );
+}
+
+const runWell: idempotency.KeyAttempt = async (permit) => {
+  permit.begin();
+  return answer;
+};
+
+test('resends at the same moment wait for the one attempt and get its answer', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const key = issue();
+  let runs = 0;
+  let finish = (): void => {};
+  const attempt: idempotency.KeyAttempt = (permit) => {
+    permit.begin();
+    runs += 1;
+    return new Promise((resolve) => {
+      finish = () => resolve(answer);
+    });
+  };
+  const uses = [home.run(use(key), attempt), home.run(use(key), attempt)];
+  finish();
+  assert.deepEqual(await Promise.all(uses), [{ source: 'attempt' }, { source: 'record', answer }]);
+  assert.equal(runs, 1);
+});
+
+test('an attempt that may have run is never repeated, one that is proved not run may be', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const proved = issue();
+  const refuse: idempotency.KeyAttempt = async (permit) => {
+    permit.begin();
+    permit.proveNotRun();
+    throw new results.FailureError('BackendRefused');
+  };
+  assert.equal(await failureOf(home.run(use(proved), refuse)), 'BackendRefused');
+  assert.deepEqual(await home.run(use(proved), runWell), { source: 'attempt' });
+  const lost = issue();
+  const reset: idempotency.KeyAttempt = async (permit) => {
+    permit.begin();
+    throw new results.FailureError('BackendRefused');
+  };
+  assert.equal(await failureOf(home.run(use(lost), reset)), 'BackendRefused');
+  assert.equal(await failureOf(home.run(use(lost), runWell)), 'OutcomeNotKnown');
+});
+
+test('another request under a used key is refused', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const key = issue();
+  await home.run(use(key), runWell);
+  assert.equal(await failureOf(home.run(use(key, 'other'), runWell)), 'KeyReused');
+});
+
+test('an expired key never runs, also when the clock is set back after its record was dropped', async () => {
+  let now = Date.now();
+  const home = new idempotency.KeyHome({ incarnation: 'a-1', epochNow: () => now });
+  const key = issue(1000);
+  await home.run(use(key), runWell);
+  now += 5000;
+  await home.run(use(issue(60_000)), runWell);
+  assert.equal(home.recordCount, 1);
+  now -= 5000;
+  assert.equal(await failureOf(home.run(use(key), runWell)), 'KeyExpired');
+});
+
+test('a full home refuses new keys and forgets no record', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1', maximumRecords: 1 });
+  const key = issue();
+  await home.run(use(key), runWell);
+  assert.equal(await failureOf(home.run(use(issue()), runWell)), 'KeyRecordsFull');
+  assert.deepEqual(await home.run(use(key), runWell), { source: 'record', answer });
+});
+
+test('an answer that is not kept is told as such and not run again', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1', maximumAnswerBytes: 1 });
+  const key = issue();
+  await home.run(use(key), runWell);
+  assert.equal(await failureOf(home.run(use(key), runWell)), 'AnswerNotKept');
+});
+
+test('a transmission after the attempt has ended is refused and reported', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1' });
+  let late: idempotency.ExecutionPermit | undefined;
+  const attempt: idempotency.KeyAttempt = async (permit) => {
+    late = permit;
+    throw new results.FailureError('QueueFull');
+  };
+  assert.equal(await failureOf(home.run(use(issue()), attempt)), 'QueueFull');
+  const before = results.countViolations().get('ExecutedAfterNotRun') ?? 0;
+  assert.throws(() => late?.begin());
+  assert.equal(results.countViolations().get('ExecutedAfterNotRun'), before + 1);
+});
+
+test('a second transmission without proof is refused and reported', async () => {
+  const home = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const before = results.countViolations().get('ExecutedTwice') ?? 0;
+  const attempt: idempotency.KeyAttempt = async (permit) => {
+    permit.begin();
+    permit.begin();
+    return answer;
+  };
+  assert.equal(await failureOf(home.run(use(issue()), attempt)), 'ExecutedTwice');
+  assert.equal(results.countViolations().get('ExecutedTwice'), before + 1);
+});
+
+test('lost acknowledgements of a hand-over never lead to a second home', async () => {
+  const source = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const key = issue();
+  await source.run(use(key), runWell);
+  const homes = ['b', 'c'].map((name) => new idempotency.KeyHome({ incarnation: `${name}-1` }));
+  const peers = homes.map((home, index) => ({
+    name: index === 0 ? 'b' : 'c',
+    install: async (message: idempotency.InstallRecords) => home.installRecords(message),
+    // The activation takes effect, and its acknowledgement is lost.
+    activate: async (message: idempotency.ActivateRecords) => {
+      home.activateRecords(message);
+      throw new Error('connection reset');
+    },
+    complete: async (message: idempotency.CompleteRecord) => home.completeRecord(message),
+  }));
+  const announced: string[] = [];
+  const handOver = new idempotency.HandOver({
+    home: source,
+    peers,
+    announce: (peer, incarnations) => announced.push(peer, ...incarnations),
+    attempts: 2,
+    retryMilliseconds: 1,
+  });
+  assert.deepEqual(await handOver.run(), { peer: 'b', acknowledged: false });
+  assert.deepEqual(announced, ['b', 'a-1']);
+  const [b, c] = homes as [idempotency.KeyHome, idempotency.KeyHome];
+  assert.deepEqual(await b.run(use(key), runWell), { source: 'record', answer });
+  assert.equal(await failureOf(c.run(use(key), runWell)), 'KeyHomeLost');
+  assert.equal(await failureOf(source.run(use(issue()), runWell)), 'KeyHomeMoving');
+});
+
+test('a record handed over as running is completed later, or becomes not known with its origin', async () => {
+  const origin = new idempotency.KeyHome({ incarnation: 'a-1' });
+  const keys = [issue(), issue()] as [idempotency.KeyContents, idempotency.KeyContents];
+  const finishes: (() => void)[] = [];
+  const messages: idempotency.CompleteRecord[] = [];
+  const home = new idempotency.KeyHome({
+    incarnation: 'a-1',
+    onCompletedAfterSeal: (message) => messages.push(message),
+  });
+  assert.throws(() => origin.exportRecords());
+  for (const key of keys) {
+    home.run(use(key), (permit) => {
+      permit.begin();
+      return new Promise((resolve) => {
+        finishes.push(() => resolve(answer));
+      });
+    });
+  }
+  home.seal();
+  const successor = new idempotency.KeyHome({ incarnation: 'b-1' });
+  for (const message of home.exportRecords()) {
+    const { origin: name, epoch, records } = message;
+    successor.installRecords(message);
+    assert.equal(await failureOf(successor.run(use(keys[0]), runWell)), 'KeyHomeMoving');
+    successor.activateRecords({ origin: name, epoch, recordCount: records.length });
+  }
+  const waiting = successor.run(use(keys[0]), runWell);
+  finishes[0]?.();
+  await new Promise(setImmediate);
+  for (const message of [...messages, ...messages]) {
+    successor.completeRecord(idempotency.completeRecordSchema.parse(message));
+  }
+  assert.deepEqual(await waiting, { source: 'record', answer });
+  successor.markOriginLost('a-1');
+  assert.equal(await failureOf(successor.run(use(keys[1]), runWell)), 'OutcomeNotKnown');
+});
--- a/packages/routing/proxy/src/entry-server.ts
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events';
 import * as http from 'node:http';
 import * as https from 'node:https';
-import type { AddressInfo } from 'node:net';
+import * as net from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Configuration } from '@dogwoodstall/model';
 import { type Failure, FailureError, createFailure, reportViolation } from '@dogwoodstall/results';
@@ -72,14 +72,14 @@
   }
 
   /** Starts to listen; throws `ListenFailed`. Port 0 chooses a free port. */
-  async listen(host: string, port: number): Promise<AddressInfo> {
+  async listen(host: string, port: number): Promise<net.AddressInfo> {
     await new Promise<void>((resolve, reject) => {
       this.listener.once('error', (cause) =>
         reject(new FailureError('ListenFailed', cause.message, { cause })),
       );
       this.listener.listen(port, host, resolve);
     });
-    return this.listener.address() as AddressInfo;
+    return this.listener.address() as net.AddressInfo;
   }
 
   /** Uses a new certificate for connections that begin from now on. */
@@ -126,8 +126,9 @@
       return;
     }
     this.closed = true;
-    // Connections without a request are ended; the others end with their answers.
-    this.listener.close();
+    // Only the port closes here. `http.Server.close` would also destroy connections on which a
+    // request may be arriving; those end with their next answer or the keep-alive timeout.
+    net.Server.prototype.close.call(this.listener);
     this.portClosed.abort();
   }
 
--- a/packages/routing/proxy/src/forward-headers.ts
+++ b/packages/routing/proxy/src/forward-headers.ts
@@ -9,6 +9,10 @@
 /** Largest number of daemons after the entry: the home and the dispatcher. */
 export const MAXIMUM_HOPS = 2;
 
+const DEADLINE_MARGIN_MILLISECONDS = 10;
+const DEADLINE_MARGIN_SHARE = 0.1;
+/** Largest difference of two VMs' clocks that refuses no request. */
+const CLOCK_TOLERANCE_MILLISECONDS = 1000;
 const MAXIMUM_DEADLINE_MILLISECONDS = 86_400_000;
 
 /** What the receiving daemon is to the request. */
@@ -42,6 +46,13 @@
   return { host, others };
 }
 
+// The peer's statement about a missed deadline must arrive before this daemon's own timer fires.
+function shortenDeadline(milliseconds: number): number {
+  return (
+    milliseconds - Math.min(DEADLINE_MARGIN_MILLISECONDS, milliseconds * DEADLINE_MARGIN_SHARE)
+  );
+}
+
 /** Returns the headers of a request that goes to a peer. */
 export function formatForwardHeaders(exchange: Exchange, kind: HopKind, cell: string): string[] {
   const { facts } = exchange;
@@ -66,7 +77,9 @@
     'dogwoodstall-forward-host',
     host,
     'dogwoodstall-forward-milliseconds',
-    exchange.remainingMilliseconds.toFixed(1),
+    shortenDeadline(exchange.remainingMilliseconds).toFixed(1),
+    'dogwoodstall-forward-sent',
+    String(Date.now()),
   ];
 }
 
@@ -92,6 +105,11 @@
   if (hops > MAXIMUM_HOPS) {
     throw new FailureError('ForwardLoop');
   }
+  const age = Date.now() - Number(requireHeader(headers, 'dogwoodstall-forward-sent'));
+  if (age > remaining + CLOCK_TOLERANCE_MILLISECONDS) {
+    // The request lay in a socket while this daemon was paused; its caller has been answered.
+    throw new FailureError('DeadlineInQueue');
+  }
   const key = headers[IDEMPOTENCY_KEY];
   return {
     requestId: requireHeader(headers, 'request-id'),
--- a/packages/routing/proxy/src/link.ts
+++ b/packages/routing/proxy/src/link.ts
@@ -2,6 +2,7 @@
  * The heartbeat of one link to a peer. While forwarded requests are unanswered, a link that stays silent is
  * stalled: its daemon is paused or the network drops packets without closing the connection.
  */
+import { FailureError } from '@dogwoodstall/results';
 import type { Dispatcher } from 'undici';
 
 const HEARTBEAT_MILLISECONDS = 100;
@@ -14,6 +15,7 @@
 export interface PeerTarget {
   /** Name of the daemon. */
   readonly name: string;
+  /** Without a limit of connections: a heartbeat that waits for one looks like a stalled link. */
   readonly dispatcher: Dispatcher;
   /** `https://192.0.2.1:8444`. */
   readonly baseUrl: string;
@@ -67,6 +69,10 @@
     return this.options.heartbeatMilliseconds ?? HEARTBEAT_MILLISECONDS;
   }
 
+  private heartbeat: Dispatcher.DispatchController | undefined;
+
+  private heartbeatWaits = false;
+
   private readonly tick = (): void => {
     const now = performance.now();
     const late = now - this.lastTickAt > 2 * this.interval;
@@ -79,6 +85,7 @@
     if (now - this.lastHeardAt > silence) {
       this.lastHeardAt = now;
       this.options.onStalled?.(this.peer.name);
+      this.heartbeat?.abort(new FailureError('PeerTimeout'));
       for (const onStalled of [...this.waiting]) {
         onStalled();
       }
@@ -87,14 +94,26 @@
     this.sendHeartbeat();
   };
 
+  private readonly endHeartbeat = (): void => {
+    this.heartbeat = undefined;
+    this.heartbeatWaits = false;
+  };
+
   private sendHeartbeat(): void {
+    if (this.heartbeatWaits) {
+      // More heartbeats to a silent peer would only open more connections.
+      return;
+    }
+    this.heartbeatWaits = true;
     const options = { origin: this.peer.baseUrl, path: HEARTBEAT_PATH, method: 'GET' as const };
     this.peer.dispatcher.dispatch(options, {
-      onRequestStart: () => {},
+      onRequestStart: (controller) => {
+        this.heartbeat = controller;
+      },
       onResponseStart: this.heard,
       onResponseData: () => {},
-      onResponseEnd: () => {},
-      onResponseError: () => {},
+      onResponseEnd: this.endHeartbeat,
+      onResponseError: this.endHeartbeat,
     });
   }
 }
--- a/packages/routing/proxy/src/request-path.ts
+++ b/packages/routing/proxy/src/request-path.ts
@@ -152,6 +152,9 @@
         continue;
       }
       Object.assign(exchange.decision, { dispatcher: target.peer.name });
+      if (last === undefined) {
+        this.options.retryBudget.deposit(facts.service.name, exchange.contract.retryBudget);
+      }
       const forward = { peer: target.peer, kind: 'dispatch' as const, cell: plan.cell, permit };
       const end = await this.options.forwarder.forward(exchange, forward);
       if (end.failure === undefined) {
--- /dev/null
+++ b/packages/routing/proxy/test/retries.test.ts
@@ -0,0 +1,132 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as net from 'node:net';
+import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import { call, createFleet, startBackend, startDaemon, startRawBackend } from './fixture.js';
+
+async function findClosedAddress(): Promise<string> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return `127.0.0.1:${port}`;
+}
+
+async function startResetting(
+  context: TestContext,
+): Promise<{ address: string; count: () => number }> {
+  let requests = 0;
+  const address = await startRawBackend(context, (socket) => {
+    socket.once('data', () => {
+      requests += 1;
+      socket.resetAndDestroy();
+    });
+  });
+  return { address, count: () => requests };
+}
+
+async function fetchKey(port: number): Promise<string> {
+  const path = '/.well-known/dogwoodstall/idempotency-keys?service=shop';
+  const answer = await call(port, { path, method: 'POST' });
+  const { keys } = JSON.parse(answer.body) as { keys: string[] };
+  return keys[0] as string;
+}
+
+test('a refused connection is retried at another endpoint, with and without idempotency', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([await findClosedAddress(), backend.address]);
+  const daemon = await startDaemon(context, fleet);
+  assert.equal((await call(daemon.port)).body, 'ok');
+  const headers = { 'idempotency-key': await fetchKey(daemon.port) };
+  const answer = await call(daemon.port, { path: '/write', method: 'POST', body: 'x', headers });
+  assert.equal(answer.body, 'ok');
+  assert.deepEqual(
+    daemon.outcomes.map(({ kind }) => kind),
+    ['refused', 'success', 'refused', 'success'],
+  );
+});
+
+test('a reset is retried only for idempotent requests; the others are told "not known" for good', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const resetting = await startResetting(context);
+  const daemon = await startDaemon(context, createFleet([resetting.address, backend.address]));
+  assert.equal((await call(daemon.port)).body, 'ok');
+  const headers = { 'idempotency-key': await fetchKey(daemon.port) };
+  const post = { path: '/write', method: 'POST', body: 'x', headers };
+  const lost = await call(daemon.port, post);
+  assert.equal(lost.headers['dogwoodstall-execution'], 'not-known');
+  const again = await call(daemon.port, post);
+  assert.equal(again.headers['dogwoodstall-result'], '4006');
+  assert.equal(resetting.count(), 2);
+  assert.equal(backend.requests.length, 1);
+});
+
+test('a shed statement is retried, and without another endpoint told as "not run"', async (context) => {
+  const shedding = await startBackend(context, (_request, response) => {
+    response.writeHead(503, { 'Request-Not-Run': 'true', 'Backend-Draining': 'true' });
+    response.end('busy');
+  });
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([shedding.address, backend.address]);
+  const daemon = await startDaemon(context, fleet);
+  const headers = { 'idempotency-key': await fetchKey(daemon.port) };
+  const post = { path: '/write', method: 'POST', body: 'x', headers };
+  assert.equal((await call(daemon.port, post)).body, 'ok');
+  assert.deepEqual(
+    daemon.outcomes.map(({ kind, draining }) => [kind, draining]),
+    [
+      ['shed', true],
+      ['success', false],
+    ],
+  );
+  fleet.backends = [shedding.address];
+  const refused = await call(daemon.port);
+  assert.equal(refused.headers['dogwoodstall-result'], '5002');
+  assert.equal(refused.headers['dogwoodstall-execution'], 'not-run');
+});
+
+test('a refusal after an attempt that may have run is not told as "not run"', async (context) => {
+  const resetting = await startResetting(context);
+  const fleet = createFleet([resetting.address, await findClosedAddress()], {
+    contract: { maximumAttempts: 2 },
+  });
+  const daemon = await startDaemon(context, fleet);
+  const answer = await call(daemon.port);
+  assert.equal(answer.headers['dogwoodstall-execution'], 'not-known');
+  assert.equal(daemon.outcomes.length, 2);
+});
+
+test('the retry budget ends retries when a service fails as a whole', async (context) => {
+  const resetting = await startResetting(context);
+  const fleet = createFleet([resetting.address], {
+    contract: { retryBudget: 0.1, maximumAttempts: 3 },
+  });
+  const daemon = await startDaemon(context, fleet);
+  const calls = 40;
+  for (let index = 0; index < calls; index += 1) {
+    await call(daemon.port);
+  }
+  assert.ok(resetting.count() <= calls + 10 + calls * 0.1, `${resetting.count()} attempts`);
+});
+
+test('a consumed streamed body is not sent again', async (context) => {
+  const resetting = await startResetting(context);
+  const backend = await startBackend(context, (request, response) => request.pipe(response));
+  const daemon = await startDaemon(context, createFleet([resetting.address, backend.address]));
+  const answer = await call(daemon.port, { method: 'POST', body: 'x'.repeat(200_000) });
+  assert.equal(answer.headers['dogwoodstall-execution'], 'not-known');
+  assert.equal(backend.requests.length, 0);
+});
+
+test('a request whose fingerprint crashed servers is refused, and not one of another body', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([backend.address]);
+  const daemon = await startDaemon(context, fleet);
+  const crashing = { method: 'POST', body: 'crash' };
+  await call(daemon.port, crashing);
+  fleet.refusedFingerprints.add(daemon.crashes[0] ?? '');
+  assert.equal((await call(daemon.port, crashing)).headers['dogwoodstall-result'], '3007');
+  assert.equal((await call(daemon.port, { method: 'POST', body: 'other' })).status, 200);
+});
