--- a/packages/platform/store-client/src/index.ts
+++ b/packages/platform/store-client/src/index.ts
@@ -1,4 +1,12 @@
 /**
  * Client of the platform key-value service (etcd v3 JSON gateway subset).
  */
-export {};
+export {
+  type RangeResult,
+  type StoreClientOptions,
+  type TransactionResult,
+  StoreClient,
+} from './client.js';
+export type { CallKind } from './gateway.js';
+export { type StoreEntry, type WatchAnswer, endOfPrefix } from './messages.js';
+export type { KeyRange, StoreComparison, StoreOperation, StoreTransaction } from './transaction.js';
