Add the peer link, the machine list and membership

Cause: daemons need to reach and know each other.

Change: mutual TLS between daemons with tRPC procedures, the list of VMs, and SWIM membership.

Measured: builds and lints; no test was run.

--- a/packages/control/configuration-log/src/log.ts
+++ b/packages/control/configuration-log/src/log.ts
@@ -153,10 +153,10 @@
 
   /** Waits for the change after a revision; undefined when the signal or the store ends the wait. */
   async waitForChange(after: number, signal: AbortSignal): Promise<model.Change | undefined> {
-    for await (const change of this.follow(after, signal)) {
-      return change;
-    }
-    return undefined;
+    const changes = this.follow(after, signal);
+    const first = await changes.next();
+    await changes.return();
+    return first.done === true ? undefined : first.value;
   }
 
   /** Writes a snapshot if the one in force is old; returns the revision of the one in force. */
--- /dev/null
+++ b/packages/peers/membership/src/member-table.ts
@@ -0,0 +1,178 @@
+/**
+ * All members that one daemon knows, itself included, and the news about them that it passes on.
+ */
+import type * as peerLink from '@dogwoodstall/peer-link';
+import { GossipQueue } from './gossip-queue.js';
+import { compareUpdates, mergeUpdate } from './merge.js';
+
+const MAXIMUM_UPDATES = 8;
+const MAXIMUM_REVISIONS = 32;
+// A news item told by each member this many times log2(n) reaches all of n members.
+const UPDATE_TRANSMISSION_FACTOR = 3;
+const REVISION_TRANSMISSION_FACTOR = 1.5;
+// Longer than the partition of a region; older failed members are forgotten.
+const FAILED_RETENTION_MILLISECONDS = 7_200_000;
+
+/** The part of a message that passes news on. */
+export interface Gossip {
+  readonly from: peerLink.MemberUpdate;
+  readonly updates: peerLink.MemberUpdate[];
+  readonly revisions: peerLink.MemberRevision[];
+}
+
+/** Called when a member was added or its state, address or data changed. */
+export type MemberListener = (
+  member: peerLink.MemberUpdate,
+  previous: peerLink.MemberUpdate | undefined,
+) => void;
+
+/** The members that one daemon knows. */
+export class MemberTable {
+  private own: peerLink.MemberUpdate;
+
+  private readonly others = new Map<string, peerLink.MemberUpdate>();
+
+  private readonly failedAt = new Map<string, number>();
+
+  private readonly updates = new GossipQueue();
+
+  private readonly revisions = new GossipQueue();
+
+  private readonly onChange: MemberListener;
+
+  constructor(own: peerLink.MemberUpdate, onChange: MemberListener) {
+    this.own = own;
+    this.onChange = onChange;
+    this.updates.add(own.name);
+  }
+
+  /** What this daemon says about itself. */
+  get self(): peerLink.MemberUpdate {
+    return this.own;
+  }
+
+  /** Every other member, failed ones included. */
+  get peers(): Iterable<peerLink.MemberUpdate> {
+    return this.others.values();
+  }
+
+  /** Returns another member by name. */
+  find(name: string): peerLink.MemberUpdate | undefined {
+    return this.others.get(name);
+  }
+
+  /** Announces data about this daemon with a raised counter. */
+  announce(data: Partial<Pick<peerLink.MemberUpdate, 'condition' | 'keyHomes' | 'state'>>): void {
+    this.replaceOwn({ ...this.own, ...data, counter: this.own.counter + 1 });
+  }
+
+  /** Announces the configuration revision in force; it travels in a short form of its own. */
+  announceRevision(revision: number): void {
+    if (revision > this.own.revision) {
+      this.own = { ...this.own, revision };
+      this.revisions.add(this.own.name);
+    }
+  }
+
+  /** Takes in an update; returns whether it changed what is known. */
+  merge(update: peerLink.MemberUpdate): boolean {
+    if (update.name === this.own.name) {
+      return this.refute(update);
+    }
+    const known = this.others.get(update.name);
+    const merged = mergeUpdate(known, update);
+    if (merged === known) {
+      return false;
+    }
+    this.others.set(update.name, merged);
+    if (known !== undefined && compareUpdates(merged, known) === 0) {
+      this.revisions.add(update.name);
+      return true;
+    }
+    this.noteState(merged);
+    this.onChange(merged, known);
+    return true;
+  }
+
+  /** Takes in the news of a message. */
+  mergeGossip(gossip: Gossip): void {
+    this.merge(gossip.from);
+    for (const update of gossip.updates) {
+      this.merge(update);
+    }
+    for (const [name, incarnation, revision] of gossip.revisions) {
+      const known = this.others.get(name);
+      if (known?.incarnation === incarnation) {
+        this.merge({ ...known, revision });
+      }
+    }
+  }
+
+  /** Returns the news for one message. What is known about its receiver is always included. */
+  takeGossip(receiver?: string): Gossip {
+    const size = Math.log2(this.others.size + 2);
+    const names = this.updates.take(MAXIMUM_UPDATES, Math.ceil(size * UPDATE_TRANSMISSION_FACTOR));
+    const revisionNames = this.revisions.take(
+      MAXIMUM_REVISIONS,
+      Math.ceil(size * REVISION_TRANSMISSION_FACTOR),
+    );
+    const about = receiver === undefined ? undefined : this.others.get(receiver);
+    if (about !== undefined && about.state !== 'alive' && !names.includes(about.name)) {
+      names.push(about.name);
+    }
+    const updates = names.flatMap((name) => this.others.get(name) ?? []);
+    const revisions = revisionNames.flatMap((name) => this.formatRevision(name));
+    return { from: this.own, updates, revisions };
+  }
+
+  /** Returns every member that has not failed, for a daemon that joins. */
+  listForJoin(): peerLink.MemberUpdate[] {
+    return [...this.others.values()].filter((member) => member.state !== 'failed');
+  }
+
+  /** Forgets members that failed long ago; returns their names. */
+  forgetOldFailures(now: number): string[] {
+    const forgotten: string[] = [];
+    for (const [name, since] of this.failedAt) {
+      if (now - since > FAILED_RETENTION_MILLISECONDS) {
+        this.failedAt.delete(name);
+        this.others.delete(name);
+        this.updates.remove(name);
+        this.revisions.remove(name);
+        forgotten.push(name);
+      }
+    }
+    return forgotten;
+  }
+
+  private formatRevision(name: string): peerLink.MemberRevision[] {
+    const member = name === this.own.name ? this.own : this.others.get(name);
+    return member === undefined ? [] : [[name, member.incarnation, member.revision]];
+  }
+
+  private noteState(member: peerLink.MemberUpdate): void {
+    this.updates.add(member.name);
+    if (member.state === 'failed') {
+      this.failedAt.set(member.name, performance.now());
+    } else {
+      this.failedAt.delete(member.name);
+    }
+  }
+
+  private refute(update: peerLink.MemberUpdate): boolean {
+    const isDoubt = update.state === 'suspect' || update.state === 'failed';
+    const isNewer = compareUpdates(update, this.own) > 0;
+    if (update.incarnation !== this.own.incarnation || !(isNewer && isDoubt)) {
+      return false;
+    }
+    this.replaceOwn({ ...this.own, counter: update.counter + 1 });
+    return true;
+  }
+
+  private replaceOwn(own: peerLink.MemberUpdate): void {
+    const previous = this.own;
+    this.own = own;
+    this.updates.add(own.name);
+    this.onChange(own, previous);
+  }
+}
--- /dev/null
+++ b/packages/peers/membership/src/membership.ts
@@ -0,0 +1,464 @@
+/**
+ * Membership after SWIM: each daemon probes one member at a time, asks others when it gets no
+ * answer, and passes news on with its probes.
+ */
+import { EventEmitter } from 'node:events';
+import { setTimeout as delay } from 'node:timers/promises';
+import * as hashing from '@dogwoodstall/hashing';
+import type * as observability from '@dogwoodstall/observability';
+import type * as peerLink from '@dogwoodstall/peer-link';
+import { FailureError } from '@dogwoodstall/results';
+import * as most from 'most';
+import { createIncarnation } from './incarnation.js';
+import { MemberTable } from './member-table.js';
+import { Prober, type MembershipLinks, type ProbeResult } from './prober.js';
+import { RandomChoice } from './random.js';
+import { defaultTimings, type MembershipTimings } from './timings.js';
+
+// Each daemon probes this many members in turn and keeps its connections to them. In a random graph
+// of this degree every member is watched by about as many others, and a handshake is rare.
+const NEIGHBOURS = 24;
+const INDIRECT_PROBES = 3;
+const LEAVE_TARGETS = 6;
+const MAXIMUM_KEY_HOMES = 200;
+
+/** A member as seen from this daemon. */
+export type Member = Readonly<peerLink.MemberUpdate>;
+
+/** One VM of the platform's list, as far as membership uses it. */
+export interface ListedMachine {
+  readonly name: string;
+  readonly zone: string;
+  readonly peerAddress: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** Options of membership. */
+export interface MembershipOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  /** `IP address:port` at which other daemons reach the peer port. */
+  readonly peerAddress: string;
+  readonly links: MembershipLinks;
+  /** Peer addresses that are asked while no member is known. */
+  readonly seeds?: readonly string[];
+  /** The platform's list of VMs, read at each round. */
+  readonly listedMachines?: () => readonly ListedMachine[];
+  readonly logger?: observability.PartLogger;
+  readonly timings?: Partial<MembershipTimings>;
+  /** Seed of the random choices; taken from the incarnation by default. */
+  readonly seed?: number;
+}
+
+function checkSender(from: peerLink.MemberUpdate, caller: peerLink.Caller): void {
+  if (from.name !== caller.name) {
+    const message = `the certificate of "${caller.name}" sent news as "${from.name}"`;
+    throw new FailureError('PeerUnauthenticated', message);
+  }
+}
+
+/** The members of the fleet, seen from one daemon. */
+export class Membership {
+  /** The members after each change of a state, an address or announced data but the revision. */
+  readonly changes: most.Stream<readonly Member[]>;
+
+  /** The procedures that membership answers. */
+  readonly handlers: Pick<peerLink.PeerHandlers, 'probe' | 'indirectProbe'>;
+
+  private readonly options: MembershipOptions;
+
+  private readonly timings: MembershipTimings;
+
+  private readonly table: MemberTable;
+
+  private readonly prober: Prober;
+
+  private readonly random: RandomChoice;
+
+  private readonly emitter = new EventEmitter();
+
+  private readonly stopping = new AbortController();
+
+  private readonly unreachable = new Set<string>();
+
+  private readonly suspicions = new Map<string, NodeJS.Timeout>();
+
+  private readonly urgent = new Set<string>();
+
+  private wake = new AbortController();
+
+  private turn: string[] = [];
+
+  private nextFailedTry = 0;
+
+  private nextListedTry = 0;
+
+  private emitting = false;
+
+  private task: Promise<void> | undefined;
+
+  constructor(options: MembershipOptions) {
+    this.options = options;
+    this.timings = { ...defaultTimings, ...options.timings };
+    const incarnation = createIncarnation();
+    this.random = new RandomChoice(options.seed ?? incarnation % 2 ** 31);
+    this.emitter.setMaxListeners(0);
+    this.changes = most.fromEvent<readonly Member[]>('members', this.emitter).multicast();
+    this.table = new MemberTable(
+      {
+        name: options.name,
+        zone: options.zone,
+        region: options.region,
+        peerAddress: options.peerAddress,
+        incarnation,
+        counter: 0,
+        state: 'alive',
+        condition: 'starting',
+        revision: 0,
+        keyHomes: [],
+      },
+      (member, previous) => this.noteChange(member, previous),
+    );
+    this.prober = new Prober({
+      links: options.links,
+      table: this.table,
+      timings: this.timings,
+      signal: this.stopping.signal,
+      chooseHelpers: (target) => this.chooseHelpers(target),
+    });
+    this.handlers = {
+      probe: async (input, caller) => this.answerProbe(input, caller),
+      indirectProbe: async (input, caller) => this.answerIndirectProbe(input, caller),
+    };
+  }
+
+  /** This daemon as it announces itself. */
+  get self(): Member {
+    return this.table.self;
+  }
+
+  /** Every member that has not failed, this daemon included. */
+  members(): Member[] {
+    const leaving = new Set<string>();
+    for (const machine of this.options.listedMachines?.() ?? []) {
+      if (machine.state === 'leaving') {
+        leaving.add(machine.name);
+      }
+    }
+    const members: Member[] = [this.table.self];
+    for (const member of this.table.peers) {
+      if (member.state !== 'failed') {
+        members.push(leaving.has(member.name) ? { ...member, state: 'leaving' } : member);
+      }
+    }
+    return members;
+  }
+
+  /** Returns a member by name, this daemon and failed members included. */
+  find(name: string): Member | undefined {
+    return name === this.options.name ? this.table.self : this.table.find(name);
+  }
+
+  /** Returns the member that answers for the idempotency records of an incarnation. */
+  findKeyHome(incarnation: number): Member | undefined {
+    const now = Date.now();
+    for (const member of this.members()) {
+      const holds = member.keyHomes.some(
+        (home) => home.incarnation === incarnation && home.expiresAtEpochMilliseconds > now,
+      );
+      if (member.incarnation === incarnation || holds) {
+        return member;
+      }
+    }
+    return undefined;
+  }
+
+  /** Returns whether the last call from here to a member succeeded, or none was tried. */
+  isReachable(name: string): boolean {
+    return !this.unreachable.has(name) && this.find(name)?.state !== 'failed';
+  }
+
+  /** Feeds in a failed call; the member is probed next. */
+  reportUnreachable(name: string): void {
+    if (this.table.find(name) === undefined) {
+      return;
+    }
+    this.unreachable.add(name);
+    this.urgent.add(name);
+    this.wake.abort();
+  }
+
+  /** Feeds in a successful call. */
+  reportReachable(name: string): void {
+    this.unreachable.delete(name);
+  }
+
+  /** Announces the configuration revision in force. */
+  announceRevision(revision: number): void {
+    this.table.announceRevision(revision);
+  }
+
+  /** Announces what this daemon is doing, such as `ready`. */
+  announceCondition(condition: string): void {
+    if (condition !== this.table.self.condition) {
+      this.table.announce({ condition });
+    }
+  }
+
+  /** Announces that this daemon holds the idempotency records of a stopped daemon. */
+  announceKeyHome(incarnation: number, expiresAtEpochMilliseconds: number): void {
+    const now = Date.now();
+    const keyHomes = this.table.self.keyHomes
+      .filter((home) => home.incarnation !== incarnation && home.expiresAtEpochMilliseconds > now)
+      .concat({ incarnation, expiresAtEpochMilliseconds })
+      .sort((left, right) => right.expiresAtEpochMilliseconds - left.expiresAtEpochMilliseconds)
+      .slice(0, MAXIMUM_KEY_HOMES);
+    this.table.announce({ keyHomes });
+  }
+
+  /** Starts probing. */
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  /** Announces that this daemon is leaving; it goes on answering and probing until `stop`. */
+  async leave(): Promise<void> {
+    if (this.table.self.state !== 'leaving') {
+      this.table.announce({ state: 'leaving' });
+    }
+    const targets = this.random.sample(this.livePeers(), LEAVE_TARGETS);
+    await Promise.all(targets.map((target) => this.prober.probeDirectly(target, false)));
+  }
+
+  /** Stops probing. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.wake.abort();
+    for (const timer of this.suspicions.values()) {
+      clearTimeout(timer);
+    }
+    this.suspicions.clear();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      const startedAt = performance.now();
+      await this.probeNext();
+      await this.tryFailedMember();
+      await this.tryUnknownAddress();
+      this.forgetOldMembers();
+      await this.pause(startedAt);
+    }
+  }
+
+  private async pause(startedAt: number): Promise<void> {
+    if (this.urgent.size > 0) {
+      return;
+    }
+    this.wake = new AbortController();
+    const signal = AbortSignal.any([this.wake.signal, this.stopping.signal]);
+    const left = Math.max(1, this.timings.probeInterval - (performance.now() - startedAt));
+    await delay(left, undefined, { signal }).catch(() => {});
+  }
+
+  private async probeNext(): Promise<void> {
+    const target = this.nextTarget();
+    if (target === undefined) {
+      return;
+    }
+    this.noteProbe(target, await this.prober.probe(target));
+  }
+
+  private noteProbe(target: Member, result: ProbeResult): void {
+    if (this.stopping.signal.aborted) {
+      return;
+    }
+    if (result === 'direct') {
+      this.unreachable.delete(target.name);
+      return;
+    }
+    this.unreachable.add(target.name);
+    if (result === 'indirect') {
+      this.options.logger?.warn('member answers only through others', { member: target.name });
+      return;
+    }
+    const known = this.table.find(target.name);
+    if (known === undefined || known.incarnation !== target.incarnation) {
+      return;
+    }
+    if (known.state === 'leaving') {
+      this.table.merge({ ...known, state: 'failed' });
+    } else if (known.state === 'alive' && this.table.merge({ ...known, state: 'suspect' })) {
+      this.scheduleFailure(known.name, this.timings.suspicion, true);
+    }
+  }
+
+  private scheduleFailure(name: string, milliseconds: number, isOwnSuspicion: boolean): void {
+    clearTimeout(this.suspicions.get(name));
+    if (isOwnSuspicion) {
+      this.suspicions.set(
+        name,
+        setTimeout(() => this.confirmSuspicion(name), milliseconds / 2),
+      );
+      return;
+    }
+    this.suspicions.set(
+      name,
+      setTimeout(() => this.declareFailed(name), milliseconds),
+    );
+  }
+
+  // The second probe carries the suspicion to the member, so that it can refute in its answer although
+  // the news of the refutation would need more rounds in a large fleet.
+  private confirmSuspicion(name: string): void {
+    const suspect = this.table.find(name);
+    if (suspect?.state !== 'suspect') {
+      return;
+    }
+    this.suspicions.set(
+      name,
+      setTimeout(() => this.declareFailed(name), this.timings.suspicion / 2),
+    );
+    this.prober
+      .probe(suspect)
+      .then((result) => this.noteProbe(suspect, result))
+      .catch(() => {});
+  }
+
+  private declareFailed(name: string): void {
+    this.suspicions.delete(name);
+    const suspect = this.table.find(name);
+    if (suspect?.state === 'suspect') {
+      this.table.merge({ ...suspect, state: 'failed' });
+    }
+  }
+
+  private noteChange(member: Member, previous: Member | undefined): void {
+    const { name, state } = member;
+    if (state !== previous?.state || member.incarnation !== previous.incarnation) {
+      const from = previous?.state ?? 'unknown';
+      this.options.logger?.decision('member changed state', { member: name, from, to: state });
+    }
+    if (state !== 'suspect') {
+      clearTimeout(this.suspicions.get(name));
+      this.suspicions.delete(name);
+    } else if (previous?.state !== 'suspect' || member.counter !== previous.counter) {
+      this.scheduleFailure(name, this.timings.suspicion * 2, false);
+    }
+    if (state === 'failed') {
+      this.options.links.forget(name);
+    }
+    if (member.incarnation !== previous?.incarnation) {
+      this.unreachable.delete(name);
+    }
+    this.emitSoon();
+  }
+
+  private emitSoon(): void {
+    if (this.emitting) {
+      return;
+    }
+    this.emitting = true;
+    queueMicrotask(() => {
+      this.emitting = false;
+      this.emitter.emit('members', this.members());
+    });
+  }
+
+  private livePeers(): Member[] {
+    return [...this.table.peers].filter((member) => member.state !== 'failed');
+  }
+
+  private nextTarget(): Member | undefined {
+    for (const name of this.urgent) {
+      this.urgent.delete(name);
+      const member = this.table.find(name);
+      if (member !== undefined && member.state !== 'failed') {
+        return member;
+      }
+    }
+    if (this.turn.length === 0) {
+      const ranked = hashing.rankMembers(this.options.name, this.livePeers(), (peer) => peer.name);
+      const neighbours = ranked.slice(0, NEIGHBOURS).map((peer) => peer.name);
+      this.turn = this.random.sample(neighbours, NEIGHBOURS);
+    }
+    const member = this.table.find(this.turn.pop() ?? '');
+    return member === undefined || member.state === 'failed' ? undefined : member;
+  }
+
+  private chooseHelpers(target: string): Member[] {
+    const candidates = this.livePeers().filter(
+      (peer) => peer.name !== target && peer.state === 'alive' && this.isReachable(peer.name),
+    );
+    return this.random.sample(candidates, INDIRECT_PROBES);
+  }
+
+  // One failed member in each interval, and the next at once after a success: two parts of a fleet
+  // that lost contact find each other again without a crowd of connections while they are apart.
+  private async tryFailedMember(): Promise<void> {
+    if (performance.now() < this.nextFailedTry) {
+      return;
+    }
+    this.nextFailedTry = performance.now() + this.timings.failedRetry;
+    const failed = [...this.table.peers].filter((member) => member.state === 'failed');
+    const [target] = this.random.sample(failed, 1);
+    if (target === undefined) {
+      return;
+    }
+    if (await this.prober.probeDirectly(target, false)) {
+      this.nextFailedTry = 0;
+      this.unreachable.delete(target.name);
+    } else {
+      this.options.links.forget(target.name);
+    }
+  }
+
+  private async tryUnknownAddress(): Promise<void> {
+    const isAlone = this.livePeers().length === 0;
+    if (!isAlone && performance.now() < this.nextListedTry) {
+      return;
+    }
+    this.nextListedTry = performance.now() + this.timings.listedRetry;
+    const known = new Set([...this.table.peers].map((peer) => peer.peerAddress));
+    known.add(this.options.peerAddress);
+    const listed = (this.options.listedMachines?.() ?? [])
+      .filter((machine) => machine.name !== this.options.name)
+      .map((machine) => machine.peerAddress);
+    const candidates = [...listed, ...(isAlone ? (this.options.seeds ?? []) : [])];
+    const unknown = candidates.filter((address) => !known.has(address));
+    const [peerAddress] = this.random.sample(unknown, 1);
+    if (peerAddress !== undefined) {
+      await this.prober.probeDirectly({ peerAddress }, true);
+    }
+  }
+
+  private forgetOldMembers(): void {
+    for (const name of this.table.forgetOldFailures(performance.now())) {
+      this.unreachable.delete(name);
+    }
+  }
+
+  private answerProbe(
+    input: peerLink.ProcedureInput<'probe'>,
+    caller: peerLink.Caller,
+  ): peerLink.ProcedureOutput<'probe'> {
+    checkSender(input.from, caller);
+    this.table.mergeGossip(input);
+    const gossip = this.table.takeGossip(input.from.name);
+    return input.join ? { ...gossip, updates: this.table.listForJoin() } : gossip;
+  }
+
+  private async answerIndirectProbe(
+    input: peerLink.ProcedureInput<'indirectProbe'>,
+    caller: peerLink.Caller,
+  ): Promise<peerLink.ProcedureOutput<'indirectProbe'>> {
+    checkSender(input.from, caller);
+    this.table.mergeGossip(input);
+    const target = { name: input.target, peerAddress: input.targetAddress };
+    const reached = await this.prober.probeDirectly(target, false);
+    return { reached, target: reached ? this.table.find(input.target) : undefined };
+  }
+}
--- /dev/null
+++ b/packages/peers/membership/src/merge.ts
@@ -0,0 +1,36 @@
+/**
+ * The order of updates about one member. The result does not depend on the order of arrival: the
+ * update with the highest incarnation, then counter, then state is in force, and the revision is the
+ * highest that was heard for its incarnation.
+ */
+import type * as peerLink from '@dogwoodstall/peer-link';
+
+// A member that leaves is not suspected; when it stops answering it is failed.
+const stateRanks = { alive: 0, suspect: 1, leaving: 2, failed: 3 } as const;
+
+/** Compares two updates about one member; positive when the left one is in force. */
+export function compareUpdates(left: peerLink.MemberUpdate, right: peerLink.MemberUpdate): number {
+  if (left.incarnation !== right.incarnation) {
+    return left.incarnation - right.incarnation;
+  }
+  if (left.counter !== right.counter) {
+    return left.counter - right.counter;
+  }
+  return stateRanks[left.state] - stateRanks[right.state];
+}
+
+/** Returns what is known about a member after a further update. */
+export function mergeUpdate(
+  known: peerLink.MemberUpdate | undefined,
+  update: peerLink.MemberUpdate,
+): peerLink.MemberUpdate {
+  if (known === undefined) {
+    return update;
+  }
+  const winner = compareUpdates(update, known) > 0 ? update : known;
+  if (update.incarnation !== known.incarnation) {
+    return winner;
+  }
+  const revision = Math.max(update.revision, known.revision);
+  return winner.revision === revision ? winner : { ...winner, revision };
+}
--- a/packages/peers/peer-link/src/index.ts
+++ b/packages/peers/peer-link/src/index.ts
@@ -1,4 +1,19 @@
 /**
  * tRPC router and client between daemons over mutual TLS.
  */
-export {};
+export type { PeerTls } from './identity.js';
+export { type CallOptions, type PeerTarget, PeerLink } from './link.js';
+export { PeerLinks } from './links.js';
+export {
+  type Caller,
+  type KeyHome,
+  type MemberRevision,
+  type MemberUpdate,
+  type PeerHandlers,
+  type ProcedureInput,
+  type ProcedureName,
+  type ProcedureOutput,
+  memberUpdateSchema,
+  procedures,
+} from './messages.js';
+export { type ForwardHandler, type PeerServerOptions, PeerServer } from './server.js';
--- /dev/null
+++ b/packages/peers/peer-link/src/link.ts
@@ -0,0 +1,215 @@
+/**
+ * The link to one peer: calls with limits, and connections of its own for forwarded requests.
+ */
+import { FailureError, findResult, type ResultName } from '@dogwoodstall/results';
+import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
+import * as undici from 'undici';
+import { checkPeerName, MINIMUM_TLS_VERSION, type PeerTls } from './identity.js';
+import {
+  procedures,
+  type ProcedureInput,
+  type ProcedureName,
+  type ProcedureOutput,
+} from './messages.js';
+import type { PeerRouter } from './router.js';
+
+const DEFAULT_CALL_MILLISECONDS = 2000;
+const CONNECT_MILLISECONDS = 1000;
+const KEEP_ALIVE_MILLISECONDS = 60_000;
+const CONTROL_CONNECTIONS = 2;
+const FORWARD_CONNECTIONS = 256;
+const MAXIMUM_CONCURRENT_CALLS = 16;
+
+/** The peer that a link leads to. */
+export interface PeerTarget {
+  /** Undefined for a seed whose name is not known yet. */
+  readonly name?: string | undefined;
+  /** `IP address:port`. */
+  readonly peerAddress: string;
+}
+
+/** Options of one call. */
+export interface CallOptions {
+  readonly milliseconds?: number;
+  readonly signal?: AbortSignal;
+}
+
+type CallFunction = (input: unknown, options: { signal: AbortSignal }) => Promise<unknown>;
+type Client = Record<ProcedureName, { mutate: CallFunction }>;
+
+function isResultName(name: unknown): name is ResultName {
+  return typeof name === 'string' && (findResult(name as ResultName) as unknown) !== undefined;
+}
+
+function findFailure(error: unknown): FailureError | undefined {
+  let current = error;
+  while (current instanceof Error) {
+    if (current instanceof FailureError) {
+      return current;
+    }
+    current = current.cause;
+  }
+  return undefined;
+}
+
+function isTlsError(error: unknown): boolean {
+  const code = error instanceof Error && 'code' in error ? String(error.code) : '';
+  return /^ERR_(TLS|SSL)|CERT|UNABLE_TO_VERIFY/.test(code);
+}
+
+function toPeerFailure(error: unknown, target: PeerTarget, timedOut: boolean): FailureError {
+  const known = findFailure(error);
+  if (known !== undefined) {
+    return known;
+  }
+  const message = error instanceof Error ? error.message : String(error);
+  const detail = `${target.name ?? 'a daemon'} at ${target.peerAddress}: ${message}`;
+  const data: unknown = error instanceof TRPCClientError ? error.data : undefined;
+  const result = (data as { result?: unknown } | undefined)?.result;
+  if (isResultName(result)) {
+    return new FailureError(result, detail, { cause: error });
+  }
+  const cause = error instanceof TRPCClientError ? error.cause : error;
+  const unauthenticated = isTlsError(cause) ? 'PeerUnauthenticated' : 'PeerUnreachable';
+  return new FailureError(timedOut ? 'PeerTimeout' : unauthenticated, detail, { cause: error });
+}
+
+function createPool(target: PeerTarget, material: PeerTls, connections: number): undici.Pool {
+  return new undici.Pool(`https://${target.peerAddress}`, {
+    connections,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: {
+      timeout: CONNECT_MILLISECONDS,
+      cert: material.certificate,
+      key: material.key,
+      ca: [...material.authorities],
+      minVersion: MINIMUM_TLS_VERSION,
+      checkServerIdentity: (_host, certificate) => checkPeerName(target.name, certificate),
+    },
+  });
+}
+
+function createClient(pool: undici.Pool, target: PeerTarget): Client {
+  const origin = `https://${target.peerAddress}`;
+  const client = createTRPCClient<PeerRouter>({
+    links: [
+      httpLink({
+        url: `${origin}/trpc`,
+        fetch: async (url, init) => {
+          const answer = await pool.request({
+            path: String(url).slice(origin.length),
+            method: 'POST',
+            headers: { 'content-type': 'application/json' },
+            body: init?.body as string,
+            signal: init?.signal ?? null,
+          });
+          const text = await answer.body.text();
+          return {
+            ok: answer.statusCode < 300,
+            json: () => Promise.resolve(JSON.parse(text) as unknown),
+          };
+        },
+      }),
+    ],
+  });
+  return client as unknown as Client;
+}
+
+/** The link to one peer. */
+export class PeerLink {
+  readonly target: PeerTarget;
+
+  /** Monotonic milliseconds of the last answer or request of the peer; undefined before the first. */
+  lastHeardAt: number | undefined;
+
+  private material: PeerTls;
+
+  private controlPool: undici.Pool;
+
+  private client: Client;
+
+  private forwardPool: undici.Pool | undefined;
+
+  private running = 0;
+
+  constructor(target: PeerTarget, material: PeerTls) {
+    this.target = target;
+    this.material = material;
+    this.controlPool = createPool(target, material, CONTROL_CONNECTIONS);
+    this.client = createClient(this.controlPool, target);
+  }
+
+  /** The base URL of forwarded requests. */
+  get baseUrl(): string {
+    return `https://${this.target.peerAddress}/forward`;
+  }
+
+  /** The connections of forwarded requests; control calls never wait behind their bodies. */
+  get dispatcher(): undici.Dispatcher {
+    this.forwardPool ??= createPool(this.target, this.material, FORWARD_CONNECTIONS);
+    return this.forwardPool;
+  }
+
+  /**
+   * Calls a procedure.
+   *
+   * Throws `PeerUnreachable`, `PeerTimeout`, `PeerUnauthenticated`, `PeerMessageInvalid`, or the
+   * failure that the peer answered with.
+   */
+  async call<Name extends ProcedureName>(
+    name: Name,
+    input: ProcedureInput<Name>,
+    options: CallOptions = {},
+  ): Promise<ProcedureOutput<Name>> {
+    if (this.running >= MAXIMUM_CONCURRENT_CALLS) {
+      throw new FailureError('PeerUnreachable', `too many calls to ${this.target.peerAddress}`);
+    }
+    const timeout = AbortSignal.timeout(options.milliseconds ?? DEFAULT_CALL_MILLISECONDS);
+    const signal =
+      options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
+    this.running += 1;
+    try {
+      const answer = await this.client[name].mutate(input, { signal });
+      this.lastHeardAt = performance.now();
+      return this.parse(name, answer);
+    } catch (error) {
+      throw toPeerFailure(error, this.target, timeout.aborted);
+    } finally {
+      this.running -= 1;
+    }
+  }
+
+  /** Uses another certificate, key and authorities; running calls and requests end undisturbed. */
+  reload(material: PeerTls): void {
+    const pools = [this.controlPool, this.forwardPool];
+    this.material = material;
+    this.controlPool = createPool(this.target, material, CONTROL_CONNECTIONS);
+    this.client = createClient(this.controlPool, this.target);
+    this.forwardPool = undefined;
+    for (const pool of pools) {
+      pool?.close().catch(() => {});
+    }
+  }
+
+  /** Closes every connection; running calls and requests end first. */
+  async close(): Promise<void> {
+    await Promise.all([this.controlPool.close(), this.forwardPool?.close()]);
+  }
+
+  /** Closes every connection at once. */
+  async destroy(): Promise<void> {
+    await Promise.all([this.controlPool.destroy(), this.forwardPool?.destroy()]);
+  }
+
+  private parse<Name extends ProcedureName>(name: Name, answer: unknown): ProcedureOutput<Name> {
+    const parsed = procedures[name].output.safeParse(answer);
+    if (!parsed.success) {
+      const message = `${this.target.peerAddress} answered ${name}: ${parsed.error.message}`;
+      throw new FailureError('PeerMessageInvalid', message);
+    }
+    return parsed.data as ProcedureOutput<Name>;
+  }
+}
--- /dev/null
+++ b/packages/peers/peer-link/src/links.ts
@@ -0,0 +1,59 @@
+/**
+ * All links of one daemon: one link for each peer, shared by every part of the process.
+ */
+import type { PeerTls } from './identity.js';
+import { PeerLink, type PeerTarget } from './link.js';
+
+/** The links of one daemon. */
+export class PeerLinks {
+  private readonly links = new Map<string, PeerLink>();
+
+  private material: PeerTls;
+
+  constructor(material: PeerTls) {
+    this.material = material;
+  }
+
+  /** Returns the link to a peer; a peer that came back at another address gets a new one. */
+  linkTo(target: PeerTarget): PeerLink {
+    const key = target.name ?? `address ${target.peerAddress}`;
+    const known = this.links.get(key);
+    if (known?.target.peerAddress === target.peerAddress) {
+      return known;
+    }
+    known?.close().catch(() => {});
+    const link = new PeerLink(target, this.material);
+    this.links.set(key, link);
+    return link;
+  }
+
+  /** Notes that a request of a peer arrived. */
+  noteHeard(name: string): void {
+    const link = this.links.get(name);
+    if (link !== undefined) {
+      link.lastHeardAt = performance.now();
+    }
+  }
+
+  /** Closes the link to a peer that is gone; running requests end first. */
+  forget(name: string): void {
+    const link = this.links.get(name);
+    this.links.delete(name);
+    link?.close().catch(() => {});
+  }
+
+  /** Uses another certificate, key and authorities for connections from now on. */
+  reload(material: PeerTls): void {
+    this.material = material;
+    for (const link of this.links.values()) {
+      link.reload(material);
+    }
+  }
+
+  /** Closes every link at once. */
+  async destroy(): Promise<void> {
+    const links = [...this.links.values()];
+    this.links.clear();
+    await Promise.all(links.map((link) => link.destroy()));
+  }
+}
--- /dev/null
+++ b/packages/peers/peer-link/src/server.ts
@@ -0,0 +1,146 @@
+/**
+ * The peer port: one HTTPS server with mutual TLS for calls and forwarded requests of other daemons.
+ */
+import { once } from 'node:events';
+import type * as http from 'node:http';
+import * as https from 'node:https';
+import type { AddressInfo } from 'node:net';
+import * as tls from 'node:tls';
+import { FailureError } from '@dogwoodstall/results';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { MINIMUM_TLS_VERSION, readSubjectName, type PeerTls } from './identity.js';
+import type { Caller, PeerHandlers } from './messages.js';
+import { peerRouter } from './router.js';
+
+const CALL_PREFIX = '/trpc/';
+const FORWARD_PREFIX = '/forward/';
+const MAXIMUM_CALL_BYTES = 2_097_152;
+const HEADERS_MILLISECONDS = 10_000;
+// Longer than the client keeps an idle connection, so that the client closes it first.
+const KEEP_ALIVE_MILLISECONDS = 90_000;
+const HTTP_NOT_FOUND = 404;
+
+/** Answers a forwarded request. */
+export type ForwardHandler = (
+  request: http.IncomingMessage,
+  answer: http.ServerResponse,
+  caller: Caller,
+) => void;
+
+/** Options of the peer server. */
+export interface PeerServerOptions {
+  readonly tls: PeerTls;
+  /** Read at each call, so that a part may register its functions after the server was created. */
+  readonly handlers: Partial<PeerHandlers>;
+  readonly forward?: ForwardHandler;
+  /** Called with the name of the caller of every request. */
+  readonly onHeard?: (name: string) => void;
+}
+
+function secureContext(material: PeerTls): tls.SecureContextOptions {
+  return {
+    cert: material.certificate,
+    key: material.key,
+    ca: [...material.authorities],
+    minVersion: MINIMUM_TLS_VERSION,
+  };
+}
+
+function callerOf(request: http.IncomingMessage): Caller {
+  const { socket } = request;
+  const certificate = socket instanceof tls.TLSSocket ? socket.getPeerCertificate() : undefined;
+  return { name: readSubjectName(certificate) };
+}
+
+/** Serves the peer port. */
+export class PeerServer {
+  private readonly options: PeerServerOptions;
+
+  private readonly server: https.Server;
+
+  private readonly callers = new WeakMap<object, Caller>();
+
+  private readonly callHandler: http.RequestListener;
+
+  constructor(options: PeerServerOptions) {
+    this.options = options;
+    this.callHandler = createHTTPHandler({
+      router: peerRouter,
+      basePath: CALL_PREFIX,
+      maxBodySize: MAXIMUM_CALL_BYTES,
+      createContext: ({ req }) => ({ caller: this.identify(req), handlers: options.handlers }),
+    });
+    this.server = https.createServer(
+      {
+        ...secureContext(options.tls),
+        requestCert: true,
+        rejectUnauthorized: true,
+        keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+        headersTimeout: HEADERS_MILLISECONDS,
+        // Forwarded uploads may last longer than any fixed limit; their owner watches for pauses.
+        requestTimeout: 0,
+      },
+      (request, answer) => this.handle(request, answer),
+    );
+    this.server.on('tlsClientError', (_error, socket) => socket.destroy());
+  }
+
+  /** Binds the port and returns the address in use; throws `ListenFailed`. */
+  async listen(host: string, port: number): Promise<string> {
+    try {
+      this.server.listen(port, host);
+      await once(this.server, 'listening');
+    } catch (error) {
+      throw new FailureError('ListenFailed', `${host}:${port}`, { cause: error });
+    }
+    const bound = this.server.address() as AddressInfo;
+    return bound.family === 'IPv6'
+      ? `[${bound.address}]:${bound.port}`
+      : `${bound.address}:${bound.port}`;
+  }
+
+  /** Uses another certificate, key and authorities for connections from now on. */
+  reload(material: PeerTls): void {
+    this.server.setSecureContext(secureContext(material));
+  }
+
+  /** Stops accepting, lets running requests end, and resolves when every connection is closed. */
+  async close(): Promise<void> {
+    const closed = once(this.server, 'close');
+    this.server.close();
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Closes every connection at once. */
+  async destroy(): Promise<void> {
+    const closed = once(this.server, 'close');
+    this.server.close();
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private handle(request: http.IncomingMessage, answer: http.ServerResponse): void {
+    const url = request.url ?? '';
+    const caller = this.identify(request);
+    this.options.onHeard?.(caller.name);
+    if (url.startsWith(CALL_PREFIX)) {
+      this.callHandler(request, answer);
+    } else if (url.startsWith(FORWARD_PREFIX) && this.options.forward !== undefined) {
+      this.options.forward(request, answer, caller);
+    } else {
+      answer.writeHead(HTTP_NOT_FOUND).end();
+    }
+  }
+
+  // Decoding the certificate costs more than a call; it is done once for each connection.
+  private identify(request: http.IncomingMessage): Caller {
+    const known = this.callers.get(request.socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const caller = callerOf(request);
+    this.callers.set(request.socket, caller);
+    return caller;
+  }
+}
--- a/packages/platform/machine-list/src/index.ts
+++ b/packages/platform/machine-list/src/index.ts
@@ -1,4 +1,9 @@
 /**
  * Follows the platform list of live and leaving VMs.
  */
-export {};
+export {
+  type Machine,
+  type MachineListOptions,
+  MachineList,
+  machineListSchema,
+} from './machine-list.js';
--- a/packages/platform/store-client/test/fake-store.ts
+++ b/packages/platform/store-client/test/fake-store.ts
@@ -78,11 +78,9 @@
   private readonly watchers = new Set<Watcher>();
 
   private readonly server = http.createServer((request, answer) => {
-    void this.serve(request, answer);
+    this.serve(request, answer).catch(() => answer.destroy());
   });
 
-  private constructor() {}
-
   static async start(): Promise<FakeStore> {
     const store = new FakeStore();
     store.server.listen(0, '127.0.0.1');
