--- a/packages/control/configuration-log/src/log.ts
+++ b/packages/control/configuration-log/src/log.ts
@@ -126,14 +126,20 @@
 
   /**
    * Yields every change after a revision, in order and without a gap, and waits for further ones.
-   * Throws when the store goes away; the reader starts again from its last revision.
+   * Throws when the store goes away; the reader starts again from its last revision. `onAnswer` is
+   * called with each answer of the store, also without a change.
    */
-  async *follow(after: number, signal: AbortSignal): AsyncGenerator<model.Change, void, undefined> {
+  async *follow(
+    after: number,
+    signal: AbortSignal,
+    onAnswer: () => void = () => {},
+  ): AsyncGenerator<model.Change, void, undefined> {
     let known = after;
     let more = true;
     let storeRevision = 0;
     while (more) {
       const page = await this.store.range(keys.rangeOfChanges(known, PAGE_CHANGES));
+      onAnswer();
       const changes = parseChanges(known, page.entries);
       yield* changes;
       known += changes.length;
@@ -141,6 +147,7 @@
     }
     const range = keys.rangeOfChanges(known);
     for await (const batch of this.store.watch(range, storeRevision + 1, signal)) {
+      onAnswer();
       const puts = batch.events.filter((event) => event.type === 'PUT');
       const changes = parseChanges(
         known,
--- /dev/null
+++ b/packages/control/configuration-log/test/log.test.ts
@@ -0,0 +1,146 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import * as configurationLog from '../src/index.js';
+import { MemoryStore } from './memory-store.js';
+
+function draft(id: string, baseRevision: number): model.ChangeDraftInput {
+  const entity = { name: `zone-${id}`, region: 'nordeste' };
+  const operations = [{ action: 'put' as const, kind: 'zone' as const, entity }];
+  return { id, baseRevision, author: 'tester', reason: 'test', operations };
+}
+
+async function commitMany(log: configurationLog.ConfigurationLog, count: number): Promise<void> {
+  for (let revision = 0; revision < count; revision += 1) {
+    const result = await log.commit(draft(`change-${revision}`, revision));
+    assert.equal(result.kind, 'accepted');
+  }
+}
+
+test('a commit whose answer was lost is found again and not made twice', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  store.faults.push('lost-answer');
+  const result = await log.commit(draft('change-a', 0));
+  assert.equal(result.kind, 'accepted');
+  assert.deepEqual(
+    (await log.readChanges(0, 10)).map((change) => change.id),
+    ['change-a'],
+  );
+});
+
+test('a commit whose request was lost is sent again', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  store.faults.push('lost-request');
+  assert.equal((await log.commit(draft('change-a', 0))).kind, 'accepted');
+});
+
+test('a writer that stays without an answer learns that the outcome is unknown, and asks by id', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  store.faults.push('lost-answer', ...Array<'lost-request'>(4).fill('lost-request'));
+  await assert.rejects(log.commit(draft('change-a', 0)), (error) =>
+    results.isFailure(error, 'ConfigurationOutcomeUnknown'),
+  );
+  assert.equal((await log.commit(draft('change-b', 1))).kind, 'accepted');
+  const repeated = await log.commit(draft('change-a', 0));
+  assert.ok(repeated.kind === 'accepted' && repeated.change.revision === 1);
+});
+
+test('of two writers that race, one gets a conflict with the change of the other', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  store.beforeTransaction = async () => {
+    store.beforeTransaction = async () => {};
+    await log.commit(draft('change-a', 0));
+  };
+  const result = await log.commit(draft('change-b', 0));
+  assert.ok(result.kind === 'conflict');
+  assert.deepEqual(
+    result.changes.map((change) => change.id),
+    ['change-a'],
+  );
+  assert.equal((await log.readLatest()).revision, 1);
+});
+
+test('a change above the value limit and a dangling reference are refused before the commit', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  const operations: model.Operation[] = Array.from({ length: 5000 }, (_, index) => ({
+    action: 'put',
+    kind: 'organisation',
+    entity: {
+      name: `organisation-${index}`,
+      weight: 1,
+      administratorTokenDigests: [],
+      callerTokenDigests: Array<string>(3).fill('a'.repeat(64)),
+    },
+  }));
+  await assert.rejects(log.commit({ ...draft('change-large', 0), operations }), (error) =>
+    results.isFailure(error, 'ConfigurationTooLarge'),
+  );
+  const dangling: model.ChangeDraftInput = {
+    ...draft('change-dangling', 0),
+    operations: [
+      { action: 'put', kind: 'service', entity: { name: 'a', organisation: 'missing' } },
+    ],
+  };
+  await assert.rejects(log.commit(dangling), (error) =>
+    results.isFailure(error, 'ConfigurationReference'),
+  );
+  assert.equal(store.entries.size, 0);
+});
+
+test('a missing revision in the store is an error and never a gap', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  await commitMany(log, 3);
+  store.entries.delete('dogwoodstall/changes/000000000002');
+  await assert.rejects(log.readChanges(0, 10), (error) =>
+    results.isFailure(error, 'StoreValueInvalid'),
+  );
+});
+
+test('a reader follows changes that were committed before and after it started', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  await commitMany(log, 60);
+  const stopping = new AbortController();
+  const changes = log.follow(0, stopping.signal);
+  for (let revision = 1; revision <= 60; revision += 1) {
+    const step = await changes.next();
+    assert.equal(step.value?.revision, revision);
+  }
+  const next = changes.next();
+  await log.commit(draft('change-later', 60));
+  assert.equal((await next).value?.revision, 61);
+  stopping.abort();
+});
+
+test('a fresh reader starts from a snapshot in parts, and older parts are removed', async () => {
+  const store = new MemoryStore();
+  const log = new configurationLog.ConfigurationLog({ store });
+  const operations: model.Operation[] = Array.from({ length: 31_000 }, (_, index) => ({
+    action: 'put',
+    kind: 'organisation',
+    entity: {
+      name: `organisation-${index}`,
+      weight: 1,
+      administratorTokenDigests: [],
+      callerTokenDigests: ['b'.repeat(64)],
+    },
+  }));
+  await log.writeSnapshot(model.Configuration.fromOperations(200, operations));
+  const snapshot = model.Configuration.fromOperations(400, operations);
+  assert.equal(await log.writeSnapshot(snapshot), 400);
+  const keys = [...store.entries.keys()].filter((key) => key.includes('snapshot-parts'));
+  assert.ok(keys.length > 1 && keys.every((key) => key.includes('000000000400')));
+  for (const entry of store.entries.values()) {
+    assert.ok(Buffer.byteLength(entry.value) < 1_000_000);
+  }
+  const read = await log.readLatest();
+  assert.equal(read.revision, 400);
+  assert.equal(read.organisations.size, 31_000);
+});
--- /dev/null
+++ b/packages/control/configuration-spread/src/recent-changes.ts
@@ -0,0 +1,56 @@
+/**
+ * The last changes that a daemon applied, kept for peers that lack them.
+ */
+import type * as model from '@dogwoodstall/model';
+
+const MAXIMUM_CHANGES = 256;
+const MAXIMUM_TOTAL_BYTES = 4_194_304;
+const MAXIMUM_PAGE_CHANGES = 50;
+const MAXIMUM_PAGE_BYTES = 524_288;
+
+interface KeptChange {
+  readonly change: model.Change;
+  readonly bytes: number;
+}
+
+/** Changes of consecutive revisions, the newest last. */
+export class RecentChanges {
+  private kept: KeptChange[] = [];
+
+  private totalBytes = 0;
+
+  /** Adds the change after the newest one; returns its size in bytes. */
+  add(change: model.Change): number {
+    const bytes = Buffer.byteLength(JSON.stringify(change));
+    this.kept.push({ change, bytes });
+    this.totalBytes += bytes;
+    while (this.kept.length > MAXIMUM_CHANGES || this.totalBytes > MAXIMUM_TOTAL_BYTES) {
+      this.totalBytes -= this.kept.shift()?.bytes ?? 0;
+    }
+    return bytes;
+  }
+
+  /** Forgets all changes. */
+  clear(): void {
+    this.kept = [];
+    this.totalBytes = 0;
+  }
+
+  /** Returns a page of the changes after a revision; undefined when the next one is not kept. */
+  pageAfter(revision: number): model.Change[] | undefined {
+    const first = this.kept[0]?.change.revision;
+    if (first === undefined || first > revision + 1) {
+      return undefined;
+    }
+    const page: model.Change[] = [];
+    let bytes = 0;
+    for (const entry of this.kept.slice(revision + 1 - first)) {
+      bytes += entry.bytes;
+      if (page.length === MAXIMUM_PAGE_CHANGES || (page.length > 0 && bytes > MAXIMUM_PAGE_BYTES)) {
+        break;
+      }
+      page.push(entry.change);
+    }
+    return page;
+  }
+}
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -101,7 +101,12 @@
   /** Exchanges the configuration revisions in force. */
   summary: {
     input: zod.strictObject({ from: name, revision: count }),
-    output: zod.strictObject({ revision: count, hasConfiguration: zod.boolean() }),
+    output: zod.strictObject({
+      revision: count,
+      hasConfiguration: zod.boolean(),
+      /** Time since the store was last read, as far as the daemon knows. */
+      storeAgeMilliseconds: zod.number().min(0).optional(),
+    }),
   },
   /** Hands over idempotency records, which stay inactive. */
   installRecords: {
