Load settings from TOML and start the command line

Cause: operators need errors that name file, line and key, and the daemon is wired against loadSettings and the daemon subcommand.

Change: loadSettings reports all problems of the schema and all contradictions at once, with lines from a second pass over the text. The program dogwoodstall has the subcommands daemon and check-settings and documented exit codes.

--- /dev/null
+++ b/packages/configuration/settings/src/key-scanner.ts
@@ -0,0 +1,204 @@
+/**
+ * A pass over TOML text that collects the line of each key. It expects text that the parser accepted.
+ */
+
+/** The path of a value: keys of tables and indexes of arrays. */
+export type KeyPath = readonly (string | number)[];
+
+const BARE_KEY = /[A-Za-z0-9_-]+/y;
+const SCALAR = /[^,\]}\n#]+/y;
+const ESCAPED_KEY_QUOTE = '"';
+
+/** Returns a key path as the key of a map. */
+export function pathKey(path: KeyPath): string {
+  return JSON.stringify(path);
+}
+
+/** Scans a document once and keeps the line of every key path. */
+export class KeyScanner {
+  private readonly lines = new Map<string, number>();
+
+  private readonly arrayLengths = new Map<string, number>();
+
+  private position = 0;
+
+  constructor(private readonly text: string) {}
+
+  /** Reads the whole text and returns the lines by `pathKey`. */
+  scan(): ReadonlyMap<string, number> {
+    let table: KeyPath = [];
+    this.skipBlank();
+    while (this.position < this.text.length) {
+      if (this.text.startsWith('[[', this.position)) {
+        table = this.readHeader(2, true);
+      } else if (this.peek() === '[') {
+        table = this.readHeader(1, false);
+      } else {
+        this.readAssignment(table);
+      }
+      this.skipBlank();
+    }
+    return this.lines;
+  }
+
+  private peek(): string {
+    return this.text.charAt(this.position);
+  }
+
+  private currentLine(): number {
+    return this.text.slice(0, this.position).split('\n').length;
+  }
+
+  private record(path: KeyPath, line: number): void {
+    const key = pathKey(path);
+    if (!this.lines.has(key)) {
+      this.lines.set(key, line);
+    }
+  }
+
+  private skipBlank(): void {
+    while (this.position < this.text.length) {
+      const character = this.peek();
+      if (character === '#') {
+        const end = this.text.indexOf('\n', this.position);
+        this.position = end === -1 ? this.text.length : end;
+      } else if (/\s/.test(character)) {
+        this.position += 1;
+      } else {
+        return;
+      }
+    }
+  }
+
+  private readHeader(brackets: number, isArray: boolean): KeyPath {
+    const line = this.currentLine();
+    this.position += brackets;
+    const keys = this.readKeys();
+    this.position += brackets;
+    const path = this.resolveHeader(keys, isArray);
+    this.record(path, line);
+    return path;
+  }
+
+  // `[a.b]` below `[[a]]` names a key of the last element of `a`.
+  private resolveHeader(keys: readonly string[], isArray: boolean): KeyPath {
+    let path: KeyPath = [];
+    for (const [index, key] of keys.entries()) {
+      path = [...path, key];
+      const length = this.arrayLengths.get(pathKey(path));
+      if (isArray && index === keys.length - 1) {
+        this.arrayLengths.set(pathKey(path), (length ?? 0) + 1);
+        path = [...path, length ?? 0];
+      } else if (length !== undefined) {
+        path = [...path, length - 1];
+      }
+    }
+    return path;
+  }
+
+  private readAssignment(table: KeyPath): void {
+    const line = this.currentLine();
+    const keys = this.readKeys();
+    let path = table;
+    for (const key of keys) {
+      path = [...path, key];
+      this.record(path, line);
+    }
+    this.position += 1;
+    this.readValue(path);
+  }
+
+  private readKeys(): string[] {
+    const keys: string[] = [];
+    for (;;) {
+      this.skipBlank();
+      keys.push(this.readKey());
+      this.skipBlank();
+      if (this.peek() !== '.') {
+        return keys;
+      }
+      this.position += 1;
+    }
+  }
+
+  private readKey(): string {
+    const quote = this.peek();
+    if (quote === '"' || quote === "'") {
+      const start = this.position;
+      this.skipString();
+      const quoted = this.text.slice(start, this.position);
+      return quote === ESCAPED_KEY_QUOTE ? (JSON.parse(quoted) as string) : quoted.slice(1, -1);
+    }
+    return this.takeMatch(BARE_KEY);
+  }
+
+  private takeMatch(pattern: RegExp): string {
+    const matcher = new RegExp(pattern);
+    matcher.lastIndex = this.position;
+    const match = matcher.exec(this.text)?.[0] ?? this.peek();
+    this.position += Math.max(match.length, 1);
+    return match;
+  }
+
+  private readValue(path: KeyPath): void {
+    this.skipBlank();
+    const character = this.peek();
+    if (character === '[') {
+      this.readArray(path);
+    } else if (character === '{') {
+      this.readInlineTable(path);
+    } else if (character === '"' || character === "'") {
+      this.skipString();
+    } else {
+      this.takeMatch(SCALAR);
+    }
+  }
+
+  private readArray(path: KeyPath): void {
+    this.position += 1;
+    for (let index = 0; ; index += 1) {
+      this.skipSeparators();
+      if (this.peek() === ']' || this.peek() === '') {
+        this.position += 1;
+        return;
+      }
+      this.record([...path, index], this.currentLine());
+      this.readValue([...path, index]);
+    }
+  }
+
+  private readInlineTable(path: KeyPath): void {
+    this.position += 1;
+    for (;;) {
+      this.skipSeparators();
+      if (this.peek() === '}' || this.peek() === '') {
+        this.position += 1;
+        return;
+      }
+      this.readAssignment(path);
+    }
+  }
+
+  private skipSeparators(): void {
+    this.skipBlank();
+    while (this.peek() === ',') {
+      this.position += 1;
+      this.skipBlank();
+    }
+  }
+
+  private skipString(): void {
+    const quote = this.peek();
+    const isLong = this.text.startsWith(quote.repeat(3), this.position);
+    const end = isLong ? quote.repeat(3) : quote;
+    this.position += end.length;
+    while (this.position < this.text.length && !this.text.startsWith(end, this.position)) {
+      this.position += quote === '"' && this.peek() === '\\' ? 2 : 1;
+    }
+    this.position += end.length;
+    // A long string may end with one or two quotes of its own before the closing three.
+    while (isLong && this.peek() === quote) {
+      this.position += 1;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/command-line/src/bin.ts
@@ -0,0 +1,6 @@
+/**
+ * The program `dogwoodstall`.
+ */
+import { runProgram } from './program.js';
+
+process.exitCode = await runProgram(process.argv.slice(2));
--- a/packages/daemon/command-line/src/index.ts
+++ b/packages/daemon/command-line/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * The dogwoodstall command.
  */
-export {};
+export { exitCodes, runProgram } from './program.js';
