Generate a configuration from questionnaire answers

Cause: new teams describe traffic, requests and tolerances and do not write contracts by hand.

Change: generatePlan turns answers into operations with a reason for each value and refuses contradictions with file, line and key.

--- /dev/null
+++ b/packages/configuration/questionnaire/src/plan.ts
@@ -0,0 +1,176 @@
+/**
+ * Generates a configuration from answers.
+ */
+import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import * as settings from '@dogwoodstall/settings';
+import { answersSchema, type Answers, type ServiceAnswers } from './answers.js';
+import { findContradictions } from './contradictions.js';
+import { deriveContract, type ReasonedValue } from './contract.js';
+import { calculateLoad, type ServiceLoad } from './load.js';
+import { deriveRoutes } from './routes.js';
+
+const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** Why one field of one entity has its value. */
+export interface PlanReason extends ReasonedValue {
+  /** Kind and name of the entity, `service/offers`. */
+  readonly entity: string;
+  readonly field: string;
+}
+
+/** The generated configuration. */
+export interface Plan {
+  readonly operations: model.Operation[];
+  readonly reasons: PlanReason[];
+  /** What the answers allow but a team should look at. */
+  readonly warnings: string[];
+}
+
+/**
+ * Returns the checked answers in a TOML text.
+ *
+ * Throws `SettingsSyntax`, or `QuestionnaireInvalid` with file, line and key of every problem.
+ */
+export function parseAnswers(text: string, fileName: string): Answers {
+  const value = settings.parseTomlText(text, fileName);
+  const document: settings.TomlDocument = { text, fileName, value };
+  const invalidKind = 'QuestionnaireInvalid';
+  const answers = settings.checkToml(document, answersSchema, { invalidKind });
+  const contradictions = findContradictions(answers);
+  return settings.checkToml(document, answersSchema, { invalidKind, contradictions });
+}
+
+function refuseContradictions(answers: Answers): void {
+  const problems = findContradictions(answers);
+  if (problems.length > 0) {
+    const lines = problems.map(({ path, message }) => `${settings.formatPath(path)}: ${message}`);
+    throw new results.FailureError('QuestionnaireInvalid', lines.join('\n'));
+  }
+}
+
+function addReasons(
+  plan: Plan,
+  entity: string,
+  fields: Readonly<Record<string, ReasonedValue | undefined>>,
+): void {
+  for (const [field, reasoned] of Object.entries(fields)) {
+    if (reasoned !== undefined) {
+      plan.reasons.push({ entity, field, ...reasoned });
+    }
+  }
+}
+
+function createServers(service: ServiceAnswers): model.BackendServer[] {
+  const servers: model.BackendServer[] = [];
+  for (const group of service.serverGroups) {
+    for (const address of group.addresses) {
+      servers.push({
+        name: `${service.name}-${servers.length + 1}`,
+        service: service.name,
+        address,
+        zone: group.zone,
+        slots: group.slots,
+        connectionLimit: group.connections,
+        draining: false,
+      });
+    }
+  }
+  return servers;
+}
+
+function findLoadWarnings(service: ServiceAnswers, load: ServiceLoad): string[] {
+  const warnings: string[] = [];
+  if (load.peakSlots > load.slots) {
+    warnings.push(
+      `service/${service.name}: the peak needs ${Math.ceil(load.peakSlots)} slots and ${load.slots} exist; the excess is refused as "not run"`,
+    );
+  }
+  const zones = new Set(service.serverGroups.map((group) => group.zone));
+  if (zones.size === 1) {
+    warnings.push(`service/${service.name}: all backend servers are in one zone`);
+  }
+  if (load.smallestRegionSlots === load.largestServerSlots) {
+    warnings.push(
+      `service/${service.name}: a region has one backend server, which is never ejected`,
+    );
+  }
+  return warnings;
+}
+
+function findPathWarnings(service: ServiceAnswers): string[] {
+  const warnings: string[] = [];
+  for (const path of service.paths) {
+    const unsafe = path.methods.find((method) => !SAFE_METHODS.has(method));
+    if (path.effect === 'none' && unsafe !== undefined) {
+      warnings.push(
+        `service/${service.name}: ${unsafe} ${path.path} is said to change nothing and may be repeated`,
+      );
+    }
+  }
+  if (service.requests.longShare > 0 && !service.paths.some((path) => path.takesLong)) {
+    warnings.push(
+      `service/${service.name}: long requests exist, but no path takes long; short requests can not be kept apart from them`,
+    );
+  }
+  return warnings;
+}
+
+function addService(plan: Plan, answers: Answers, service: ServiceAnswers): void {
+  const load = calculateLoad(answers, service);
+  const fields = deriveContract(service, load);
+  const values = Object.entries(fields).map(([field, { value }]) => [field, value] as const);
+  const contract = model.contractSchema.parse(Object.fromEntries(values));
+  const entity = { name: service.name, organisation: answers.organisation.name, contract };
+  plan.operations.push({ action: 'put', kind: 'service', entity });
+  addReasons(plan, `service/${service.name}`, fields);
+  for (const server of createServers(service)) {
+    plan.operations.push({ action: 'put', kind: 'backendServer', entity: server });
+  }
+  for (const { route, reasons } of deriveRoutes(service)) {
+    plan.operations.push({ action: 'put', kind: 'route', entity: route });
+    addReasons(plan, `route/${route.name}`, reasons);
+  }
+  plan.warnings.push(...findLoadWarnings(service, load), ...findPathWarnings(service));
+}
+
+function refuseRepeatedNames(operations: readonly model.Operation[]): void {
+  const seen = new Set<string>();
+  for (const operation of operations) {
+    const name = operation.action === 'put' ? operation.entity.name : operation.name;
+    const key = `${operation.kind}/${name}`;
+    if (seen.has(key)) {
+      throw new results.FailureError('QuestionnaireInvalid', `two entities are named ${key}`);
+    }
+    seen.add(key);
+  }
+}
+
+function checkGenerated(operations: readonly model.Operation[]): void {
+  refuseRepeatedNames(operations);
+  const configuration = model.Configuration.fromOperations(1, operations);
+  const [problem] = model.validateConfiguration(configuration);
+  if (problem !== undefined) {
+    throw new results.FailureError('QuestionnaireInvalid', `${problem.entity}: ${problem.message}`);
+  }
+}
+
+/**
+ * Returns the configuration for a team's answers: operations in an order in which references exist,
+ * a reason for each generated value, and warnings.
+ *
+ * Throws `QuestionnaireInvalid` when answers contradict each other.
+ */
+export function generatePlan(answers: Answers): Plan {
+  refuseContradictions(answers);
+  const plan: Plan = { operations: [], reasons: [], warnings: [] };
+  for (const zone of answers.zones) {
+    plan.operations.push({ action: 'put', kind: 'zone', entity: zone });
+  }
+  plan.operations.push({ action: 'put', kind: 'organisation', entity: answers.organisation });
+  for (const service of answers.services) {
+    addService(plan, answers, service);
+  }
+  checkGenerated(plan.operations);
+  return plan;
+}
