Serve the administration API with authority per organisation

Cause: operators and organisations change one configuration, and neither may overwrite or see what belongs to others.

Change: the class AdministrationApi serves the configuration, changes, previews, history, rollback, status and explanations over HTTP or HTTPS. A change on an older base is accepted only when later changes concern other entities; otherwise the answer is 409 with the difference. A repeated change id answers with the revision of the accepted change.

--- /dev/null
+++ b/packages/administration/administration-api/src/http.ts
@@ -0,0 +1,101 @@
+/**
+ * Reading bounded request bodies and writing JSON answers.
+ */
+import type * as http from 'node:http';
+import { finished } from 'node:stream/promises';
+import * as results from '@dogwoodstall/results';
+import type * as zod from 'zod';
+
+/** Largest request body; a change must fit into one megabyte of the store. */
+export const MAXIMUM_BODY_BYTES = 2_097_152;
+const MAXIMUM_DISCARDED_BYTES = 16_777_216;
+const MAXIMUM_REPORTED_ISSUES = 20;
+
+function refuseSize(): never {
+  const message = `the request body exceeds ${MAXIMUM_BODY_BYTES} bytes`;
+  throw new results.FailureError('ConfigurationTooLarge', message);
+}
+
+async function readBody(request: http.IncomingMessage): Promise<string> {
+  if (Number(request.headers['content-length'] ?? 0) > MAXIMUM_BODY_BYTES) {
+    refuseSize();
+  }
+  const chunks: Buffer[] = [];
+  let length = 0;
+  // The connection must survive an oversized body, because the refusal is written to it.
+  const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+  for await (const chunk of iterator) {
+    length += chunk.length;
+    if (length > MAXIMUM_BODY_BYTES) {
+      refuseSize();
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Returns a value that fits a schema; throws `kind` with every problem. */
+export function checkShape<Schema extends zod.ZodType>(
+  value: unknown,
+  schema: Schema,
+  kind: 'AdministrationRequestInvalid' | 'ConfigurationInvalid',
+): zod.infer<Schema> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) {
+    return parsed.data;
+  }
+  const lines = parsed.error.issues
+    .slice(0, MAXIMUM_REPORTED_ISSUES)
+    .map((issue) => `${issue.path.map(String).join('.') || 'body'}: ${issue.message}`);
+  throw new results.FailureError(kind, lines.join('\n'));
+}
+
+/**
+ * Returns the JSON body of a request.
+ *
+ * Throws `ConfigurationTooLarge`, `AdministrationRequestInvalid` or `ConfigurationInvalid`.
+ */
+export async function readJson<Schema extends zod.ZodType>(
+  request: http.IncomingMessage,
+  schema: Schema,
+): Promise<zod.infer<Schema>> {
+  const text = await readBody(request);
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    const message = 'the request body is not valid JSON';
+    throw new results.FailureError('AdministrationRequestInvalid', message, { cause: error });
+  }
+  return checkShape(value, schema, 'ConfigurationInvalid');
+}
+
+/**
+ * Discards the rest of a request body, so that a refusal reaches a client that is still sending.
+ * Breaks the connection when the body is larger than any client of this API sends by mistake.
+ */
+export async function discardBody(request: http.IncomingMessage): Promise<void> {
+  if (request.readableEnded || request.destroyed) {
+    return;
+  }
+  let length = 0;
+  request.on('data', (chunk: Buffer) => {
+    length += chunk.length;
+    if (length > MAXIMUM_DISCARDED_BYTES) {
+      request.destroy();
+    }
+  });
+  try {
+    await finished(request, { writable: false });
+  } catch {
+    // The client went away; there is nobody to answer.
+  }
+}
+
+/** Writes a JSON answer. */
+export function writeJson(response: http.ServerResponse, status: number, body: unknown): void {
+  response.setHeader('Content-Type', 'application/json; charset=utf-8');
+  response.setHeader('Cache-Control', 'no-store');
+  response.statusCode = status;
+  response.end(`${JSON.stringify(body)}\n`);
+}
--- a/packages/administration/administration-api/src/index.ts
+++ b/packages/administration/administration-api/src/index.ts
@@ -1,4 +1,17 @@
 /**
  * The HTTP API for operators, with authority per organisation.
  */
-export {};
+export { AdministrationApi } from './administration-api.js';
+export type { ErrorBody } from './answer-error.js';
+export type { EntityDifference } from './difference.js';
+export type { HistoryPage } from './history.js';
+export type {
+  AdministrationOptions,
+  Credentials,
+  DaemonStatus,
+  FleetStatus,
+  RequestExplanation,
+  ZoneStatus,
+} from './options.js';
+export { digestToken } from './principal.js';
+export type { Acceptance, Preview } from './submission.js';
--- /dev/null
+++ b/packages/administration/administration-api/src/submission.ts
@@ -0,0 +1,219 @@
+/**
+ * Submits changes: authority, checks, conflicts and the answer to a repeated change id.
+ */
+import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import { AnswerError } from './answer-error.js';
+import { checkAuthority, mayRead } from './authority.js';
+import {
+  checkRepetition,
+  findTouched,
+  labelAuthor,
+  planRollback,
+  refuseProblems,
+  selectProblems,
+} from './checks.js';
+import {
+  compareEntities,
+  formatReference,
+  listReferences,
+  type EntityDifference,
+} from './difference.js';
+import type { AdministrationOptions } from './options.js';
+import type { Principal } from './principal.js';
+
+const CHANGES_PER_READ = 200;
+// Each lost race means that another change was accepted; more in a row are a sign of overload.
+const MAXIMUM_ATTEMPTS = 8;
+
+type SubmissionOptions = Pick<
+  AdministrationOptions,
+  'currentConfiguration' | 'commit' | 'publish' | 'readChanges' | 'readRevision'
+>;
+
+// More than a day of changes; a draft that old is written anew, so that the log is not read at length.
+const MAXIMUM_BASE_AGE_REVISIONS = 2000;
+
+/** An accepted change. */
+export interface Acceptance {
+  readonly id: string;
+  readonly revision: number;
+  /** True when an earlier submission with the same id was the one that was accepted. */
+  readonly repeated: boolean;
+}
+
+/** What a draft would change. */
+export interface Preview {
+  readonly revision: number;
+  readonly difference: readonly EntityDifference[];
+  readonly problems: readonly model.ConfigurationProblem[];
+}
+
+/** The request to restore an older revision. */
+export interface RollbackRequest extends Pick<model.ChangeDraft, 'id' | 'author' | 'reason'> {
+  /** The revision whose content is restored. */
+  readonly revision: number;
+  /** The latest revision that the writer saw. */
+  readonly baseRevision: number;
+}
+
+interface BaseState {
+  readonly current: model.Configuration;
+  /** The changes after the base revision of the draft. */
+  readonly changes: readonly model.Change[];
+}
+
+/** Commits changes on behalf of principals. */
+export class Submission {
+  constructor(private readonly options: SubmissionOptions) {}
+
+  /** Returns the configuration in force here; throws `ConfigurationUnavailable` before there is one. */
+  requireConfiguration(): model.Configuration {
+    const configuration = this.options.currentConfiguration();
+    if (configuration === undefined) {
+      throw new results.FailureError('ConfigurationUnavailable', 'no configuration is known yet');
+    }
+    return configuration;
+  }
+
+  /**
+   * Commits a draft. A draft on an older base is accepted when no later change concerns the same
+   * entities. Returns the earlier acceptance for a repeated id.
+   *
+   * Throws `ConfigurationConflict` with the difference of the entities concerned.
+   */
+  async submit(principal: Principal, draft: model.ChangeDraft): Promise<Acceptance> {
+    return this.commitWith(principal, draft, (state) => {
+      checkAuthority(
+        principal,
+        state.current,
+        state.current.preview(draft.operations),
+        draft.operations,
+      );
+      return draft.operations;
+    });
+  }
+
+  /** Returns what a draft would change now, and the problems that would refuse it. */
+  async preview(
+    principal: Principal,
+    draft: Pick<model.ChangeDraft, 'baseRevision' | 'operations'>,
+  ): Promise<Preview> {
+    const { current } = await this.readState(draft.baseRevision);
+    const next = current.preview(draft.operations);
+    checkAuthority(principal, current, next, draft.operations);
+    return {
+      revision: current.revision,
+      difference: compareEntities(current, next, listReferences(draft.operations)),
+      problems: selectProblems(principal, next, model.validateConfiguration(next)),
+    };
+  }
+
+  /** Restores the content of an older revision as a new one, within the authority of a principal. */
+  async rollBack(principal: Principal, request: RollbackRequest): Promise<Acceptance> {
+    const { revision, ...draft } = request;
+    const target = await this.options.readRevision(revision);
+    if (target === undefined) {
+      throw new results.FailureError('ConfigurationNotFound', `revision ${revision} is not kept`);
+    }
+    return this.commitWith(principal, { ...draft, operations: [] }, ({ current }) => {
+      if (current.revision !== request.baseRevision) {
+        const message = `the latest revision is ${current.revision}, the rollback was asked on ${request.baseRevision}`;
+        throw new results.FailureError('ConfigurationConflict', message);
+      }
+      return planRollback(principal, current, target);
+    });
+  }
+
+  private async commitWith(
+    principal: Principal,
+    draft: model.ChangeDraft,
+    plan: (state: BaseState) => readonly model.Operation[],
+  ): Promise<Acceptance> {
+    for (let attempt = 1; ; attempt += 1) {
+      const state = await this.readState(draft.baseRevision);
+      const accepted = state.changes.find((change) => change.id === draft.id);
+      if (accepted !== undefined) {
+        checkRepetition(principal, accepted);
+        this.options.publish(accepted);
+        return { id: draft.id, revision: accepted.revision, repeated: true };
+      }
+      const operations = [...plan(state)];
+      await this.refuseConflict(principal, draft, state);
+      refuseProblems(principal, state.current, operations);
+      try {
+        const change = await this.options.commit({
+          ...draft,
+          author: labelAuthor(principal, draft.author),
+          baseRevision: state.current.revision,
+          operations,
+        });
+        this.options.publish(change);
+        return { id: change.id, revision: change.revision, repeated: false };
+      } catch (error) {
+        if (!results.isFailure(error, 'ConfigurationConflict') || attempt === MAXIMUM_ATTEMPTS) {
+          throw error;
+        }
+      }
+    }
+  }
+
+  // The daemon's own configuration may lag behind the store; the changes since then are read there.
+  private async readState(baseRevision: number): Promise<BaseState> {
+    let current = this.requireConfiguration();
+    if (current.revision - baseRevision > MAXIMUM_BASE_AGE_REVISIONS) {
+      const message = `the base revision ${baseRevision} is too old, the current one is ${current.revision}`;
+      throw new results.FailureError('ConfigurationConflict', message);
+    }
+    const from = Math.min(baseRevision, current.revision);
+    const changes: model.Change[] = [];
+    for (;;) {
+      const after = from + changes.length;
+      const page = await this.options.readChanges(after, CHANGES_PER_READ);
+      changes.push(...page);
+      if (page.length === 0) {
+        break;
+      }
+    }
+    for (const change of changes) {
+      if (change.revision > current.revision) {
+        current = current.apply(change);
+      }
+    }
+    if (baseRevision > current.revision) {
+      const message = `the base revision ${baseRevision} does not exist`;
+      throw new results.FailureError('AdministrationRequestInvalid', message);
+    }
+    return { current, changes: changes.filter((change) => change.revision > baseRevision) };
+  }
+
+  private async refuseConflict(
+    principal: Principal,
+    draft: model.ChangeDraft,
+    { current, changes }: BaseState,
+  ): Promise<void> {
+    const concerned = listReferences(draft.operations);
+    const touched = findTouched(concerned, changes);
+    if (touched.size === 0) {
+      return;
+    }
+    const references = concerned.filter((reference) => touched.has(formatReference(reference)));
+    const base = await this.options.readRevision(draft.baseRevision);
+    const difference =
+      base === undefined
+        ? references.map(({ kind, name }) => ({
+            kind,
+            name,
+            after: current.entities(kind).get(name) ?? null,
+          }))
+        : compareEntities(base, current, references).filter(
+            ({ kind, name, before }) => before === null || mayRead(principal, base, kind, name),
+          );
+    const message = `changed since revision ${draft.baseRevision}: ${[...touched].join(', ')}`;
+    throw new AnswerError('ConfigurationConflict', message, {
+      baseRevision: draft.baseRevision,
+      currentRevision: current.revision,
+      difference,
+    });
+  }
+}
--- /dev/null
+++ b/packages/administration/administration-api/test/fake-log.ts
@@ -0,0 +1,52 @@
+/**
+ * A configuration log in memory.
+ */
+import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+
+/** Keeps changes in memory as the store would. */
+export class FakeLog {
+  readonly changes: model.Change[] = [];
+
+  /** What the next commit does after the change is kept or before it. */
+  nextCommit: 'accept' | 'lose-answer' = 'accept';
+
+  /** Runs once before the next commit, to let another operator win the race. */
+  beforeCommit: (() => void) | undefined;
+
+  current = model.Configuration.empty();
+
+  /** The configuration that the daemon has in force; the log's own by default. */
+  lagging: model.Configuration | undefined;
+
+  append(draft: model.ChangeDraft): model.Change {
+    if (draft.baseRevision !== this.changes.length) {
+      throw new results.FailureError('ConfigurationConflict');
+    }
+    const revision = this.changes.length + 1;
+    const change = { ...draft, revision, acceptedAtEpochMilliseconds: 0 };
+    this.changes.push(change);
+    this.current = this.current.apply(change);
+    return change;
+  }
+
+  async commit(draft: model.ChangeDraft): Promise<model.Change> {
+    const { beforeCommit, nextCommit } = this;
+    this.beforeCommit = undefined;
+    beforeCommit?.();
+    const change = this.append(draft);
+    this.nextCommit = 'accept';
+    if (nextCommit === 'lose-answer') {
+      throw new results.FailureError('ConfigurationOutcomeUnknown');
+    }
+    return change;
+  }
+
+  async readRevision(revision: number): Promise<model.Configuration | undefined> {
+    let configuration = model.Configuration.empty();
+    for (const change of this.changes.slice(0, revision)) {
+      configuration = configuration.apply(change);
+    }
+    return configuration;
+  }
+}
