Wire the roles of a daemon and its planned stop

Cause: the parts had interfaces but no process that joins them. Change: package daemon with the control plane, the request plane, the view of the fleet (dispatchers and key homes), hand-over of idempotency records, crash reports and the administration role. The messages of the hand-over carry origin and epoch, as the package idempotency needs them.

--- /dev/null
+++ b/packages/daemon/daemon/src/administration.ts
@@ -0,0 +1,127 @@
+/**
+ * The administration role of one daemon.
+ */
+import * as administrationApi from '@dogwoodstall/administration-api';
+import * as model from '@dogwoodstall/model';
+import type * as observability from '@dogwoodstall/observability';
+import * as results from '@dogwoodstall/results';
+import type * as settings from '@dogwoodstall/settings';
+import { parseAddress } from './address.js';
+import type { ControlPlane } from './control-plane.js';
+import { readKeyPair } from './key-material.js';
+import type { RequestPlane } from './request-plane.js';
+
+const PAGE_CHANGES = 50;
+
+/** Options of `createAdministration`. */
+export interface AdministrationOptions {
+  readonly settings: settings.Settings;
+  readonly log: observability.ProcessLog;
+  readonly control: ControlPlane;
+  readonly requests: RequestPlane;
+}
+
+async function commitDraft(control: ControlPlane, draft: model.ChangeDraft): Promise<model.Change> {
+  const result = await control.changes.commit(draft);
+  if (result.kind === 'accepted') {
+    return result.change;
+  }
+  const revisions = result.changes.map((change) => change.revision).join(', ');
+  const message = `other changes were accepted since revision ${draft.baseRevision}: ${revisions}`;
+  throw new results.FailureError('ConfigurationConflict', message);
+}
+
+async function readRevision(
+  control: ControlPlane,
+  revision: number,
+): Promise<model.Configuration | undefined> {
+  let configuration = model.Configuration.empty();
+  while (configuration.revision < revision) {
+    const limit = Math.min(PAGE_CHANGES, revision - configuration.revision);
+    const page = await control.changes.readChanges(configuration.revision, limit);
+    if (page.length === 0) {
+      return undefined;
+    }
+    for (const change of page) {
+      configuration = configuration.apply(change);
+    }
+  }
+  return configuration;
+}
+
+function describeFleet(control: ControlPlane): administrationApi.FleetStatus {
+  const status = control.keeper.statusByZone();
+  return {
+    acceptedRevision: status.highestRevision,
+    storeKnowledgeAgeMilliseconds: status.storeAgeMilliseconds,
+    zones: status.zones.map((zone) => ({
+      zone: zone.zone,
+      revisionInForce: zone.revision,
+      members: zone.members,
+      lagging: zone.lagging.map((name) => ({
+        name,
+        revision: control.members.find(name)?.revision ?? 0,
+      })),
+    })),
+  };
+}
+
+function describeDaemon(options: AdministrationOptions): administrationApi.DaemonStatus {
+  const { control, requests } = options;
+  return {
+    name: control.members.self.name,
+    incarnation: control.members.self.incarnation,
+    revision: control.keeper.current?.revision,
+    startFailure: control.keeper.lastStartFailure,
+    inFlight: requests.server.inFlight.count,
+    idempotencyRecords: requests.keyHome.recordCount,
+    keyIncarnations: requests.keyHome.activeIncarnations,
+    cells: requests.registry.snapshot(),
+    members: control.members.members(),
+    violations: Object.fromEntries(results.countViolations()),
+    machineListAgeMilliseconds: control.machines.ageMilliseconds,
+  };
+}
+
+function explainRequest(
+  options: AdministrationOptions,
+  requestId: string,
+): administrationApi.RequestExplanation | undefined {
+  const decisions = options.requests.server.decisions.find(requestId);
+  const route = options.control.keeper.current?.routes.get(decisions[0]?.route ?? '');
+  if (route === undefined) {
+    return undefined;
+  }
+  return {
+    requestId,
+    service: route.service,
+    decisions: decisions.map((decision) => ({ ...decision })),
+  };
+}
+
+/** Creates the administration API of a daemon; it listens when it is told to. */
+export function createAdministration(
+  options: AdministrationOptions,
+): administrationApi.AdministrationApi {
+  const { control, settings: daemonSettings } = options;
+  const { administrationTls, administration, listen } = daemonSettings;
+  const logger = options.log.part('administration');
+  return new administrationApi.AdministrationApi({
+    ...parseAddress(listen.administration),
+    readCredentials: administrationTls && (() => readKeyPair(administrationTls)),
+    operatorTokenDigests: administration.operatorTokenDigests,
+    log: logger,
+    currentConfiguration: () => control.keeper.current,
+    commit: (draft) => commitDraft(control, draft),
+    publish: (change) => {
+      control.keeper.publish(change).catch((error: unknown) => {
+        logger.error('accepted change could not be published', { reason: String(error) });
+      });
+    },
+    readChanges: (after, limit) => control.changes.readChanges(after, limit),
+    readRevision: (revision) => readRevision(control, revision),
+    fleetStatus: () => describeFleet(control),
+    daemonStatus: () => describeDaemon(options),
+    explain: (requestId) => explainRequest(options, requestId),
+  });
+}
--- /dev/null
+++ b/packages/daemon/daemon/src/control-plane.ts
@@ -0,0 +1,120 @@
+/**
+ * The control roles of one daemon: store, machine list, peer port, membership and configuration.
+ */
+import * as configurationLog from '@dogwoodstall/configuration-log';
+import * as configurationSpread from '@dogwoodstall/configuration-spread';
+import * as machineList from '@dogwoodstall/machine-list';
+import * as membership from '@dogwoodstall/membership';
+import type * as observability from '@dogwoodstall/observability';
+import * as peerLink from '@dogwoodstall/peer-link';
+import type * as settings from '@dogwoodstall/settings';
+import * as storeClient from '@dogwoodstall/store-client';
+import { parseAddress } from './address.js';
+
+/** Options of `ControlPlane`. */
+export interface ControlPlaneOptions {
+  readonly settings: settings.Settings;
+  readonly log: observability.ProcessLog;
+  readonly peerTls: peerLink.PeerTls;
+  readonly forward: peerLink.ForwardHandler;
+}
+
+/** Everything that a daemon learns from the store and from other daemons. */
+export class ControlPlane {
+  readonly links: peerLink.PeerLinks;
+
+  readonly members: membership.Membership;
+
+  readonly keeper: configurationSpread.ConfigurationKeeper;
+
+  readonly changes: configurationLog.ConfigurationLog;
+
+  readonly machines: machineList.MachineList;
+
+  readonly store: storeClient.StoreClient;
+
+  private readonly server: peerLink.PeerServer;
+
+  private readonly handlers: Partial<peerLink.PeerHandlers> = {};
+
+  constructor(private readonly options: ControlPlaneOptions) {
+    const { log } = options;
+    const {
+      name,
+      zone,
+      region,
+      listen,
+      peerAddress,
+      store,
+      machineList: list,
+      fleet,
+    } = options.settings;
+    this.links = new peerLink.PeerLinks(options.peerTls);
+    this.server = new peerLink.PeerServer({
+      tls: options.peerTls,
+      handlers: this.handlers,
+      forward: options.forward,
+      onHeard: (peer) => this.links.noteHeard(peer),
+    });
+    this.store = new storeClient.StoreClient({ addresses: store.addresses });
+    this.machines = new machineList.MachineList({
+      address: list.address,
+      onFailure: ({ failure }) =>
+        log.part('membership').warn('the list of VMs could not be read', { result: failure.kind }),
+    });
+    const listedMachines = (): readonly machineList.Machine[] => this.machines.machines;
+    this.members = new membership.Membership({
+      name,
+      zone,
+      region,
+      peerAddress: peerAddress ?? listen.peer,
+      links: this.links,
+      seeds: fleet.seeds,
+      listedMachines,
+      logger: log.part('membership'),
+    });
+    this.changes = new configurationLog.ConfigurationLog({
+      store: this.store,
+      currentConfiguration: () => this.keeper.current,
+    });
+    this.keeper = new configurationSpread.ConfigurationKeeper({
+      log: this.changes,
+      members: this.members,
+      links: this.links,
+      listedMachines,
+      logger: log.part('configuration'),
+    });
+    this.register(this.members.handlers);
+    this.register(this.keeper.handlers);
+  }
+
+  /** Registers procedures that other parts answer. */
+  register(handlers: Partial<peerLink.PeerHandlers>): void {
+    Object.assign(this.handlers, handlers);
+  }
+
+  /** Binds the peer port and begins to learn; throws `ListenFailed`. */
+  async start(): Promise<void> {
+    const { host, port } = parseAddress(this.options.settings.listen.peer);
+    await this.server.listen(host, port);
+    this.machines.start();
+    this.members.start();
+    this.keeper.start();
+  }
+
+  /** Uses new certificates for connections from now on. */
+  reload(peerTls: peerLink.PeerTls): void {
+    this.server.reload(peerTls);
+    this.links.reload(peerTls);
+  }
+
+  /** Stops learning and answering; forwarded requests have ended before. */
+  async stop(): Promise<void> {
+    await this.keeper.stop();
+    await this.members.stop();
+    await this.machines.stop();
+    await this.links.destroy();
+    await this.server.destroy();
+    await this.store.close();
+  }
+}
--- a/packages/daemon/daemon/src/index.ts
+++ b/packages/daemon/daemon/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * Wires the roles of one daemon and its planned stop.
  */
-export {};
+export { type DaemonOptions, Daemon, startDaemon } from './daemon.js';
--- /dev/null
+++ b/packages/daemon/daemon/src/key-material.ts
@@ -0,0 +1,49 @@
+/**
+ * Reads certificates, private keys and fleet keys from the files that the settings name.
+ */
+import * as fs from 'node:fs/promises';
+import type * as peerLink from '@dogwoodstall/peer-link';
+import type * as proxy from '@dogwoodstall/proxy';
+import * as results from '@dogwoodstall/results';
+import type * as settings from '@dogwoodstall/settings';
+
+interface KeyPairFiles {
+  readonly certificateFile: string;
+  readonly keyFile: string;
+}
+
+async function readKeyFile(file: string): Promise<string> {
+  try {
+    return await fs.readFile(file, 'utf8');
+  } catch (error) {
+    throw new results.FailureError('KeyFileInvalid', `${file} could not be read`, { cause: error });
+  }
+}
+
+/** Reads a certificate and its private key; throws `KeyFileInvalid`. */
+export async function readKeyPair(files: KeyPairFiles): Promise<proxy.TlsMaterial> {
+  const certificate = await readKeyFile(files.certificateFile);
+  return { certificate, key: await readKeyFile(files.keyFile) };
+}
+
+/** Reads the material of the links between daemons; throws `KeyFileInvalid`. */
+export async function readPeerTls(files: settings.Settings['peerTls']): Promise<peerLink.PeerTls> {
+  const certificate = await readKeyFile(files.certificateFile);
+  const key = await readKeyFile(files.keyFile);
+  const authorities = await Promise.all(files.authorityFiles.map(readKeyFile));
+  return { certificate, key, authorities };
+}
+
+/** Reads the fleet's signing keys, hexadecimal in one line each; throws `KeyFileInvalid`. */
+export async function readFleetKeys(files: readonly string[]): Promise<Buffer[]> {
+  const keys: Buffer[] = [];
+  for (const file of files) {
+    const text = (await readKeyFile(file)).trim();
+    if (!/^([0-9a-f]{2}){16,}$/.test(text)) {
+      const message = `${file} must hold at least 16 bytes in hexadecimal`;
+      throw new results.FailureError('KeyFileInvalid', message);
+    }
+    keys.push(Buffer.from(text, 'hex'));
+  }
+  return keys;
+}
--- /dev/null
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -0,0 +1,192 @@
+/**
+ * The request roles of one daemon: entry, dispatcher and key home.
+ */
+import * as crashGuard from '@dogwoodstall/crash-guard';
+import * as dispatch from '@dogwoodstall/dispatch';
+import * as idempotency from '@dogwoodstall/idempotency';
+import * as model from '@dogwoodstall/model';
+import type * as observability from '@dogwoodstall/observability';
+import * as proxy from '@dogwoodstall/proxy';
+import type * as settings from '@dogwoodstall/settings';
+import { parseAddress } from './address.js';
+import type { ControlPlane } from './control-plane.js';
+import { FleetView } from './fleet-view.js';
+
+/** Interval at which cells without requests are looked for. */
+const IDLE_CHECK_MILLISECONDS = 10_000;
+
+/** Options of `RequestPlane`. */
+export interface RequestPlaneOptions {
+  readonly settings: settings.Settings;
+  readonly log: observability.ProcessLog;
+  readonly metrics: observability.Metrics;
+  readonly control: ControlPlane;
+  readonly fleetKeys: readonly Uint8Array[];
+  readonly callerTls: proxy.TlsMaterial | undefined;
+  readonly isReady: () => boolean;
+  /** Receives each record that ends after the home was sealed. */
+  readonly onCompletedAfterSeal: (message: idempotency.CompleteRecord) => void;
+}
+
+/** Serves callers and forwarded requests. */
+export class RequestPlane {
+  readonly server: proxy.ExchangeServer;
+
+  readonly entry: proxy.EntryServer;
+
+  readonly receiver: proxy.ForwardReceiver;
+
+  readonly keyHome: idempotency.KeyHome;
+
+  readonly guard: crashGuard.CrashGuard;
+
+  readonly view: FleetView;
+
+  readonly registry: dispatch.DispatcherRegistry;
+
+  private readonly backend = new proxy.BackendClient();
+
+  private readonly keyIssuer: idempotency.KeyIssuer;
+
+  private readonly idleTimer: NodeJS.Timeout;
+
+  constructor(private readonly options: RequestPlaneOptions) {
+    const { control } = options;
+    const incarnation = String(control.members.self.incarnation);
+    this.keyHome = new idempotency.KeyHome({
+      incarnation,
+      onCompletedAfterSeal: options.onCompletedAfterSeal,
+    });
+    this.keyIssuer = new idempotency.KeyIssuer({ fleetKeys: options.fleetKeys });
+    this.guard = new crashGuard.CrashGuard({ now: () => performance.now(), origin: incarnation });
+    this.view = new FleetView({
+      members: control.members,
+      links: control.links,
+      findConfiguration: this.findConfiguration,
+      activeIncarnations: () => this.keyHome.activeIncarnations,
+    });
+    this.registry = this.createRegistry();
+    this.server = this.createExchangeServer();
+    const path = this.createPath();
+    this.entry = this.createEntry(path);
+    this.receiver = new proxy.ForwardReceiver({
+      server: this.server,
+      path,
+      findConfiguration: this.findConfiguration,
+    });
+    this.idleTimer = setInterval(() => this.registry.dropIdle(), IDLE_CHECK_MILLISECONDS);
+    this.idleTimer.unref();
+  }
+
+  /** Binds the caller port; throws `ListenFailed`. */
+  async listen(): Promise<void> {
+    const { host, port } = parseAddress(this.options.settings.listen.caller);
+    await this.entry.listen(host, port);
+  }
+
+  /** Follows a new configuration. */
+  updateConfiguration(configuration: model.Configuration): void {
+    this.registry.updateConfiguration(configuration);
+    this.view.forgetRanking();
+    const addresses = new Set<string>();
+    for (const server of configuration.backendServers.values()) {
+      addresses.add(server.address);
+    }
+    this.backend.retainEndpoints(addresses);
+  }
+
+  /** Uses new fleet keys and a new certificate for callers. */
+  reload(fleetKeys: readonly Uint8Array[], callerTls: proxy.TlsMaterial | undefined): void {
+    this.keyIssuer.replaceFleetKeys(fleetKeys);
+    if (callerTls !== undefined) {
+      this.entry.reloadTls(callerTls);
+    }
+  }
+
+  /** Closes the caller port and every connection; the last request has ended before. */
+  async close(): Promise<void> {
+    clearInterval(this.idleTimer);
+    this.entry.close();
+    await this.backend.close();
+  }
+
+  private readonly findConfiguration = (): model.Configuration | undefined =>
+    this.options.control.keeper.current;
+
+  private createRegistry(): dispatch.DispatcherRegistry {
+    const dispatchLog = this.options.log.part('dispatch');
+    const healthLog = this.options.log.part('health');
+    return new dispatch.DispatcherRegistry({
+      configuration: model.Configuration.empty(),
+      now: () => performance.now(),
+      random: Math.random,
+      crashGuard: this.guard,
+      logDecision: (decision) => {
+        const message = decision.kind === 'grant' ? 'slot granted' : 'request refused';
+        dispatchLog.decision(message, { ...decision });
+      },
+      logHealth: (change) => {
+        healthLog.decision(`endpoint ${change.kind}`, { ...change });
+        this.options.metrics.count('health.changes', 1, { kind: change.kind });
+      },
+    });
+  }
+
+  private createExchangeServer(): proxy.ExchangeServer {
+    const { log, metrics } = this.options;
+    const entryLog = log.part('entry');
+    return new proxy.ExchangeServer({
+      onDecision: (decision) => {
+        entryLog.decision('request routed', { ...decision });
+        metrics.timing('request', decision.totalMilliseconds, {
+          route: decision.route,
+          result: String(decision.result),
+        });
+      },
+      onUnexpectedError: (requestId, error) => {
+        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        entryLog.error('request failed unexpectedly', { requestId, reason });
+      },
+    });
+  }
+
+  private createPath(): proxy.RequestPath {
+    const { control, settings: daemonSettings } = this.options;
+    const retryBudget = new proxy.RetryBudget();
+    const reportUnreachable = (peer: string): void => control.members.reportUnreachable(peer);
+    const monitor = new proxy.LinkMonitor({ onStalled: reportUnreachable });
+    return new proxy.RequestPath({
+      daemonName: daemonSettings.name,
+      planDispatch: (service, requestId) => this.view.planDispatch(service, requestId),
+      isReachable: (peer) => this.view.isReachable(peer),
+      reportUnreachable,
+      locateKeyHome: (home, incarnation) => this.view.locateKeyHome(home, incarnation),
+      keyIssuer: this.keyIssuer,
+      keyHome: this.keyHome,
+      retryBudget,
+      forwarder: new proxy.PeerForwarder(monitor),
+      runner: new proxy.DispatchRunner({
+        acquire: (cell, request) => this.registry.open(cell).acquire(request),
+        backend: this.backend,
+        retryBudget,
+        crashGuard: { isRefused: () => false, started: () => {}, ended: () => {} },
+      }),
+    });
+  }
+
+  private createEntry(path: proxy.RequestPath): proxy.EntryServer {
+    const { settings: daemonSettings, callerTls, isReady } = this.options;
+    return new proxy.EntryServer({
+      server: this.server,
+      path,
+      limits: daemonSettings.limits,
+      tls: callerTls,
+      isReady,
+      findConfiguration: this.findConfiguration,
+      keyIssuer: this.keyIssuer,
+      chooseKeyHome: (service) => this.view.chooseKeyHome(service),
+      zone: daemonSettings.zone,
+      balancerMilliseconds: daemonSettings.stop.balancerMilliseconds,
+    });
+  }
+}
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -51,6 +51,9 @@
   revisions: zod.array(memberRevisionSchema).max(MAXIMUM_REVISIONS),
 };
 
+/** The incarnation whose idempotency records move, and how often they have moved. */
+const handover = { origin: name, epoch: count };
+
 /** Input and output schema of every procedure. */
 export const procedures = {
   /** Asks whether a member runs; `join` asks for every member that it knows. */
@@ -110,21 +113,17 @@
   },
   /** Hands over idempotency records, which stay inactive. */
   installRecords: {
-    input: zod.strictObject({
-      from: name,
-      incarnation: count,
-      records: zod.array(record).max(MAXIMUM_RECORDS),
-    }),
+    input: zod.strictObject({ ...handover, records: zod.array(record).max(MAXIMUM_RECORDS) }),
     output: zod.strictObject({ installed: count }),
   },
   /** Puts the records of a stopped daemon in force. */
   activateRecords: {
-    input: zod.strictObject({ from: name, incarnation: count, records: count }),
+    input: zod.strictObject({ ...handover, recordCount: count }),
     output: zod.strictObject({ activated: zod.boolean() }),
   },
   /** Replaces a record whose request ended after the records were handed over. */
   completeRecord: {
-    input: zod.strictObject({ from: name, incarnation: count, record }),
+    input: zod.strictObject({ ...handover, record }),
     output: zod.strictObject({ completed: zod.boolean() }),
   },
   /** Shares the fingerprints of requests that crashed backend servers. */
