Add the operators' commands and the table of result codes

Cause: operators plan, change, inspect and roll back the configuration from the command line, and look up what a result code means.

Change: dogwoodstall has the commands plan, configuration, service, status, explain, token and fleet-key and a client of the administration API, which sends a change again under the same id when its answer is lost.

--- /dev/null
+++ b/packages/daemon/command-line/src/administration-client.ts
@@ -0,0 +1,172 @@
+/**
+ * A client of the administration API.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import * as undici from 'undici';
+import type {
+  Acceptance,
+  EntityPage,
+  FleetStatus,
+  HistoryPage,
+  Preview,
+} from './administration-answers.js';
+import { createError } from './administration-error.js';
+
+const REQUEST_MILLISECONDS = 35_000;
+const SUBMIT_ATTEMPTS = 3;
+const RETRY_MILLISECONDS = 500;
+
+/** Where the administration API is and who asks. */
+export interface ClientOptions {
+  /** `http://192.0.2.1:8082` or `https://…`. */
+  readonly address: string;
+  readonly token: string;
+  /** PEM text of the authority that signed the certificate of the API. */
+  readonly authority?: string | undefined;
+}
+
+/** A request to restore an older revision. */
+export interface Rollback extends Omit<model.ChangeDraft, 'operations'> {
+  /** The revision whose content is restored. */
+  readonly revision: number;
+}
+
+// A change that may have been accepted is sent again under the same id, which is answered with the
+// revision of the accepted change.
+function isUncertain(error: unknown): boolean {
+  return (
+    results.isFailure(error, 'AdministrationUnreachable') ||
+    results.isFailure(error, 'ConfigurationOutcomeUnknown')
+  );
+}
+
+/** Calls the administration API of one daemon. */
+export class AdministrationClient {
+  private readonly agent: undici.Agent;
+
+  constructor(private readonly options: ClientOptions) {
+    this.agent = new undici.Agent({
+      headersTimeout: REQUEST_MILLISECONDS,
+      bodyTimeout: REQUEST_MILLISECONDS,
+      ...(options.authority !== undefined && { connect: { ca: options.authority } }),
+    });
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.close();
+  }
+
+  /** Returns one entity and the revision at which it was read. */
+  async getEntity(
+    kind: model.EntityKind,
+    name: string,
+  ): Promise<{ revision: number; entity: Record<string, unknown> }> {
+    return this.call('GET', `/v1/configuration/${kind}/${encodeURIComponent(name)}`);
+  }
+
+  /** Returns the entities of a kind that the token may read. */
+  async listEntities<Kind extends model.EntityKind>(
+    kind: Kind,
+  ): Promise<EntityPage<model.EntityByKind[Kind]>> {
+    return this.call('GET', `/v1/configuration/${kind}`);
+  }
+
+  /**
+   * Submits a change; sends it again under the same id when the answer is lost.
+   *
+   * Throws `AdministrationError` with the difference when others changed the same entities.
+   */
+  async submit(draft: model.ChangeDraftInput): Promise<Acceptance> {
+    return this.callRepeatedly('/v1/changes', draft);
+  }
+
+  /** Returns what a draft would change and the problems that would refuse it. */
+  async preview(
+    draft: Pick<model.ChangeDraftInput, 'baseRevision' | 'operations'>,
+  ): Promise<Preview> {
+    return this.call('POST', '/v1/changes/preview', draft);
+  }
+
+  /** Returns accepted changes after a revision. */
+  async listChanges(after: number, limit: number): Promise<HistoryPage> {
+    return this.call('GET', `/v1/changes?after=${after}&limit=${limit}`);
+  }
+
+  /** Restores the content of an older revision as a new one. */
+  async rollBack(rollback: Rollback): Promise<Acceptance> {
+    return this.callRepeatedly('/v1/rollback', rollback);
+  }
+
+  /** Returns the accepted revision and the revisions in force by zone. */
+  async getStatus(): Promise<FleetStatus> {
+    return this.call('GET', '/v1/status');
+  }
+
+  /** Returns what the daemon knows of endpoints, health, drains and members. */
+  async getDaemon(): Promise<Record<string, unknown>> {
+    return this.call('GET', '/v1/daemon');
+  }
+
+  /** Returns the decisions about a request. */
+  async explain(requestId: string): Promise<Record<string, unknown>> {
+    return this.call('GET', `/v1/explain/${encodeURIComponent(requestId)}`);
+  }
+
+  private async callRepeatedly(
+    path: string,
+    body: Pick<model.ChangeDraft, 'id' | 'baseRevision'>,
+  ): Promise<Acceptance> {
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        return await this.call<Acceptance>('POST', path, body);
+      } catch (error) {
+        if (!isUncertain(error)) {
+          throw error;
+        }
+        if (attempt === SUBMIT_ATTEMPTS) {
+          const message = `${results.toFailure(error).message}; repeat the command with --id ${body.id} --base ${body.baseRevision} to learn the outcome`;
+          throw new results.FailureError(results.toFailure(error).kind, message, { cause: error });
+        }
+      }
+      await delay(RETRY_MILLISECONDS);
+    }
+  }
+
+  private async call<Body>(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Body> {
+    const { status, text } = await this.send(method, path, body);
+    let answer: unknown;
+    try {
+      answer = JSON.parse(text);
+    } catch (error) {
+      const message = `the answer of ${this.options.address} with status ${status} is not JSON`;
+      throw new results.FailureError('AdministrationAnswerInvalid', message, { cause: error });
+    }
+    if (status !== 200) {
+      throw createError(status, answer);
+    }
+    return answer as Body;
+  }
+
+  private async send(
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+  ): Promise<{ status: number; text: string }> {
+    try {
+      const response = await undici.request(`${this.options.address}${path}`, {
+        method,
+        dispatcher: this.agent,
+        headers: { authorization: `Bearer ${this.options.token}` },
+        ...(body !== undefined && { body: JSON.stringify(body) }),
+      });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      const message = `${this.options.address} did not answer: ${reason}`;
+      throw new results.FailureError('AdministrationUnreachable', message, { cause: error });
+    }
+  }
+}
--- a/packages/daemon/command-line/src/options.ts
+++ b/packages/daemon/command-line/src/options.ts
@@ -1,7 +1,12 @@
 /**
  * Options that several commands share.
  */
+import { randomUUID } from 'node:crypto';
+import * as os from 'node:os';
 import * as cmd from 'cmd-ts';
+import * as model from '@dogwoodstall/model';
+import * as settings from '@dogwoodstall/settings';
+import { AdministrationClient } from './administration-client.js';
 
 /** Prints data as JSON. */
 export const jsonFlag = cmd.flag({
@@ -10,3 +15,118 @@
   type: cmd.boolean,
   defaultValue: () => false,
 });
+
+const addressType = cmd.extendType(cmd.string, {
+  displayName: 'URL',
+  from: async (text) => {
+    if (!/^https?:\/\/[^/]+\/?$/.test(text)) {
+      throw new Error('expected an address such as http://127.0.0.1:8082');
+    }
+    return text.replace(/\/$/, '');
+  },
+});
+
+const revisionType = cmd.extendType(cmd.string, {
+  displayName: 'REVISION',
+  from: async (text) => {
+    if (!/^\d{1,12}$/.test(text)) {
+      throw new Error('expected a revision, a number from 0');
+    }
+    return Number(text);
+  },
+});
+
+/** A kind of entity. */
+export const kindType = cmd.oneOf(Object.keys(model.entitySchemas) as model.EntityKind[]);
+
+/** The kind of the entity that a command concerns. */
+export const kindPositional = cmd.positional({
+  displayName: 'KIND',
+  description: `one of ${Object.keys(model.entitySchemas).join(', ')}`,
+  type: kindType,
+});
+
+/** Where the administration API is and who asks. */
+export const connectionOptions = {
+  address: cmd.option({
+    long: 'address',
+    env: 'DOGWOODSTALL_ADDRESS',
+    type: addressType,
+    description: 'address of the administration API, http://… or https://…',
+  }),
+  token: cmd.option({
+    long: 'token',
+    env: 'DOGWOODSTALL_TOKEN',
+    description: 'administration token; the environment variable keeps it out of the process list',
+  }),
+  authority: cmd.option({
+    long: 'authority',
+    env: 'DOGWOODSTALL_AUTHORITY',
+    type: cmd.optional(cmd.string),
+    description: 'PEM file of the authority that signed the certificate of the API',
+  }),
+};
+
+/** What describes a change. */
+export const changeOptions = {
+  reason: cmd.option({
+    long: 'reason',
+    type: cmd.optional(cmd.string),
+    description: 'why the change is made; kept in the history',
+  }),
+  author: cmd.option({
+    long: 'author',
+    description: 'who makes the change; kept in the history',
+    defaultValue: () => os.userInfo().username,
+    defaultValueIsSerializable: true,
+  }),
+  base: cmd.option({
+    long: 'base',
+    type: cmd.optional(revisionType),
+    description: 'the revision that the change was written for',
+  }),
+  id: cmd.option({
+    long: 'id',
+    description: 'change id; the same id is accepted once, however often it is sent',
+    defaultValue: () => randomUUID(),
+  }),
+};
+
+/** A revision as an argument. */
+export const revisionPositional = cmd.positional({
+  displayName: 'REVISION',
+  description: 'a revision from the history',
+  type: revisionType,
+});
+
+/** The values of `connectionOptions`. */
+export interface ConnectionValues {
+  readonly address: string;
+  readonly token: string;
+  readonly authority: string | undefined;
+}
+
+/** The values of `changeOptions`. */
+export interface ChangeValues {
+  readonly reason: string | undefined;
+  readonly author: string;
+  readonly base: number | undefined;
+  readonly id: string;
+}
+
+/** Runs a function with a client and closes the client. */
+export async function withClient<Value>(
+  { address, token, authority }: ConnectionValues,
+  run: (client: AdministrationClient) => Promise<Value>,
+): Promise<Value> {
+  const client = new AdministrationClient({
+    address,
+    token,
+    authority: authority === undefined ? undefined : await settings.readTextFile(authority),
+  });
+  try {
+    return await run(client);
+  } finally {
+    await client.close();
+  }
+}
--- a/packages/daemon/command-line/src/program.ts
+++ b/packages/daemon/command-line/src/program.ts
@@ -3,7 +3,14 @@
  */
 import * as cmd from 'cmd-ts';
 import * as results from '@dogwoodstall/results';
+import { AdministrationError } from './administration-error.js';
+import { configurationCommands } from './commands/configuration.js';
 import { checkSettingsCommand, daemonCommand } from './commands/daemon.js';
+import { planCommand } from './commands/plan.js';
+import { fleetKeyCommands, tokenCommands } from './commands/secrets.js';
+import { serviceCommands } from './commands/service.js';
+import { explainCommand, statusCommand } from './commands/status.js';
+import { formatDifference } from './difference-text.js';
 import { formatFailure } from './output.js';
 
 /** Exit codes of the program. */
@@ -17,6 +24,13 @@
   cmds: {
     daemon: daemonCommand,
     'check-settings': checkSettingsCommand,
+    plan: planCommand,
+    configuration: configurationCommands,
+    service: serviceCommands,
+    status: statusCommand,
+    explain: explainCommand,
+    token: tokenCommands,
+    'fleet-key': fleetKeyCommands,
   },
 });
 
@@ -32,6 +46,11 @@
     return exitCode === 0 ? exitCodes.success : exitCodes.usage;
   } catch (error) {
     process.stderr.write(`${formatFailure(results.toFailure(error))}\n`);
+    if (error instanceof AdministrationError) {
+      for (const line of formatDifference(error.difference)) {
+        process.stderr.write(`${line}\n`);
+      }
+    }
     return exitCodes.failure;
   }
 }
--- /dev/null
+++ b/packages/daemon/command-line/test/program.test.ts
@@ -0,0 +1,154 @@
+import * as assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import * as path from 'node:path';
+import { after, before, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { runBuiltProgram, StubServer } from './stub-server.js';
+
+const server = new StubServer();
+const answers = fileURLToPath(
+  new URL('../../../../../examples/cadeaupot/questionnaire.toml', import.meta.url),
+);
+let address = '';
+let directory = '';
+
+before(async () => {
+  address = await server.start();
+  directory = await mkdtemp(path.join(tmpdir(), 'command-line-'));
+});
+
+after(async () => {
+  await server.stop();
+  await rm(directory, { recursive: true });
+});
+
+async function writeTemporary(name: string, content: string): Promise<string> {
+  const file = path.join(directory, name);
+  await writeFile(file, content);
+  return file;
+}
+
+const zoneChange = `reason = "new zone"
+[[operations]]
+action = "put"
+kind = "zone"
+[operations.entity]
+name = "zone-b"
+region = "north"
+`;
+
+const accepted = { status: 200, body: { id: 'change-id', revision: 8, repeated: true } };
+
+test('help and version end with 0, wrong usage with 2', async () => {
+  for (const words of [['--help'], ['configuration', 'apply', '--help'], ['--version']]) {
+    assert.equal((await runBuiltProgram(words)).code, 0, words.join(' '));
+  }
+  for (const words of [['unknown'], ['daemon'], ['status'], ['configuration', 'get', 'nothing']]) {
+    const { code, errors } = await runBuiltProgram(words);
+    assert.equal(code, 2, words.join(' '));
+    assert.notEqual(errors, '');
+  }
+});
+
+test('invalid settings end with 1 and name result code, file, line and key', async () => {
+  const file = await writeTemporary('daemon.toml', 'name = "d"\nzone = 4\n');
+  const { code, errors } = await runBuiltProgram(['check-settings', file]);
+  assert.equal(code, 1);
+  assert.match(errors, /result 1003 SettingsInvalid/);
+  assert.match(errors, /daemon\.toml:2: zone: expected string, received number/);
+});
+
+test('a daemon with unreadable settings ends with 1 before it starts', async () => {
+  const { code, errors } = await runBuiltProgram(['daemon', '--settings', '/nonexistent.toml']);
+  assert.equal(code, 1);
+  assert.match(errors, /result 1001 SettingsUnreadable/);
+});
+
+test('a plan is written as a change file that apply submits, with its reasons printed', async () => {
+  const file = path.join(directory, 'plan.toml');
+  const planned = await runBuiltProgram(['plan', answers, '--output', file]);
+  assert.equal(planned.code, 0, planned.errors);
+  assert.match(
+    planned.output,
+    /service\/potbeheer +deadlineMilliseconds +1984 +callers wait 2000 ms/,
+  );
+  server.expect(accepted);
+  const applied = await runBuiltProgram(['configuration', 'apply', file, '--base', '0'], address);
+  assert.equal(applied.code, 0, applied.errors);
+  const operations = server.requests[0]?.body.operations as { kind: string }[];
+  assert.equal(operations.filter(({ kind }) => kind === 'backendServer').length, 36);
+});
+
+test('a change whose answer is lost is sent again under the same id and base', async () => {
+  const file = await writeTemporary('change.toml', zoneChange);
+  server.expect('lost', accepted);
+  const words = ['configuration', 'apply', file, '--base', '7', '--json'];
+  const { code, output } = await runBuiltProgram(words, address);
+  assert.equal(code, 0);
+  assert.equal((JSON.parse(output) as { revision: number }).revision, 8);
+  const [first, second] = server.requests;
+  assert.deepEqual(first, second);
+});
+
+test('a conflict ends with 1 and shows what others changed', async () => {
+  const file = await writeTemporary('change.toml', zoneChange);
+  const difference = [
+    { kind: 'zone', name: 'zone-b', before: { region: 'north' }, after: { region: 'south' } },
+  ];
+  const error = { code: 6003, name: 'ConfigurationConflict', message: 'changed', difference };
+  server.expect({ status: 409, body: { error } });
+  const words = ['configuration', 'apply', file, '--base', '7'];
+  const { code, errors } = await runBuiltProgram(words, address);
+  assert.equal(code, 1);
+  assert.match(errors, /result 6003 ConfigurationConflict/);
+  assert.match(errors, /region: "north" -> "south"/);
+});
+
+test('a change without a base is refused when it would alter what nobody looked at', async () => {
+  const file = await writeTemporary('change.toml', zoneChange);
+  const entity = { name: 'zone-b', region: 'north' };
+  const difference = [{ kind: 'zone', name: 'zone-b', before: { region: 'x' }, after: entity }];
+  const preview = { revision: 7, difference, problems: [] };
+  server.expect(
+    { status: 200, body: { acceptedRevision: 7, zones: [] } },
+    { status: 200, body: preview },
+  );
+  const { code, errors } = await runBuiltProgram(['configuration', 'apply', file], address);
+  assert.equal(code, 1);
+  assert.match(errors, /give --base 7/);
+  assert.deepEqual(
+    server.requests.map((request) => request.path),
+    ['/v1/status', '/v1/changes/preview'],
+  );
+});
+
+test('an entity that get prints is put back on the revision at which it was read', async () => {
+  const entity = { name: 'zone-b', region: 'north' };
+  server.expect({ status: 200, body: { revision: 5, kind: 'zone', entity } });
+  const read = await runBuiltProgram(['configuration', 'get', 'zone', 'zone-b'], address);
+  const file = await writeTemporary('zone.toml', read.output);
+  server.expect(accepted);
+  const written = await runBuiltProgram(['configuration', 'put', 'zone', file], address);
+  assert.equal(written.code, 0, written.errors);
+  assert.equal(server.requests[0]?.body.baseRevision, 5);
+  assert.deepEqual(server.requests[0].body.operations, [{ action: 'put', kind: 'zone', entity }]);
+});
+
+test('an answer that is not JSON and an absent API have their own result codes', async () => {
+  server.expect({ status: 200, body: undefined });
+  const invalid = await runBuiltProgram(['configuration', 'status'], address);
+  assert.match(invalid.errors, /result 1008 AdministrationAnswerInvalid/);
+  const absent = await runBuiltProgram(['configuration', 'status'], 'http://127.0.0.1:1');
+  assert.equal(absent.code, 1);
+  assert.match(absent.errors, /result 1007 AdministrationUnreachable/);
+});
+
+test('a new token is printed with the digest of exactly that token', async () => {
+  const { output } = await runBuiltProgram(['token', 'new', '--json']);
+  const { token, digest } = JSON.parse(output) as { token: string; digest: string };
+  assert.equal(createHash('sha256').update(token).digest('hex'), digest);
+  const key = await runBuiltProgram(['fleet-key', 'new']);
+  assert.match(key.output, /^[0-9a-f]{64}\n$/);
+});
--- a/packages/foundation/results/src/codes/settings.ts
+++ b/packages/foundation/results/src/codes/settings.ts
@@ -10,4 +10,7 @@
   ListenFailed: defineResult(1004, 500, 'not-applicable', 'An address from the settings could not be bound.'),
   QuestionnaireInvalid: defineResult(1005, 400, 'not-applicable', 'The questionnaire answers are incomplete or contradict each other.'),
   KeyFileInvalid: defineResult(1006, 500, 'not-applicable', 'A key or certificate file could not be read or parsed.'),
+  AdministrationUnreachable: defineResult(1007, 503, 'not-applicable', 'The administration API did not answer.'),
+  AdministrationAnswerInvalid: defineResult(1008, 502, 'not-applicable', 'The answer is not one of the administration API.'),
+  OutputUnwritable: defineResult(1009, 500, 'not-applicable', 'A file with output of a command could not be written.'),
 } as const;
