--- a/packages/administration/administration-api/src/authority.ts
+++ b/packages/administration/administration-api/src/authority.ts
@@ -1,6 +1,7 @@
 /**
  * What a principal may read and write.
  */
+import { isDeepStrictEqual } from 'node:util';
 import type * as model from '@dogwoodstall/model';
 import * as results from '@dogwoodstall/results';
 import type { Principal } from './principal.js';
@@ -140,6 +141,14 @@
   }
 }
 
+// A generated plan contains its zones; an organisation may submit it again when they are the same.
+function isUnchangedZone(current: model.Configuration, operation: model.Operation): boolean {
+  if (operation.action !== 'put' || operation.kind !== 'zone') {
+    return false;
+  }
+  return isDeepStrictEqual(current.zones.get(operation.entity.name), operation.entity);
+}
+
 /**
  * Throws `AdministrationForbidden` when operations go beyond the authority of a principal, and
  * `ConfigurationInvalid` when an operator gives one token to two organisations.
@@ -160,6 +169,9 @@
   for (const operation of operations) {
     const name = operation.action === 'put' ? operation.entity.name : operation.name;
     const isExisting = current.entities(operation.kind).has(name);
+    if (isUnchangedZone(current, operation)) {
+      continue;
+    }
     const isForeign = findOwner(current, operation.kind, name) !== organisation;
     if (isExisting && isForeign) {
       refuse();
--- a/packages/administration/administration-api/test/authority.test.ts
+++ b/packages/administration/administration-api/test/authority.test.ts
@@ -103,6 +103,7 @@
 
 test('an organisation changes its own tokens, services and routes', async () => {
   const answer = await fixture.submit(tokens.shop, [
+    { action: 'put', kind: 'zone', entity: { name: 'zone-a', region: 'north' } },
     {
       action: 'put',
       kind: 'organisation',
--- a/packages/daemon/command-line/src/commands/configuration-write.ts
+++ b/packages/daemon/command-line/src/commands/configuration-write.ts
@@ -29,8 +29,11 @@
     printData(acceptance);
     return;
   }
-  const suffix = acceptance.repeated ? ' (accepted at an earlier attempt)' : '';
-  printLine(`accepted as revision ${acceptance.revision}${suffix}`);
+  printLine(
+    acceptance.repeated
+      ? `already in revision ${acceptance.revision}; nothing was changed`
+      : `accepted as revision ${acceptance.revision}`,
+  );
 }
 
 async function readLatestRevision(client: AdministrationClient): Promise<number> {
@@ -46,18 +49,13 @@
 }
 
 // Without a base, nobody has seen what the change would replace.
-async function chooseBase(
-  client: AdministrationClient,
-  operations: model.Operation[],
-): Promise<number> {
-  const { revision, difference } = await previewAtLatest(client, operations);
+function refuseReplacements({ revision, difference }: Preview): void {
   const replaced = difference.filter(({ before }) => before !== null);
   if (replaced.length > 0) {
     const lines = formatDifference(replaced).join('\n');
     const message = `the change would alter existing entities; check the difference and give --base ${revision}\n${lines}`;
     throw new results.FailureError('ConfigurationConflict', message);
   }
-  return revision;
 }
 
 async function submit(
@@ -66,13 +64,18 @@
   operations: model.Operation[],
   defaultReason: string,
 ): Promise<Acceptance> {
-  return client.submit({
-    id: values.id,
-    author: values.author,
-    reason: values.reason ?? defaultReason,
-    baseRevision: values.base ?? (await chooseBase(client, operations)),
-    operations,
-  });
+  const { id, author, base } = values;
+  let baseRevision = base;
+  if (baseRevision === undefined) {
+    const preview = await previewAtLatest(client, operations);
+    refuseReplacements(preview);
+    if (preview.difference.length === 0) {
+      return { id, revision: preview.revision, repeated: true };
+    }
+    baseRevision = preview.revision;
+  }
+  const reason = values.reason ?? defaultReason;
+  return client.submit({ id, author, reason, baseRevision, operations });
 }
 
 /** Creates or replaces one entity. */
