--- a/packages/administration/administration-api/test/fixture.ts
+++ b/packages/administration/administration-api/test/fixture.ts
@@ -29,11 +29,13 @@
 
   readonly published: number[] = [];
 
-  private readonly api: administration.AdministrationApi;
+  readonly api: administration.AdministrationApi;
 
   private origin = '';
 
-  constructor() {
+  private submissions = 0;
+
+  constructor(changed: Partial<administration.AdministrationOptions> = {}) {
     const { log } = this;
     this.log.append({
       id: 'first-change',
@@ -60,6 +62,7 @@
       daemonStatus: () => ({ endpoints: [] }),
       explain: (requestId) =>
         requestId === 'known' ? { requestId, service: 'shop-web', decisions: [] } : undefined,
+      ...changed,
     });
   }
 
@@ -86,8 +89,9 @@
     operations: readonly unknown[],
     options: { id?: string; baseRevision?: number } = {},
   ): Promise<Answer> {
+    this.submissions += 1;
     return this.call(token, 'POST', '/v1/changes', {
-      id: options.id ?? `change-${Math.random()}`,
+      id: options.id ?? `change-number-${this.submissions}`,
       baseRevision: options.baseRevision ?? this.log.changes.length,
       author: 'tester',
       reason: 'test',
--- a/packages/daemon/command-line/src/daemon-program.ts
+++ b/packages/daemon/command-line/src/daemon-program.ts
@@ -12,7 +12,7 @@
   stop(): Promise<void>;
 }
 
-/** Starts a daemon; resolves when it serves. */
+/** Starts a daemon; resolves when it serves, and rejects after it closed what it had opened. */
 export type StartDaemon = (
   settings: settings.Settings,
   options: { readonly log: observability.ProcessLog },
