Name the key of a problem within alternatives

Cause: a wrong field of one operation of a change file was reported for the operation as a whole, and locating keys took time quadratic in the length of the file.

Change: the alternative whose fixed values fit best is reported field by field; lines are counted once; the parser decodes quoted keys.

--- a/packages/administration/administration-api/src/http.ts
+++ b/packages/administration/administration-api/src/http.ts
@@ -34,6 +34,30 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
+function countMismatches(issues: readonly zod.core.$ZodIssue[]): number {
+  return issues.filter((issue) => issue.code === 'invalid_value').length;
+}
+
+// Within alternatives, the one whose fixed values fit best is the one that the writer meant.
+function describeIssues(
+  issues: readonly zod.core.$ZodIssue[],
+  prefix: readonly PropertyKey[],
+): string[] {
+  const lines: string[] = [];
+  for (const issue of issues) {
+    const path = [...prefix, ...issue.path];
+    const alternatives = issue.code === 'invalid_union' ? [...issue.errors] : [];
+    alternatives.sort((left, right) => countMismatches(left) - countMismatches(right));
+    const [best] = alternatives;
+    if (best === undefined) {
+      lines.push(`${path.map(String).join('.') || 'body'}: ${issue.message}`);
+    } else {
+      lines.push(...describeIssues(best, path));
+    }
+  }
+  return lines;
+}
+
 /** Returns a value that fits a schema; throws `kind` with every problem. */
 export function checkShape<Schema extends zod.ZodType>(
   value: unknown,
@@ -44,9 +68,7 @@
   if (parsed.success) {
     return parsed.data;
   }
-  const lines = parsed.error.issues
-    .slice(0, MAXIMUM_REPORTED_ISSUES)
-    .map((issue) => `${issue.path.map(String).join('.') || 'body'}: ${issue.message}`);
+  const lines = describeIssues(parsed.error.issues, []).slice(0, MAXIMUM_REPORTED_ISSUES);
   throw new results.FailureError(kind, lines.join('\n'));
 }
 
--- a/packages/administration/administration-api/test/submission.test.ts
+++ b/packages/administration/administration-api/test/submission.test.ts
@@ -135,7 +135,8 @@
 });
 
 test('a body that is no change is refused with the fields that are wrong', async () => {
-  const { body } = await fixture.submit(tokens.operator, [{ action: 'put', kind: 'zone' }]);
+  const entity = { name: 'zone-b' };
+  const { body } = await fixture.submit(tokens.operator, [{ action: 'put', kind: 'zone', entity }]);
   assert.equal(body.error?.name, 'ConfigurationInvalid');
-  assert.match(body.error.message, /operations\.0/);
+  assert.match(body.error.message, /^operations\.0\.entity\.region: .*string/);
 });
--- a/packages/configuration/settings/src/key-scanner.ts
+++ b/packages/configuration/settings/src/key-scanner.ts
@@ -2,12 +2,14 @@
  * A pass over TOML text that collects the line of each key. It expects text that the parser accepted.
  */
 
+import * as toml from 'smol-toml';
+
 /** The path of a value: keys of tables and indexes of arrays. */
 export type KeyPath = readonly (string | number)[];
 
 const BARE_KEY = /[A-Za-z0-9_-]+/y;
 const SCALAR = /[^,\]}\n#]+/y;
-const ESCAPED_KEY_QUOTE = '"';
+const LINE_FEED = 10;
 
 /** Returns a key path as the key of a map. */
 export function pathKey(path: KeyPath): string {
@@ -22,6 +24,10 @@
 
   private position = 0;
 
+  private countedPosition = 0;
+
+  private line = 1;
+
   constructor(private readonly text: string) {}
 
   /** Reads the whole text and returns the lines by `pathKey`. */
@@ -45,8 +51,15 @@
     return this.text.charAt(this.position);
   }
 
+  // Counts on from the last position, so that the pass stays linear in the length of the text.
   private currentLine(): number {
-    return this.text.slice(0, this.position).split('\n').length;
+    while (this.countedPosition < this.position) {
+      if (this.text.charCodeAt(this.countedPosition) === LINE_FEED) {
+        this.line += 1;
+      }
+      this.countedPosition += 1;
+    }
+    return this.line;
   }
 
   private record(path: KeyPath, line: number): void {
@@ -127,7 +140,8 @@
       const start = this.position;
       this.skipString();
       const quoted = this.text.slice(start, this.position);
-      return quote === ESCAPED_KEY_QUOTE ? (JSON.parse(quoted) as string) : quoted.slice(1, -1);
+      // The parser decodes the escapes of the key.
+      return Object.keys(toml.parse(`${quoted} = 0`))[0] ?? quoted;
     }
     return this.takeMatch(BARE_KEY);
   }
--- a/packages/configuration/settings/src/problems.ts
+++ b/packages/configuration/settings/src/problems.ts
@@ -43,7 +43,7 @@
   return current;
 }
 
-function listKnownKeys(schema: zod.core.$ZodType, path: KeyPath): string[] {
+function findSchema(schema: zod.core.$ZodType, path: KeyPath): zod.core.$ZodType | undefined {
   let current = unwrap(schema);
   for (const part of path) {
     if (current instanceof zod.ZodObject && typeof part === 'string') {
@@ -51,10 +51,15 @@
     } else if (current instanceof zod.ZodArray) {
       current = unwrap(current.element);
     } else {
-      return [];
+      return undefined;
     }
   }
-  return current instanceof zod.ZodObject ? Object.keys(current.shape) : [];
+  return current;
+}
+
+function listKnownKeys(schema: zod.core.$ZodType, path: KeyPath): string[] {
+  const found = findSchema(schema, path);
+  return found instanceof zod.ZodObject ? Object.keys(found.shape) : [];
 }
 
 function describeUnit(path: KeyPath): string {
@@ -77,6 +82,41 @@
   return message;
 }
 
+function countMismatches(issues: readonly zod.core.$ZodIssue[]): number {
+  return issues.filter((issue) => issue.code === 'invalid_value').length;
+}
+
+type ConvertIssues = (
+  schema: zod.core.$ZodType,
+  issues: readonly zod.core.$ZodIssue[],
+) => TomlProblem[];
+
+// The alternative that the author meant is the one whose fixed values fit best.
+function convertUnionIssue(
+  schema: zod.core.$ZodType,
+  issue: zod.core.$ZodIssueInvalidUnion,
+  path: KeyPath,
+  convert: ConvertIssues,
+): TomlProblem[] {
+  const union = findSchema(schema, path);
+  let best = -1;
+  let lowest = Number.POSITIVE_INFINITY;
+  for (const [index, issues] of issue.errors.entries()) {
+    const mismatches = countMismatches(issues);
+    if (mismatches < lowest) {
+      lowest = mismatches;
+      best = index;
+    }
+  }
+  const alternative = union instanceof zod.ZodUnion ? union.options[best] : undefined;
+  const issues = issue.errors[best];
+  if (alternative === undefined || issues === undefined) {
+    return [{ path, message: issue.message }];
+  }
+  const problems = convert(alternative, issues);
+  return problems.map((problem) => ({ ...problem, path: [...path, ...problem.path] }));
+}
+
 /** Converts the issues of a schema check; each unknown key becomes a problem of its own. */
 export function convertIssues(
   schema: zod.core.$ZodType,
@@ -87,9 +127,12 @@
     const path = issue.path.map((part) => (typeof part === 'symbol' ? String(part) : part));
     if (issue.code === 'unrecognized_keys') {
       const known = listKnownKeys(schema, path).join(', ');
+      const message = known === '' ? 'unknown key' : `unknown key, expected one of: ${known}`;
       for (const key of issue.keys) {
-        problems.push({ path: [...path, key], message: `unknown key, expected one of: ${known}` });
+        problems.push({ path: [...path, key], message });
       }
+    } else if (issue.code === 'invalid_union') {
+      problems.push(...convertUnionIssue(schema, issue, path, convertIssues));
     } else {
       problems.push({ path, message: describeIssue(issue, path) });
     }
--- a/packages/configuration/settings/test/settings.test.ts
+++ b/packages/configuration/settings/test/settings.test.ts
@@ -121,6 +121,7 @@
     '  { n = "\\"]" },', // 14
     ']', // 15
     'after = 1979-05-27 07:32:00', // 16
+    '"quoted \\U0001F600" = 1', // 17
   ].join('\n');
   const lines = new settings.KeyLines(text);
   const expected: [settings.KeyPath, number][] = [
@@ -134,6 +135,7 @@
     [['servers', 1, 'name'], 11],
     [['servers', 1, 'list', 1, 'n'], 14],
     [['servers', 1, 'after'], 16],
+    [['servers', 1, 'quoted \u{1F600}'], 17],
     [['servers', 1, 'missing'], 10],
   ];
   for (const [keyPath, line] of expected) {
@@ -153,3 +155,20 @@
       error.message.startsWith('x.toml:4: servers[1].slots: expected number'),
   );
 });
+
+test('a problem within one of several alternatives names the key and not only the alternative', () => {
+  const schema = zod.union([
+    zod.strictObject({ kind: zod.literal('zone'), region: zod.string() }),
+    zod.strictObject({ kind: zod.literal('route'), slots: zod.number() }),
+  ]);
+  const list = zod.strictObject({ entries: zod.array(schema) });
+  const text = '[[entries]]\nkind = "route"\nslots = "1"\nregion = "x"\n';
+  assert.throws(
+    () => settings.parseToml(text, 'x.toml', list),
+    (error) =>
+      results.isFailure(error, 'SettingsInvalid') &&
+      /^x\.toml:3: entries\[0\]\.slots: expected number, received string\nx\.toml:4: .*region: unknown key, expected one of: kind, slots$/.test(
+        error.message,
+      ),
+  );
+});
