Reload keys on SIGHUP and stop at a violation when the settings ask for it

Cause: the command line found startDaemon at run time, certificates could not be exchanged without a restart, and randomised runs need a process that ends at the first violation. Change: typed import of the daemon; SIGHUP reads certificates and keys again; setting invariants.stopOnViolation; a daemon that can't bind closes what it opened.

--- a/packages/configuration/settings/src/schema.ts
+++ b/packages/configuration/settings/src/schema.ts
@@ -70,6 +70,11 @@
   balancerMilliseconds: zod.number().int().min(0).default(5000),
 });
 
+const invariantsSchema = zod.strictObject({
+  /** Ends the process at the first violation of an invariant; for randomised runs. */
+  stopOnViolation: zod.boolean().default(false),
+});
+
 const administrationSchema = zod.strictObject({
   /** SHA-256 digests of the tokens with authority over every organisation. */
   operatorTokenDigests: zod.array(tokenDigest).default([]),
@@ -97,6 +102,7 @@
   metrics: metricsSchema.prefault({}),
   limits: limitsSchema.prefault({}),
   stop: stopSchema.prefault({}),
+  invariants: invariantsSchema.prefault({}),
 });
 
 /** The checked settings of one daemon. */
--- a/packages/daemon/command-line/src/commands/daemon.ts
+++ b/packages/daemon/command-line/src/commands/daemon.ts
@@ -2,9 +2,10 @@
  * `dogwoodstall daemon` and `dogwoodstall check-settings`.
  */
 import * as cmd from 'cmd-ts';
+import * as daemon from '@dogwoodstall/daemon';
 import * as observability from '@dogwoodstall/observability';
+import * as results from '@dogwoodstall/results';
 import * as settings from '@dogwoodstall/settings';
-import { startDaemon } from '../daemon-program.js';
 import { printData, printLine } from '../output.js';
 import { jsonFlag } from '../options.js';
 
@@ -24,6 +25,16 @@
   });
 }
 
+// SIGHUP reads certificates and keys again; those in use stay in use when a file is invalid.
+function reloadOnSignal(running: daemon.Daemon, logger: observability.PartLogger): void {
+  process.on('SIGHUP', () => {
+    running.reload().catch((error: unknown) => {
+      const { kind, message } = results.toFailure(error);
+      logger.error('certificates and keys were not read again', { result: kind, reason: message });
+    });
+  });
+}
+
 async function runDaemon(file: string): Promise<void> {
   const loaded = await settings.loadSettings(file);
   const log = new observability.ProcessLog({
@@ -31,7 +42,8 @@
     fields: { daemon: loaded.name, zone: loaded.zone },
   });
   const stopSignal = waitForStopSignal();
-  const running = await startDaemon(loaded, { log });
+  const running = await daemon.startDaemon(loaded, { log });
+  reloadOnSignal(running, log.part('daemon'));
   const signal = await stopSignal;
   log.part('daemon').info('planned stop begins', { signal });
   await running.stop();
--- a/packages/daemon/command-line/src/index.ts
+++ b/packages/daemon/command-line/src/index.ts
@@ -16,4 +16,3 @@
   HistoryPage,
   Preview,
 } from './administration-answers.js';
-export type { RunningDaemon, StartDaemon } from './daemon-program.js';
--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -218,7 +218,8 @@
     this.logger.info('daemon has stopped');
   }
 
-  private async close(): Promise<void> {
+  /** Closes every port and connection at once; a planned stop uses `stop`. */
+  async close(): Promise<void> {
     this.crashReports.stop();
     await this.requests.close();
     await this.administration.close();
@@ -227,6 +228,21 @@
   }
 }
 
+function followViolations(daemonSettings: settings.Settings, log: observability.ProcessLog): void {
+  const logger = log.part('invariant');
+  const { stopOnViolation } = daemonSettings.invariants;
+  results.onViolation((violation) => {
+    const { number } = results.findResult(violation.kind);
+    logger.error('invariant violated', { result: number, ...violation });
+    if (stopOnViolation) {
+      // The log line is written before the uncaught error ends the process.
+      setImmediate(() => {
+        throw new results.FailureError(violation.kind, violation.message);
+      });
+    }
+  });
+}
+
 /**
  * Starts a daemon; resolves when its ports are bound. It takes work as soon as it knows a configuration
  * that is in force.
@@ -237,11 +253,13 @@
   daemonSettings: settings.Settings,
   options: DaemonOptions,
 ): Promise<Daemon> {
-  const invariantLog = options.log.part('invariant');
-  results.onViolation((violation) => {
-    invariantLog.error('invariant violated', { ...violation });
-  });
+  followViolations(daemonSettings, options.log);
   const daemon = new Daemon(daemonSettings, options, await readMaterial(daemonSettings));
-  await daemon.start();
+  try {
+    await daemon.start();
+  } catch (error) {
+    await daemon.close();
+    throw error;
+  }
   return daemon;
 }
