Add the local fleet, npm start and the first two measurements

Cause: measurements and npm start need the whole system as separate processes that are always ended.

Change: the package measure has LocalFleet, the start and measure programs, and the measurements overhead and drain. Two result codes name a process that did not start and an unknown measurement.

Measured: the 5 tests of the package pass with a small fixture in place of the daemon program, which does not exist yet. The measurements were not run.

--- a/packages/foundation/results/src/codes/settings.ts
+++ b/packages/foundation/results/src/codes/settings.ts
@@ -10,4 +10,6 @@
   ListenFailed: defineResult(1004, 500, 'not-applicable', 'An address from the settings could not be bound.'),
   QuestionnaireInvalid: defineResult(1005, 400, 'not-applicable', 'The questionnaire answers are incomplete or contradict each other.'),
   KeyFileInvalid: defineResult(1006, 500, 'not-applicable', 'A key or certificate file could not be read or parsed.'),
+  ProcessStartFailed: defineResult(1051, 500, 'not-applicable', 'A process of the local fleet ended or was not ready in time.'),
+  MeasurementUnknown: defineResult(1052, 404, 'not-applicable', 'No measurement or example has this name.'),
 } as const;
--- /dev/null
+++ b/packages/testing/measure/src/check.ts
@@ -0,0 +1,56 @@
+/**
+ * A handful of requests to a running fleet, to see that it serves.
+ */
+import * as load from '@dogwoodstall/load';
+import * as standIns from '@dogwoodstall/stand-ins';
+import { callerTokenOf } from './fleet/first-change.js';
+import type { LocalFleet } from './fleet/local-fleet.js';
+
+const CHECK_RATE = 20;
+const CHECK_MILLISECONDS = 1000;
+const CHECK_BODY_BYTES = 1000;
+
+/** Returns a request class for each route of the fleet's topology. */
+export function createRouteClasses(fleet: LocalFleet): load.RequestClass[] {
+  return fleet.topology.services.flatMap((service) =>
+    service.routes.map((route) => {
+      const method = route.methods[0] ?? 'GET';
+      return {
+        name: route.name,
+        weight: 1,
+        method,
+        path: `${route.pathPrefix}/1?work=5`,
+        host: route.host,
+        organisationToken: callerTokenOf(service.organisation),
+        bodyBytes: method === 'GET' ? 0 : CHECK_BODY_BYTES,
+        idempotent: route.idempotent,
+        deadlineMilliseconds: 5000,
+      };
+    }),
+  );
+}
+
+/** Sends a few requests to every route; returns the report and whether all of them succeeded. */
+export async function checkFleet(
+  fleet: LocalFleet,
+  seed: number,
+): Promise<{ passed: boolean; report: string }> {
+  const classes = createRouteClasses(fleet);
+  const result = await load.runLoad({
+    targets: [fleet.callerAddress],
+    classes,
+    arrivals: 'constant',
+    profile: load.createFlatProfile(CHECK_RATE),
+    durationMilliseconds: CHECK_MILLISECONDS,
+    seed,
+    createVerifier: standIns.createVerifier,
+  });
+  const { keys } = await fleet.readExecutions();
+  const repeated = Object.values(keys).filter((executions) => executions.started > 1);
+  const { total } = result.book;
+  const answered = total.count('ok') + total.count('late');
+  return {
+    passed: total.requests > 0 && answered === total.requests && repeated.length === 0,
+    report: load.formatTextReport('check', result),
+  };
+}
--- /dev/null
+++ b/packages/testing/measure/src/fleet/daemon-process.ts
@@ -0,0 +1,133 @@
+/**
+ * One daemon of a local fleet as a process that can be killed, paused, stopped and restarted.
+ */
+import * as fileSystem from 'node:fs/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+import * as results from '@dogwoodstall/results';
+import type * as settings from '@dogwoodstall/settings';
+import * as toml from 'smol-toml';
+import * as undici from 'undici';
+import { ManagedProcess, type ProcessEnd } from './managed-process.js';
+
+const READY_POLL_MILLISECONDS = 50;
+const DEFAULT_READY_MILLISECONDS = 20_000;
+const READY_PATH = '/.well-known/dogwoodstall/ready';
+
+/** Where a daemon is and how it is started. */
+export interface DaemonOptions {
+  readonly settings: settings.SettingsInput;
+  readonly settingsFile: string;
+  /** Arguments of Node.js; `daemon --settings FILE` is appended. */
+  readonly command: readonly string[];
+}
+
+/** One daemon. */
+export class DaemonProcess {
+  readonly name: string;
+
+  readonly zone: string;
+
+  readonly region: string;
+
+  /** The port of callers. */
+  readonly callerAddress: string;
+
+  readonly administrationAddress: string;
+
+  readonly settingsFile: string;
+
+  private readonly options: DaemonOptions;
+
+  private process: ManagedProcess | undefined;
+
+  constructor(options: DaemonOptions) {
+    this.options = options;
+    this.settingsFile = options.settingsFile;
+    this.name = options.settings.name;
+    this.zone = options.settings.zone;
+    this.region = options.settings.region;
+    this.callerAddress = options.settings.listen.caller;
+    this.administrationAddress = options.settings.listen.administration;
+  }
+
+  /** The last lines of the daemon's log. */
+  get output(): string {
+    return this.process?.output ?? '';
+  }
+
+  get processId(): number | undefined {
+    return this.process?.processId;
+  }
+
+  /** Starts a fresh process with the same settings; does not wait until it is ready. */
+  async start(): Promise<void> {
+    const { settings: input, settingsFile, command } = this.options;
+    await fileSystem.writeFile(settingsFile, toml.stringify(input));
+    this.process = new ManagedProcess(this.name, [
+      ...command,
+      'daemon',
+      '--settings',
+      settingsFile,
+    ]);
+  }
+
+  /** Waits until the readiness check answers 200; throws `ProcessStartFailed`. */
+  async waitUntilReady(timeoutMilliseconds = DEFAULT_READY_MILLISECONDS): Promise<void> {
+    const { process: started } = this;
+    if (started === undefined) {
+      throw new results.FailureError('ProcessStartFailed', `${this.name} was not started`);
+    }
+    const giveUpAt = performance.now() + timeoutMilliseconds;
+    while (performance.now() < giveUpAt) {
+      if (started.ending !== undefined) {
+        throw started.createFailure('ended before it was ready');
+      }
+      if (await this.isReady()) {
+        return;
+      }
+      await sleep(READY_POLL_MILLISECONDS);
+    }
+    throw started.createFailure('was not ready in time');
+  }
+
+  async isReady(): Promise<boolean> {
+    try {
+      const answer = await undici.request(`http://${this.callerAddress}${READY_PATH}`, {
+        reset: true,
+        headersTimeout: 1000,
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Planned stop by SIGTERM; SIGKILL follows when it takes too long. */
+  async stop(graceMilliseconds?: number): Promise<ProcessEnd | undefined> {
+    return this.process?.stop(graceMilliseconds);
+  }
+
+  /** Ends the process without notice. */
+  async kill(): Promise<void> {
+    await this.process?.kill();
+  }
+
+  /** SIGSTOP: connections stay open and nothing answers. */
+  pause(): void {
+    this.process?.sendSignal('SIGSTOP');
+  }
+
+  /** SIGCONT. */
+  resume(): void {
+    this.process?.sendSignal('SIGCONT');
+  }
+
+  /** Planned stop, then a fresh process that is ready. */
+  async restart(): Promise<ProcessEnd | undefined> {
+    const end = await this.stop();
+    await this.start();
+    await this.waitUntilReady();
+    return end;
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/fleet/managed-process.ts
@@ -0,0 +1,163 @@
+/**
+ * Child processes that are always ended: at the end of the fleet, on errors, and when this process
+ * ends for any reason that it can notice.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import * as fileSystem from 'node:fs/promises';
+import * as operatingSystem from 'node:os';
+import * as path from 'node:path';
+import * as readline from 'node:readline';
+import * as results from '@dogwoodstall/results';
+
+const KEPT_LINES = 200;
+const STOP_MILLISECONDS = 20_000;
+
+const running = new Set<ChildProcess>();
+let exitHandlersInstalled = false;
+
+const temporaryDirectories = new Set<string>();
+
+function killAll(): void {
+  for (const child of running) {
+    child.kill('SIGKILL');
+  }
+}
+
+/** Removes a directory; it is removed as well when a signal ends this process before. */
+export async function removeDirectory(directory: string): Promise<void> {
+  temporaryDirectories.delete(directory);
+  await fileSystem.rm(directory, { recursive: true, force: true });
+}
+
+/** Creates a directory for the files of child processes. */
+export async function createDirectory(): Promise<string> {
+  const prefix = path.join(operatingSystem.tmpdir(), 'dogwoodstall-');
+  const directory = await fileSystem.mkdtemp(prefix);
+  temporaryDirectories.add(directory);
+  return directory;
+}
+
+async function endBySignal(signal: NodeJS.Signals): Promise<void> {
+  killAll();
+  await Promise.allSettled([...temporaryDirectories].map(removeDirectory));
+  // The handler is gone by now, so that the signal has its default effect.
+  process.kill(process.pid, signal);
+}
+
+function installExitHandlers(): void {
+  if (exitHandlersInstalled) {
+    return;
+  }
+  exitHandlersInstalled = true;
+  process.once('exit', killAll);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+    process.once(signal, () => {
+      endBySignal(signal).catch(() => process.kill(process.pid, 'SIGKILL'));
+    });
+  }
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** One child process of Node.js. */
+export class ManagedProcess {
+  readonly name: string;
+
+  /** Resolves when the process ended. */
+  readonly ended: Promise<ProcessEnd>;
+
+  private readonly child: ChildProcess;
+
+  private readonly lines: string[] = [];
+
+  private firstLine: Promise<string>;
+
+  private end: ProcessEnd | undefined;
+
+  constructor(name: string, commandArguments: readonly string[]) {
+    installExitHandlers();
+    this.name = name;
+    this.child = spawn(process.execPath, [...commandArguments], { stdio: 'pipe' });
+    running.add(this.child);
+    // A stand-in that ends first leaves a broken pipe, which is no error of this process.
+    this.child.stdin?.on('error', () => undefined);
+    this.ended = new Promise((resolve) => {
+      this.child.once('error', (error) => this.lines.push(error.message));
+      this.child.once('close', (code, signal) => {
+        running.delete(this.child);
+        this.end = { code, signal };
+        resolve(this.end);
+      });
+    });
+    this.firstLine = new Promise((resolve) => {
+      this.readLines(this.child.stdout, resolve);
+      this.readLines(this.child.stderr, () => undefined);
+    });
+  }
+
+  /** How the process ended; undefined while it runs. */
+  get ending(): ProcessEnd | undefined {
+    return this.end;
+  }
+
+  get processId(): number | undefined {
+    return this.child.pid;
+  }
+
+  /** The last lines of both outputs. */
+  get output(): string {
+    return this.lines.join('\n');
+  }
+
+  /** Returns the first line of the standard output; throws `ProcessStartFailed`. */
+  async waitForFirstLine(): Promise<string> {
+    const line = await Promise.race([this.firstLine, this.ended]);
+    if (typeof line !== 'string') {
+      throw this.createFailure('ended before it listened');
+    }
+    return line;
+  }
+
+  /** Sends a signal; SIGSTOP and SIGCONT pause and resume. */
+  sendSignal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Ends the process: SIGTERM, then SIGKILL after a time. */
+  async stop(graceMilliseconds = STOP_MILLISECONDS): Promise<ProcessEnd> {
+    // A paused process handles SIGTERM only after it was resumed.
+    this.child.kill('SIGCONT');
+    this.child.kill('SIGTERM');
+    const timer = setTimeout(() => this.child.kill('SIGKILL'), graceMilliseconds);
+    const end = await this.ended;
+    clearTimeout(timer);
+    return end;
+  }
+
+  async kill(): Promise<ProcessEnd> {
+    this.child.kill('SIGKILL');
+    return this.ended;
+  }
+
+  /** Returns a failure with the last output. */
+  createFailure(reason: string): results.FailureError {
+    return new results.FailureError('ProcessStartFailed', `${this.name} ${reason}\n${this.output}`);
+  }
+
+  private readLines(stream: NodeJS.ReadableStream | null, onLine: (line: string) => void): void {
+    if (stream === null) {
+      return;
+    }
+    readline.createInterface({ input: stream }).on('line', (line) => {
+      this.lines.push(line);
+      if (this.lines.length > KEPT_LINES) {
+        this.lines.shift();
+      }
+      onLine(line);
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/fleet/platform.ts
@@ -0,0 +1,61 @@
+/**
+ * The stand-ins of a local fleet as separate processes.
+ */
+import { createRequire } from 'node:module';
+import * as path from 'node:path';
+import type * as standIns from '@dogwoodstall/stand-ins';
+import { ControlClient } from './control-client.js';
+import { ManagedProcess } from './managed-process.js';
+import type { ServiceDescription } from './topology.js';
+
+const entryPoint = createRequire(import.meta.url).resolve('@dogwoodstall/stand-ins');
+const programFile = path.join(path.dirname(entryPoint), 'program.js');
+
+/** One stand-in process. */
+export interface StandInProcess {
+  readonly process: ManagedProcess;
+  /** Empty for stand-ins without a service address of their own. */
+  readonly address: string;
+  readonly control: ControlClient;
+  /** The backend servers; empty for other stand-ins. */
+  readonly servers: readonly standIns.BackendListing[];
+}
+
+interface Announcement {
+  readonly address?: string;
+  readonly control: string;
+  readonly servers?: readonly standIns.BackendListing[];
+}
+
+/** Starts a subcommand of the stand-ins program and waits until it listens. */
+export async function startStandIn(
+  subcommand: string,
+  commandArguments: readonly string[] = [],
+): Promise<StandInProcess> {
+  const started = new ManagedProcess(subcommand, [programFile, subcommand, ...commandArguments]);
+  const announced = JSON.parse(await started.waitForFirstLine()) as Announcement;
+  return {
+    process: started,
+    address: announced.address ?? '',
+    control: new ControlClient(announced.control),
+    servers: announced.servers ?? [],
+  };
+}
+
+/** Starts the backend servers of one service in one process. */
+export async function startBackends(
+  service: ServiceDescription,
+  seed: number,
+): Promise<StandInProcess> {
+  const servers = Array.from({ length: service.serverCount }, (_, index) => ({
+    name: `${service.name}-${index + 1}`,
+    slots: service.slots,
+    connectionLimit: service.connectionLimit,
+    workMilliseconds: service.workMilliseconds,
+    variation: service.variation,
+    coldStartFactor: service.coldStartFactor,
+    coldStartMilliseconds: service.coldStartMilliseconds,
+    seed: seed + index,
+  }));
+  return startStandIn('backends', ['--servers', JSON.stringify(servers)]);
+}
