Start load requests on time and compare planned stops with kills

Cause: timers fire up to two milliseconds late, and the 0 ms timer of a backend server takes 1 ms; both hide what a daemon adds. New connections and compilation at the begin of a phase distorted its percentiles.

Change: the load waits for the last milliseconds without a timer, reads answers while it is behind its schedule, and has a warm-up. The measurement drain has killed daemons as its baseline.

--- a/packages/testing/load/src/load.ts
+++ b/packages/testing/load/src/load.ts
@@ -2,7 +2,7 @@
  * Open-loop load. Requests start at their intended times whether or not earlier ones were answered,
  * and latencies are measured from the intended times, so that a stalled service can't hide.
  */
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as yieldToEvents, setTimeout as sleep } from 'node:timers/promises';
 import { generateArrivals, type RateProfile } from './arrivals.js';
 import { runAttempt, type VerifierFactory } from './attempt.js';
 import { runKeyFlow, type KeyFlowResult } from './key-flow.js';
@@ -14,6 +14,8 @@
 const DEFAULT_CONNECTIONS = 256;
 const DEFAULT_INTERVAL_MILLISECONDS = 1000;
 const DEFAULT_RESENDS = 2;
+// Timers fire up to two milliseconds late, which would be counted as latency of the service.
+const TIMER_TOLERANCE_MILLISECONDS = 2;
 
 /** Options of a load. */
 export interface LoadOptions {
@@ -28,6 +30,8 @@
   /** Connections for each target. */
   readonly connections?: number;
   readonly intervalMilliseconds?: number;
+  /** Requests that start in this time at the begin are sent and not summarised. */
+  readonly warmUpMilliseconds?: number;
   /** Checks that an answer is complete and the caller's own. */
   readonly createVerifier?: VerifierFactory;
   /** Further attempts with the same idempotency key. */
@@ -50,6 +54,17 @@
   readonly largestStartDelayMilliseconds: number;
 }
 
+async function waitUntil(startAt: number): Promise<void> {
+  const wait = startAt - performance.now();
+  if (wait > TIMER_TOLERANCE_MILLISECONDS) {
+    await sleep(wait - TIMER_TOLERANCE_MILLISECONDS);
+  }
+  // A load that is behind its schedule must still read answers between its starts.
+  do {
+    await yieldToEvents();
+  } while (performance.now() < startAt);
+}
+
 class LoadRun {
   private readonly options: LoadOptions;
 
@@ -83,10 +98,7 @@
     const pending = new Set<Promise<void>>();
     this.startedAt = performance.now();
     for (const intendedAt of generateArrivals({ ...this.options, kind: this.options.arrivals })) {
-      const wait = this.startedAt + intendedAt - performance.now();
-      if (wait > 1) {
-        await sleep(wait);
-      }
+      await waitUntil(this.startedAt + intendedAt);
       if (this.options.signal?.aborted === true) {
         break;
       }
@@ -110,8 +122,6 @@
   }
 
   private async runRequest(intendedAt: number): Promise<void> {
-    // A timer may fire up to a millisecond early; such a request is measured from its real start.
-    const measuredFrom = Math.min(intendedAt, this.now());
     const requestClass = this.picker.next();
     this.requestNumber += 1;
     const token = `${this.options.seed}-${this.requestNumber}`;
@@ -123,10 +133,12 @@
       ...flow.result,
       className: requestClass.name,
       intendedAt,
-      latencyMilliseconds: this.now() - measuredFrom,
+      latencyMilliseconds: this.now() - intendedAt,
       attempts: flow.attempts,
     };
-    this.book.record(outcome);
+    if (intendedAt >= (this.options.warmUpMilliseconds ?? 0)) {
+      this.book.record(outcome);
+    }
     this.options.onOutcome?.(outcome);
   }
 
--- a/packages/testing/load/test/load.test.ts
+++ b/packages/testing/load/test/load.test.ts
@@ -87,6 +87,19 @@
   assert.ok(result.book.total.latency.p50 >= 150, `p50 is ${result.book.total.latency.p50} ms`);
 });
 
+test('requests of the warm-up are sent and do not enter the figures', async () => {
+  let received = 0;
+  const result = await runAgainst(
+    (_, response) => {
+      received += 1;
+      response.end();
+    },
+    { warmUpMilliseconds: 100 },
+  );
+  assert.ok(result.book.total.requests > 0);
+  assert.ok(received > result.book.total.requests, `${received} requests were received`);
+});
+
 test('cut, foreign, late and failed answers are not counted as good', async () => {
   const kinds = ['cut', 'foreign', 'late', 'failure', 'ok'] as const;
   const classes = kinds.map((kind) => ({
--- a/packages/testing/measure/src/fleet/daemon-process.ts
+++ b/packages/testing/measure/src/fleet/daemon-process.ts
@@ -109,8 +109,8 @@
   }
 
   /** Ends the process without notice. */
-  async kill(): Promise<void> {
-    await this.process?.kill();
+  async kill(): Promise<ProcessEnd | undefined> {
+    return this.process?.kill();
   }
 
   /** SIGSTOP: connections stay open and nothing answers. */
--- a/packages/testing/measure/src/measurements/drain.ts
+++ b/packages/testing/measure/src/measurements/drain.ts
@@ -1,11 +1,13 @@
 /**
  * Rolling replacement of every daemon by SIGTERM under load, with long uploads in flight. Counts the
- * requests that a planned stop cut off.
+ * requests that a planned stop cut off, and as the baseline those that a kill cuts off.
  */
 import * as load from '@dogwoodstall/load';
 import * as standIns from '@dogwoodstall/stand-ins';
 import { callerTokenOf } from '../fleet/first-change.js';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
 import { LocalFleet } from '../fleet/local-fleet.js';
+import type { ProcessEnd } from '../fleet/managed-process.js';
 import { createExampleTopology } from '../fleet/topology.js';
 import {
   roundFigure,
@@ -18,6 +20,7 @@
 const UPLOAD_BYTES = 1_000_000;
 const UPLOAD_MILLISECONDS = 3000;
 const SETTLE_MILLISECONDS = 1000;
+const LONGEST_LOAD_MILLISECONDS = 60_000;
 
 const classes: readonly load.RequestClass[] = [
   {
@@ -61,11 +64,22 @@
   readonly stopMilliseconds: number;
 }
 
-async function replaceDaemons(fleet: LocalFleet): Promise<Replacement[]> {
+/** Ends one daemon: by a planned stop, or without notice for the baseline. */
+type EndDaemon = (daemon: DaemonProcess) => Promise<ProcessEnd | undefined>;
+
+async function replaceDaemons(
+  fleet: LocalFleet,
+  endDaemon: EndDaemon,
+  durationMilliseconds: number,
+): Promise<Replacement[]> {
+  const endAt = performance.now() + durationMilliseconds;
   const replacements: Replacement[] = [];
   for (const daemon of fleet.daemons) {
+    if (performance.now() > endAt) {
+      break;
+    }
     const startedAt = performance.now();
-    const end = await daemon.stop();
+    const end = await endDaemon(daemon);
     const stopMilliseconds = performance.now() - startedAt;
     replacements.push({ exitCode: end?.code ?? null, stopMilliseconds });
     await daemon.start();
@@ -82,39 +96,54 @@
   return Object.values(keys).filter((executions) => executions.started > 1).length;
 }
 
-async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
-  // The load ends when the last daemon was replaced, or when the time is over.
+async function replaceUnderLoad(
+  fleet: LocalFleet,
+  context: MeasurementContext,
+  prefix: string,
+  endDaemon: EndDaemon,
+): Promise<Figures> {
+  const durationMilliseconds = context.durationMilliseconds / 2;
+  // The load ends when the last daemon was replaced.
   const finished = new AbortController();
   const running = load.runLoad({
     targets: [fleet.callerAddress],
     classes,
     arrivals: 'poisson',
     profile: load.createFlatProfile(REQUESTS_PER_SECOND),
-    durationMilliseconds: context.durationMilliseconds,
+    durationMilliseconds: LONGEST_LOAD_MILLISECONDS,
     seed: context.seed,
     createVerifier: standIns.createVerifier,
     signal: finished.signal,
   });
   const [result, replacements] = await Promise.all([
     running,
-    replaceDaemons(fleet).finally(() => finished.abort()),
+    replaceDaemons(fleet, endDaemon, durationMilliseconds).finally(() => finished.abort()),
   ]);
-  const stops = replacements.map(({ stopMilliseconds }) => stopMilliseconds);
-  context.print(load.formatTextReport('drain', result));
+  context.print(load.formatTextReport(`replacement by ${prefix}`, result));
   const { total, classes: byClass } = result.book;
-  return {
+  const uploads = byClass.get('upload');
+  const failedExits = replacements.filter(({ exitCode }) => exitCode !== 0);
+  const stops = replacements.map(({ stopMilliseconds }) => stopMilliseconds);
+  const figures: Figures = {
     replaced_daemons: replacements.length,
-    failed_exits_daemons: replacements.filter(({ exitCode }) => exitCode !== 0).length,
-    longest_stop_ms: roundFigure(Math.max(...stops)),
+    failed_exits_daemons: failedExits.length,
+    longest_stop_ms: roundFigure(Math.max(0, ...stops)),
     requests: total.requests,
     cut_requests: total.count('cut') + total.count('foreign'),
     unanswered_requests: total.count('no-answer') + total.count('gave-up'),
     failed_requests: total.count('failure'),
-    upload_requests: byClass.get('upload')?.requests ?? 0,
-    complete_upload_requests:
-      (byClass.get('upload')?.count('ok') ?? 0) + (byClass.get('upload')?.count('late') ?? 0),
+    upload_requests: uploads?.requests ?? 0,
+    complete_upload_requests: (uploads?.count('ok') ?? 0) + (uploads?.count('late') ?? 0),
     repeated_executions_keys: await countRepeatedExecutions(fleet),
   };
+  const named = Object.entries(figures).map(([name, value]) => [`${prefix}_${name}`, value]);
+  return Object.fromEntries(named) as Figures;
+}
+
+async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
+  const planned = await replaceUnderLoad(fleet, context, 'planned', (daemon) => daemon.stop());
+  const killed = await replaceUnderLoad(fleet, context, 'killed', (daemon) => daemon.kill());
+  return { ...planned, ...killed };
 }
 
 export const measurement: Measurement = {
--- a/packages/testing/measure/src/measurements/overhead.ts
+++ b/packages/testing/measure/src/measurements/overhead.ts
@@ -21,7 +21,9 @@
 const FIRST_SEARCH_RATE = 500;
 const SEARCH_FACTOR = 1.4;
 const HIGHEST_SEARCH_RATE = 20_000;
-const SEARCH_STEP_MILLISECONDS = 1200;
+const SEARCH_STEP_MILLISECONDS = 1000;
+// The first requests of fresh processes and pools measure compilation and connection set-up.
+const WARM_UP_MILLISECONDS = 600;
 // A rate is held when 99.9% of the requests succeed and p99 stays below this.
 const HELD_SHARE = 0.999;
 const HELD_P99_MILLISECONDS = 50;
@@ -73,9 +75,11 @@
 }
 
 async function runPhase(phase: Phase): Promise<load.Summary> {
-  const { requestsPerSecond, ...options } = phase;
+  const { requestsPerSecond, durationMilliseconds, ...options } = phase;
   const result = await load.runLoad({
     ...options,
+    durationMilliseconds: WARM_UP_MILLISECONDS + durationMilliseconds,
+    warmUpMilliseconds: WARM_UP_MILLISECONDS,
     classes: [requestClass],
     arrivals: 'poisson',
     profile: load.createFlatProfile(requestsPerSecond),
@@ -132,11 +136,6 @@
   };
   const { seed, print } = context;
   const durationMilliseconds = (context.durationMilliseconds * PHASE_SHARE) / PHASES;
-  // The first requests of fresh processes measure compilation and connection set-up.
-  for (const targets of Object.values(paths)) {
-    const warmUp = { durationMilliseconds: SEARCH_STEP_MILLISECONDS, seed };
-    await runPhase({ ...warmUp, targets, requestsPerSecond: FIRST_SEARCH_RATE });
-  }
   const low = { seed, durationMilliseconds, requestsPerSecond: LOW_RATE };
   const lowFigures = await compare(paths, 'at_200_per_s', low);
   const held = await findHeldRate(paths.one_daemon, seed);
--- a/packages/testing/stand-ins/src/backend/backend-server.ts
+++ b/packages/testing/stand-ins/src/backend/backend-server.ts
@@ -223,7 +223,11 @@
       const upload = await readUpload(request);
       const age = performance.now() - this.startedAt;
       const milliseconds = this.serviceTime.next(work.workMilliseconds, age);
-      await sleep(milliseconds * this.currentFaults.slowFactor, undefined, { signal });
+      // A timer of 0 ms takes 1 ms, which would hide what a daemon adds to a request.
+      const delay = milliseconds * this.currentFaults.slowFactor;
+      if (delay > 0) {
+        await sleep(delay, undefined, { signal });
+      }
       while (this.currentFaults.stalled) {
         await once(this.events, 'change', { signal });
       }
