Cover load reports, the connection limit and flapping with tests

Cause: three faults of the backend servers had no test, and the settings of the daemons in a local fleet were fixed.

Change: three tests are added; LocalFleet takes settings that replace its own.

--- a/packages/testing/measure/src/fleet/local-fleet.ts
+++ b/packages/testing/measure/src/fleet/local-fleet.ts
@@ -34,6 +34,8 @@
   readonly seed: number;
   /** Arguments of Node.js that start a daemon; the program of the package `command-line` without it. */
   readonly daemonCommand?: readonly string[];
+  /** Settings of every daemon that replace those of the fleet, for example `limits` or `log`. */
+  readonly settings?: Partial<settings.SettingsInput>;
 }
 
 /** Executions that the backend servers counted. */
@@ -270,6 +272,7 @@
       stop: {
         balancerMilliseconds: this.topology.balancerMilliseconds ?? DEFAULT_BALANCER_MILLISECONDS,
       },
+      ...this.options.settings,
     };
   }
 
--- a/packages/testing/stand-ins/test/backend-server.test.ts
+++ b/packages/testing/stand-ins/test/backend-server.test.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
 import * as undici from 'undici';
+import { activeFaults, backendFaultsSchema } from '../src/backend/faults.js';
 import * as standIns from '../src/index.js';
 
 const options = { name: 'server-1', slots: 1, connectionLimit: 50, workMilliseconds: 0 };
@@ -160,3 +161,45 @@
     assert.equal(server.counters.startedWhileDraining, 1);
   });
 });
+
+test('a false load report hides the true load, and its removal shows it again', async () => {
+  await withServer(async ({ server, url }) => {
+    const readReport = async (): Promise<unknown> => {
+      const answer = await undici.request(`${url}/load`);
+      return answer.body.json();
+    };
+    server.setFaults({ stalled: true, falseReport: { inFlight: 7, queued: 9 } });
+    const running = undici.request(`${url}/`);
+    await waitFor(() => server.load.inFlight === 1);
+    assert.deepEqual(await readReport(), { inFlight: 7, queued: 9 });
+    server.setFaults({ falseReport: undefined });
+    assert.deepEqual(await readReport(), { inFlight: 1, queued: 0 });
+    server.setFaults({ reportLagMilliseconds: 60_000 });
+    assert.deepEqual(await readReport(), { inFlight: 0, queued: 0 });
+    server.clearFaults();
+    await (await running).body.dump();
+  });
+});
+
+test('connections above the limit of the server are not served', async () => {
+  await withServer(
+    async ({ server, url }) => {
+      const first = new undici.Client(url);
+      const second = new undici.Client(url);
+      try {
+        await (await first.request({ method: 'GET', path: '/' })).body.dump();
+        await assert.rejects(second.request({ method: 'GET', path: '/' }));
+        assert.equal(server.counters.requests, 1);
+      } finally {
+        await Promise.all([first.destroy(), second.destroy()]);
+      }
+    },
+    { connectionLimit: 1 },
+  );
+});
+
+test('a flapping fault holds in the first half of each period only', () => {
+  const faults = backendFaultsSchema.parse({ failShare: 1, flapPeriodMilliseconds: 100 });
+  const shares = [0, 49, 50, 99, 100].map((elapsed) => activeFaults(faults, elapsed).failShare);
+  assert.deepEqual(shares, [1, 1, 0, 0, 1]);
+});
