--- a/packages/foundation/results/src/invariant.ts
+++ b/packages/foundation/results/src/invariant.ts
@@ -20,7 +20,11 @@
 }
 
 /** Counts and reports a violation. */
-export function reportViolation(name: InvariantName, message: string, details?: FailureDetails): void {
+export function reportViolation(
+  name: InvariantName,
+  message: string,
+  details?: FailureDetails,
+): void {
   violationCounts.set(name, (violationCounts.get(name) ?? 0) + 1);
   listener?.(createFailure(name, message, details));
 }
--- /dev/null
+++ b/packages/testing/measure/src/measurements/drain.ts
@@ -0,0 +1,161 @@
+/**
+ * Rolling replacement of every daemon by SIGTERM under load, with long uploads in flight. Counts the
+ * requests that a planned stop cut off, and as the baseline those that a kill cuts off.
+ */
+import * as load from '@dogwoodstall/load';
+import * as standIns from '@dogwoodstall/stand-ins';
+import { callerTokenOf } from '../fleet/first-change.js';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { LocalFleet } from '../fleet/local-fleet.js';
+import type { ProcessEnd } from '../fleet/managed-process.js';
+import { createExampleTopology } from '../fleet/topology.js';
+import {
+  roundFigure,
+  type Figures,
+  type Measurement,
+  type MeasurementContext,
+} from '../measurement.js';
+
+const REQUESTS_PER_SECOND = 100;
+const UPLOAD_BYTES = 1_000_000;
+const UPLOAD_MILLISECONDS = 3000;
+const SETTLE_MILLISECONDS = 1000;
+const LONGEST_LOAD_MILLISECONDS = 60_000;
+
+const classes: readonly load.RequestClass[] = [
+  {
+    name: 'prices',
+    weight: 0.97,
+    method: 'GET',
+    path: '/prices/1',
+    host: 'avaliacao.test',
+    organisationToken: callerTokenOf('sertao'),
+    idempotent: true,
+    deadlineMilliseconds: 2000,
+  },
+  {
+    name: 'upload',
+    weight: 0.01,
+    method: 'PUT',
+    path: '/documents/1',
+    host: 'arquivo.test',
+    organisationToken: callerTokenOf('sertao'),
+    bodyBytes: UPLOAD_BYTES,
+    bodyMilliseconds: UPLOAD_MILLISECONDS,
+    idempotent: true,
+    deadlineMilliseconds: 30_000,
+    giveUpMilliseconds: 40_000,
+  },
+  {
+    name: 'confirmation',
+    weight: 0.02,
+    method: 'POST',
+    path: '/confirmations/1',
+    host: 'avaliacao.test',
+    organisationToken: callerTokenOf('sertao'),
+    bodyBytes: 200,
+    idempotent: false,
+    deadlineMilliseconds: 2000,
+  },
+];
+
+interface Replacement {
+  readonly exitCode: number | null;
+  readonly stopMilliseconds: number;
+}
+
+/** Ends one daemon: by a planned stop, or without notice for the baseline. */
+type EndDaemon = (daemon: DaemonProcess) => Promise<ProcessEnd | undefined>;
+
+async function replaceDaemons(
+  fleet: LocalFleet,
+  endDaemon: EndDaemon,
+  durationMilliseconds: number,
+): Promise<Replacement[]> {
+  const endAt = performance.now() + durationMilliseconds;
+  const replacements: Replacement[] = [];
+  for (const daemon of fleet.daemons) {
+    if (performance.now() > endAt) {
+      break;
+    }
+    const startedAt = performance.now();
+    const end = await endDaemon(daemon);
+    const stopMilliseconds = performance.now() - startedAt;
+    replacements.push({ exitCode: end?.code ?? null, stopMilliseconds });
+    await daemon.start();
+    await daemon.waitUntilReady();
+    await new Promise((resolve) => {
+      setTimeout(resolve, SETTLE_MILLISECONDS);
+    });
+  }
+  return replacements;
+}
+
+async function countRepeatedExecutions(fleet: LocalFleet): Promise<number> {
+  const { keys } = await fleet.readExecutions();
+  return Object.values(keys).filter((executions) => executions.started > 1).length;
+}
+
+async function replaceUnderLoad(
+  fleet: LocalFleet,
+  context: MeasurementContext,
+  prefix: string,
+  endDaemon: EndDaemon,
+): Promise<Figures> {
+  const durationMilliseconds = context.durationMilliseconds / 2;
+  // The load ends when the last daemon was replaced.
+  const finished = new AbortController();
+  const running = load.runLoad({
+    targets: [fleet.callerAddress],
+    classes,
+    arrivals: 'poisson',
+    profile: load.createFlatProfile(REQUESTS_PER_SECOND),
+    durationMilliseconds: LONGEST_LOAD_MILLISECONDS,
+    seed: context.seed,
+    createVerifier: standIns.createVerifier,
+    signal: finished.signal,
+  });
+  const [result, replacements] = await Promise.all([
+    running,
+    replaceDaemons(fleet, endDaemon, durationMilliseconds).finally(() => finished.abort()),
+  ]);
+  context.print(load.formatTextReport(`replacement by ${prefix}`, result));
+  const { total, classes: byClass } = result.book;
+  const uploads = byClass.get('upload');
+  const failedExits = replacements.filter(({ exitCode }) => exitCode !== 0);
+  const stops = replacements.map(({ stopMilliseconds }) => stopMilliseconds);
+  const figures: Figures = {
+    replaced_daemons: replacements.length,
+    failed_exits_daemons: failedExits.length,
+    longest_stop_ms: roundFigure(Math.max(0, ...stops)),
+    requests: total.requests,
+    cut_requests: total.count('cut') + total.count('foreign'),
+    unanswered_requests: total.count('no-answer') + total.count('gave-up'),
+    failed_requests: total.count('failure'),
+    upload_requests: uploads?.requests ?? 0,
+    complete_upload_requests: (uploads?.count('ok') ?? 0) + (uploads?.count('late') ?? 0),
+    repeated_executions_keys: await countRepeatedExecutions(fleet),
+  };
+  const named = Object.entries(figures).map(([name, value]) => [`${prefix}_${name}`, value]);
+  return Object.fromEntries(named) as Figures;
+}
+
+async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
+  const planned = await replaceUnderLoad(fleet, context, 'planned', (daemon) => daemon.stop());
+  const killed = await replaceUnderLoad(fleet, context, 'killed', (daemon) => daemon.kill());
+  return { ...planned, ...killed };
+}
+
+export const measurement: Measurement = {
+  name: 'drain',
+  summary: 'requests cut by the planned replacement of every daemon, with long uploads in flight',
+  async run(context) {
+    const topology = createExampleTopology();
+    const fleet = await LocalFleet.start({ topology, seed: context.seed });
+    try {
+      return await measureFleet(fleet, context);
+    } finally {
+      await fleet.stop();
+    }
+  },
+};
