--- a/packages/control/configuration-log/test/log.test.ts
+++ b/packages/control/configuration-log/test/log.test.ts
@@ -53,7 +53,7 @@
   const store = new MemoryStore();
   const log = new configurationLog.ConfigurationLog({ store });
   store.beforeTransaction = async () => {
-    store.beforeTransaction = async () => {};
+    store.beforeTransaction = undefined;
     await log.commit(draft('change-a', 0));
   };
   const result = await log.commit(draft('change-b', 0));
--- a/packages/control/configuration-log/test/memory-store.ts
+++ b/packages/control/configuration-log/test/memory-store.ts
@@ -15,7 +15,7 @@
   readonly faults: Fault[] = [];
 
   /** Called before each transaction, to let another writer go first. */
-  beforeTransaction: () => Promise<void> = async () => {};
+  beforeTransaction: (() => Promise<void>) | undefined;
 
   readonly entries = new Map<string, storeClient.StoreEntry>();
 
@@ -32,7 +32,7 @@
   async transact(
     transaction: storeClient.StoreTransaction,
   ): Promise<storeClient.TransactionResult> {
-    await this.beforeTransaction();
+    await this.beforeTransaction?.();
     const fault = this.faults.shift() ?? 'none';
     if (fault === 'lost-request') {
       throw new FailureError('StoreTimeout');
--- a/packages/control/configuration-spread/src/keeper.ts
+++ b/packages/control/configuration-spread/src/keeper.ts
@@ -156,20 +156,13 @@
     let nextStoreTry = 0;
     let attempt = 0;
     while (!signal.aborted && this.state.current === undefined) {
-      try {
-        if (performance.now() >= nextStoreTry) {
-          attempt += 1;
-          nextStoreTry = performance.now() + this.retryMilliseconds(attempt);
-          await this.readWhole();
-        } else {
-          await this.startFromPeers();
-        }
-      } catch (error) {
-        this.startFailure = toFailure(error);
-        this.logFailure('no configuration yet', error);
-        await this.startFromPeers().catch((failure: unknown) => {
-          this.startFailure = toFailure(failure);
-        });
+      if (performance.now() >= nextStoreTry) {
+        attempt += 1;
+        nextStoreTry = performance.now() + this.retryMilliseconds(attempt);
+        await this.tryStart('store', () => this.readWhole());
+      }
+      if (this.state.current === undefined) {
+        await this.tryStart('peers', () => this.startFromPeers());
       }
       if (this.state.current === undefined) {
         await this.pause(this.timings.startUp * (1 + this.fraction()));
@@ -177,6 +170,15 @@
     }
   }
 
+  private async tryStart(source: string, read: () => Promise<void>): Promise<void> {
+    try {
+      await read();
+    } catch (error) {
+      this.startFailure = toFailure(error);
+      this.logFailure(`the ${source} gave no configuration`, error);
+    }
+  }
+
   private async readWhole(): Promise<void> {
     this.state.replaceWhole(await this.options.log.readLatest());
     this.noteStoreRead(performance.now());
--- a/packages/control/configuration-spread/test/fleet.ts
+++ b/packages/control/configuration-spread/test/fleet.ts
@@ -1,12 +1,11 @@
 /**
  * A fleet of keepers at their interfaces: one log in memory, and links that call handlers directly.
  */
-import { EventEmitter, on } from 'node:events';
-import * as model from '@dogwoodstall/model';
 import type * as membership from '@dogwoodstall/membership';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import { FailureError } from '@dogwoodstall/results';
 import * as spread from '../src/index.js';
+import { MemoryLog } from './memory-log.js';
 
 export const fastTimings = {
   exchange: 40,
@@ -18,89 +17,15 @@
   call: 500,
 };
 
-export function createChange(revision: number, reason = 'test'): model.Change {
-  return {
-    id: `change-${revision}`,
-    baseRevision: revision - 1,
-    revision,
-    author: 'tester',
-    reason,
-    acceptedAtEpochMilliseconds: 0,
-    operations: [{ action: 'put', kind: 'zone', entity: { name: `z${revision}`, region: 'r' } }],
-  };
-}
-
-/** The log in the store, in memory; it can be away. */
-export class MemoryLog implements spread.Log {
-  readonly changes: model.Change[] = [];
-
-  away = false;
-
-  readers = 0;
-
-  private readonly emitter = new EventEmitter().setMaxListeners(0);
-
-  commit(reason?: string): model.Change {
-    const change = createChange(this.changes.length + 1, reason);
-    this.changes.push(change);
-    this.emitter.emit('change', change);
-    return change;
-  }
-
-  goAway(): void {
-    this.away = true;
-    this.emitter.emit('error', new FailureError('StoreUnavailable'));
-  }
-
-  async readLatest(): Promise<model.Configuration> {
-    this.check();
-    return this.changes.reduce(
-      (configuration, change) => configuration.apply(change),
-      model.Configuration.empty(),
-    );
-  }
-
-  async readChanges(after: number, limit: number): Promise<model.Change[]> {
-    this.check();
-    return this.changes.slice(after, after + limit);
-  }
-
-  async *follow(
-    after: number,
-    signal: AbortSignal,
-    onAnswer: () => void = () => {},
-  ): AsyncGenerator<model.Change, void, undefined> {
-    this.check();
-    const events = on(this.emitter, 'change', { signal });
-    onAnswer();
-    this.readers += 1;
-    try {
-      yield* this.changes.slice(after);
-      for await (const [change] of events as AsyncIterable<[model.Change]>) {
-        yield change;
-      }
-    } finally {
-      this.readers -= 1;
-    }
-  }
-
-  async writeSnapshot(configuration: model.Configuration): Promise<number> {
-    return configuration.revision;
-  }
-
-  private check(): void {
-    if (this.away) {
-      throw new FailureError('StoreUnavailable');
-    }
-  }
-}
-
 /** One daemon of the fleet. */
 export interface Daemon {
   readonly member: membership.Member;
   readonly keeper: spread.ConfigurationKeeper;
 }
 
+/** The state of the link from one daemon to another. */
+export type LinkFault = (from: string, to: string) => 'open' | 'request-lost' | 'answer-lost';
+
 /** Keepers in several zones, with links that can be cut. */
 export class Fleet {
   readonly daemons = new Map<string, Daemon>();
@@ -110,7 +35,7 @@
   readonly calls: string[] = [];
 
   /** Returns whether a call may reach its target, and whether the answer comes back. */
-  link: (from: string, to: string) => 'open' | 'request-lost' | 'answer-lost' = () => 'open';
+  link: LinkFault | undefined;
 
   readonly log = new MemoryLog();
 
@@ -170,7 +95,7 @@
       });
       const handlers = this.daemons.get(to)?.keeper.handlers as
         Record<string, (input: unknown, caller: peerLink.Caller) => Promise<unknown>> | undefined;
-      const state = this.link(from, to);
+      const state = this.link?.(from, to) ?? 'open';
       if (handlers === undefined || state === 'request-lost') {
         throw new FailureError('PeerUnreachable');
       }
--- /dev/null
+++ b/packages/peers/membership/src/handlers.ts
@@ -0,0 +1,36 @@
+/**
+ * Answers to the probes of other members.
+ */
+import type * as peerLink from '@dogwoodstall/peer-link';
+import { FailureError } from '@dogwoodstall/results';
+import type { MemberTable } from './member-table.js';
+import type { Prober } from './prober.js';
+
+function checkSender(from: peerLink.MemberUpdate, caller: peerLink.Caller): void {
+  if (from.name !== caller.name) {
+    const message = `the certificate of "${caller.name}" sent news as "${from.name}"`;
+    throw new FailureError('PeerUnauthenticated', message);
+  }
+}
+
+/** Creates the functions that answer the procedures of membership. */
+export function createHandlers(
+  table: MemberTable,
+  prober: Prober,
+): Pick<peerLink.PeerHandlers, 'probe' | 'indirectProbe'> {
+  return {
+    probe: async (input, caller) => {
+      checkSender(input.from, caller);
+      table.mergeGossip(input);
+      const gossip = table.takeGossip(input.from.name);
+      return input.join ? { ...gossip, updates: table.listForJoin() } : gossip;
+    },
+    indirectProbe: async (input, caller) => {
+      checkSender(input.from, caller);
+      table.mergeGossip(input);
+      const target = { name: input.target, peerAddress: input.targetAddress };
+      const reached = await prober.probeDirectly(target, false);
+      return { reached, target: reached ? table.find(input.target) : undefined };
+    },
+  };
+}
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -7,12 +7,14 @@
 import * as hashing from '@dogwoodstall/hashing';
 import type * as observability from '@dogwoodstall/observability';
 import type * as peerLink from '@dogwoodstall/peer-link';
-import { FailureError } from '@dogwoodstall/results';
 import * as most from 'most';
+import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
 import { MemberTable } from './member-table.js';
 import { Prober, type MembershipLinks, type ProbeResult } from './prober.js';
 import { RandomChoice } from './random.js';
+import { Rejoiner, type ListedMachine } from './rejoiner.js';
+import { Suspicions } from './suspicions.js';
 import { defaultTimings, type MembershipTimings } from './timings.js';
 
 // Each daemon probes this many members in turn and keeps its connections to them. In a random graph
@@ -25,14 +27,6 @@
 /** A member as seen from this daemon. */
 export type Member = Readonly<peerLink.MemberUpdate>;
 
-/** One VM of the platform's list, as far as membership uses it. */
-export interface ListedMachine {
-  readonly name: string;
-  readonly zone: string;
-  readonly peerAddress: string;
-  readonly state: 'live' | 'leaving';
-}
-
 /** Options of membership. */
 export interface MembershipOptions {
   readonly name: string;
@@ -51,13 +45,6 @@
   readonly seed?: number;
 }
 
-function checkSender(from: peerLink.MemberUpdate, caller: peerLink.Caller): void {
-  if (from.name !== caller.name) {
-    const message = `the certificate of "${caller.name}" sent news as "${from.name}"`;
-    throw new FailureError('PeerUnauthenticated', message);
-  }
-}
-
 /** The members of the fleet, seen from one daemon. */
 export class Membership {
   /** The members after each change of a state, an address or announced data but the revision. */
@@ -74,6 +61,8 @@
 
   private readonly prober: Prober;
 
+  private readonly rejoiner: Rejoiner;
+
   private readonly random: RandomChoice;
 
   private readonly emitter = new EventEmitter();
@@ -82,7 +71,7 @@
 
   private readonly unreachable = new Set<string>();
 
-  private readonly suspicions = new Map<string, NodeJS.Timeout>();
+  private readonly suspicions: Suspicions;
 
   private readonly urgent = new Set<string>();
 
@@ -90,10 +79,6 @@
 
   private turn: string[] = [];
 
-  private nextFailedTry = 0;
-
-  private nextListedTry = 0;
-
   private emitting = false;
 
   private task: Promise<void> | undefined;
@@ -127,10 +112,24 @@
       signal: this.stopping.signal,
       chooseHelpers: (target) => this.chooseHelpers(target),
     });
-    this.handlers = {
-      probe: async (input, caller) => this.answerProbe(input, caller),
-      indirectProbe: async (input, caller) => this.answerIndirectProbe(input, caller),
-    };
+    this.rejoiner = new Rejoiner({
+      name: options.name,
+      peerAddress: options.peerAddress,
+      seeds: options.seeds ?? [],
+      listedMachines: options.listedMachines ?? (() => []),
+      links: options.links,
+      table: this.table,
+      prober: this.prober,
+      timings: this.timings,
+      random: this.random,
+      onReached: (name) => this.unreachable.delete(name),
+    });
+    this.suspicions = new Suspicions({
+      milliseconds: this.timings.suspicion,
+      confirm: (name) => this.confirmSuspicion(name),
+      declareFailed: (name) => this.declareFailed(name),
+    });
+    this.handlers = createHandlers(this.table, this.prober);
   }
 
   /** This daemon as it announces itself. */
@@ -235,9 +234,6 @@
   async stop(): Promise<void> {
     this.stopping.abort();
     this.wake.abort();
-    for (const timer of this.suspicions.values()) {
-      clearTimeout(timer);
-    }
     this.suspicions.clear();
     await this.task;
   }
@@ -247,8 +243,7 @@
     while (!signal.aborted) {
       const startedAt = performance.now();
       await this.probeNext();
-      await this.tryFailedMember();
-      await this.tryUnknownAddress();
+      await this.rejoiner.tryNext();
       this.forgetOldMembers();
       await this.pause(startedAt);
     }
@@ -292,44 +287,23 @@
     if (known.state === 'leaving') {
       this.table.merge({ ...known, state: 'failed' });
     } else if (known.state === 'alive' && this.table.merge({ ...known, state: 'suspect' })) {
-      this.scheduleFailure(known.name, this.timings.suspicion, true);
-    }
-  }
-
-  private scheduleFailure(name: string, milliseconds: number, isOwnSuspicion: boolean): void {
-    clearTimeout(this.suspicions.get(name));
-    if (isOwnSuspicion) {
-      this.suspicions.set(
-        name,
-        setTimeout(() => this.confirmSuspicion(name), milliseconds / 2),
-      );
-      return;
+      this.suspicions.startOwn(known.name);
     }
-    this.suspicions.set(
-      name,
-      setTimeout(() => this.declareFailed(name), milliseconds),
-    );
   }
 
   // The second probe carries the suspicion to the member, so that it can refute in its answer although
   // the news of the refutation would need more rounds in a large fleet.
   private confirmSuspicion(name: string): void {
     const suspect = this.table.find(name);
-    if (suspect?.state !== 'suspect') {
-      return;
+    if (suspect?.state === 'suspect') {
+      this.prober
+        .probe(suspect)
+        .then((result) => this.noteProbe(suspect, result))
+        .catch(() => {});
     }
-    this.suspicions.set(
-      name,
-      setTimeout(() => this.declareFailed(name), this.timings.suspicion / 2),
-    );
-    this.prober
-      .probe(suspect)
-      .then((result) => this.noteProbe(suspect, result))
-      .catch(() => {});
   }
 
   private declareFailed(name: string): void {
-    this.suspicions.delete(name);
     const suspect = this.table.find(name);
     if (suspect?.state === 'suspect') {
       this.table.merge({ ...suspect, state: 'failed' });
@@ -343,10 +317,9 @@
       this.options.logger?.decision('member changed state', { member: name, from, to: state });
     }
     if (state !== 'suspect') {
-      clearTimeout(this.suspicions.get(name));
-      this.suspicions.delete(name);
+      this.suspicions.cancel(name);
     } else if (previous?.state !== 'suspect' || member.counter !== previous.counter) {
-      this.scheduleFailure(name, this.timings.suspicion * 2, false);
+      this.suspicions.startHeard(name);
     }
     if (state === 'failed') {
       this.options.links.forget(name);
@@ -396,69 +369,9 @@
     return this.random.sample(candidates, INDIRECT_PROBES);
   }
 
-  // One failed member in each interval, and the next at once after a success: two parts of a fleet
-  // that lost contact find each other again without a crowd of connections while they are apart.
-  private async tryFailedMember(): Promise<void> {
-    if (performance.now() < this.nextFailedTry) {
-      return;
-    }
-    this.nextFailedTry = performance.now() + this.timings.failedRetry;
-    const failed = [...this.table.peers].filter((member) => member.state === 'failed');
-    const [target] = this.random.sample(failed, 1);
-    if (target === undefined) {
-      return;
-    }
-    if (await this.prober.probeDirectly(target, false)) {
-      this.nextFailedTry = 0;
-      this.unreachable.delete(target.name);
-    } else {
-      this.options.links.forget(target.name);
-    }
-  }
-
-  private async tryUnknownAddress(): Promise<void> {
-    const isAlone = this.livePeers().length === 0;
-    if (!isAlone && performance.now() < this.nextListedTry) {
-      return;
-    }
-    this.nextListedTry = performance.now() + this.timings.listedRetry;
-    const known = new Set([...this.table.peers].map((peer) => peer.peerAddress));
-    known.add(this.options.peerAddress);
-    const listed = (this.options.listedMachines?.() ?? [])
-      .filter((machine) => machine.name !== this.options.name)
-      .map((machine) => machine.peerAddress);
-    const candidates = [...listed, ...(isAlone ? (this.options.seeds ?? []) : [])];
-    const unknown = candidates.filter((address) => !known.has(address));
-    const [peerAddress] = this.random.sample(unknown, 1);
-    if (peerAddress !== undefined) {
-      await this.prober.probeDirectly({ peerAddress }, true);
-    }
-  }
-
   private forgetOldMembers(): void {
     for (const name of this.table.forgetOldFailures(performance.now())) {
       this.unreachable.delete(name);
     }
   }
-
-  private answerProbe(
-    input: peerLink.ProcedureInput<'probe'>,
-    caller: peerLink.Caller,
-  ): peerLink.ProcedureOutput<'probe'> {
-    checkSender(input.from, caller);
-    this.table.mergeGossip(input);
-    const gossip = this.table.takeGossip(input.from.name);
-    return input.join ? { ...gossip, updates: this.table.listForJoin() } : gossip;
-  }
-
-  private async answerIndirectProbe(
-    input: peerLink.ProcedureInput<'indirectProbe'>,
-    caller: peerLink.Caller,
-  ): Promise<peerLink.ProcedureOutput<'indirectProbe'>> {
-    checkSender(input.from, caller);
-    this.table.mergeGossip(input);
-    const target = { name: input.target, peerAddress: input.targetAddress };
-    const reached = await this.prober.probeDirectly(target, false);
-    return { reached, target: reached ? this.table.find(input.target) : undefined };
-  }
 }
--- /dev/null
+++ b/packages/peers/membership/src/rejoiner.ts
@@ -0,0 +1,92 @@
+/**
+ * Tries members that failed and addresses that are not known as members, at bounded rates.
+ */
+import type { MemberTable } from './member-table.js';
+import type { MembershipLinks, Prober } from './prober.js';
+import type { RandomChoice } from './random.js';
+import type { MembershipTimings } from './timings.js';
+
+/** One VM of the platform's list, as far as membership uses it. */
+export interface ListedMachine {
+  readonly name: string;
+  readonly zone: string;
+  readonly peerAddress: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** Options of the rejoiner. */
+export interface RejoinerOptions {
+  readonly name: string;
+  readonly peerAddress: string;
+  readonly seeds: readonly string[];
+  readonly listedMachines: () => readonly ListedMachine[];
+  readonly links: MembershipLinks;
+  readonly table: MemberTable;
+  readonly prober: Prober;
+  readonly timings: MembershipTimings;
+  readonly random: RandomChoice;
+  /** Called with a failed member that answered. */
+  readonly onReached: (name: string) => void;
+}
+
+/** Tries members that failed, and addresses that are not known. */
+export class Rejoiner {
+  private readonly options: RejoinerOptions;
+
+  private nextFailedTry = 0;
+
+  private nextListedTry = 0;
+
+  constructor(options: RejoinerOptions) {
+    this.options = options;
+  }
+
+  /** Makes the tries that are due in this round: at most one of each kind. */
+  async tryNext(): Promise<void> {
+    await this.tryFailedMember();
+    await this.tryUnknownAddress();
+  }
+
+  // One failed member in each interval, and the next at once after a success: two parts of a fleet
+  // that lost contact find each other again without a crowd of connections while they are apart.
+  private async tryFailedMember(): Promise<void> {
+    const { table, prober, links, random, timings } = this.options;
+    if (performance.now() < this.nextFailedTry) {
+      return;
+    }
+    this.nextFailedTry = performance.now() + timings.failedRetry;
+    const failed = [...table.peers].filter((member) => member.state === 'failed');
+    const [target] = random.sample(failed, 1);
+    if (target === undefined) {
+      return;
+    }
+    if (await prober.probeDirectly(target, false)) {
+      this.nextFailedTry = 0;
+      this.options.onReached(target.name);
+    } else {
+      links.forget(target.name);
+    }
+  }
+
+  private async tryUnknownAddress(): Promise<void> {
+    const { table, timings, seeds, random, prober } = this.options;
+    const peers = [...table.peers];
+    const isAlone = peers.every((member) => member.state === 'failed');
+    if (!isAlone && performance.now() < this.nextListedTry) {
+      return;
+    }
+    this.nextListedTry = performance.now() + timings.listedRetry;
+    const known = new Set(peers.map((peer) => peer.peerAddress));
+    known.add(this.options.peerAddress);
+    const listed = this.options
+      .listedMachines()
+      .filter((machine) => machine.name !== this.options.name)
+      .map((machine) => machine.peerAddress);
+    const candidates = [...listed, ...(isAlone ? seeds : [])];
+    const unknown = candidates.filter((address) => !known.has(address));
+    const [peerAddress] = random.sample(unknown, 1);
+    if (peerAddress !== undefined) {
+      await prober.probeDirectly({ peerAddress }, true);
+    }
+  }
+}
--- /dev/null
+++ b/packages/peers/membership/test/membership.test.ts
@@ -0,0 +1,197 @@
+import * as assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import type * as membership from '../src/index.js';
+import { Network, sees, until } from './network.js';
+
+const DEADLINE = { timeout: 20_000 };
+const SEEDS = ['127.0.0.1:1'];
+
+function startNetwork(
+  context: TestContext,
+  names: readonly string[],
+): { network: Network; nodes: membership.Membership[] } {
+  const network = new Network();
+  context.after(() => network.stop());
+  const nodes = names.map((name) => network.add(name, { seeds: SEEDS }));
+  nodes.forEach((node) => node.start());
+  return { network, nodes };
+}
+
+async function untilAllSee(
+  nodes: readonly membership.Membership[],
+  names: readonly string[],
+): Promise<void> {
+  await until(() => nodes.every((node) => sees(node, names)));
+}
+
+test(
+  'members find each other from one seed, and a crashed member is failed everywhere',
+  DEADLINE,
+  async (context) => {
+    const names = ['a1', 'a2', 'b1', 'b2', 'c1'];
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    await network.crash(nodes[4]!);
+    await untilAllSee(nodes.slice(0, 4), names.slice(0, 4));
+  },
+);
+
+test(
+  'a member that one other can not reach stays a member, and is known as unreachable from there',
+  DEADLINE,
+  async (context) => {
+    const names = ['a1', 'a2', 'b1', 'b2'];
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    const [first, second] = nodes as [membership.Membership, membership.Membership];
+    network.isOpen = (from, to) => !(from === 'a1' && to === 'a2');
+    await until(() => !first.isReachable('a2'));
+    const { counter } = second.self;
+    const before = network.calls.length;
+    await until(() => network.calls.length > before + 200);
+    assert.ok(nodes.every((node) => sees(node, names)));
+    assert.equal(second.self.counter, counter, 'it was never suspected');
+    assert.equal(second.isReachable('a1'), false, 'answers of a1 do not come back either');
+    network.isOpen = undefined;
+    await until(() => first.isReachable('a2'));
+  },
+);
+
+test('a suspected member that answers refutes with a raised counter', DEADLINE, async (context) => {
+  const names = ['a1', 'a2', 'b1'];
+  const { nodes } = startNetwork(context, names);
+  await untilAllSee(nodes, names);
+  const [first, second, third] = nodes as [
+    membership.Membership,
+    membership.Membership,
+    membership.Membership,
+  ];
+  const rumour = { ...second.self, state: 'suspect' as const };
+  await first.handlers.probe(
+    { from: third.self, updates: [rumour], revisions: [], join: false },
+    { name: 'b1' },
+  );
+  assert.equal(first.find('a2')?.state, 'suspect');
+  await until(() => first.find('a2')?.state === 'alive');
+  assert.ok(second.self.counter > rumour.counter);
+});
+
+test('two parts that declared each other failed merge again', DEADLINE, async (context) => {
+  const names = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3'];
+  const { network, nodes } = startNetwork(context, names);
+  await untilAllSee(nodes, names);
+  network.isOpen = (from, to) => from[0] === to[0];
+  await untilAllSee(nodes.slice(0, 3), ['a1', 'a2', 'a3']);
+  await untilAllSee(nodes.slice(3), ['b1', 'b2', 'b3']);
+  network.isOpen = undefined;
+  await untilAllSee(nodes, names);
+});
+
+test(
+  'leaving is known before the member is gone, and its key records are found at the new home',
+  DEADLINE,
+  async (context) => {
+    const names = ['a1', 'a2', 'b1'];
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    const [first, second, third] = nodes as [
+      membership.Membership,
+      membership.Membership,
+      membership.Membership,
+    ];
+    const { incarnation } = first.self;
+    await first.leave();
+    second.announceKeyHome(incarnation, Date.now() + 60_000);
+    await until(() => third.find('a1')?.state === 'leaving');
+    await network.crash(first);
+    await until(() => sees(third, ['a2', 'b1']));
+    await until(() => third.findKeyHome(incarnation)?.name === 'a2');
+  },
+);
+
+test(
+  'a restarted member has a new incarnation and replaces its predecessor',
+  DEADLINE,
+  async (context) => {
+    const names = ['a1', 'a2'];
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    const [first, old] = nodes as [membership.Membership, membership.Membership];
+    await network.crash(old);
+    const { peerAddress, incarnation } = old.self;
+    const replacement = network.add('a2', { seeds: SEEDS, peerAddress });
+    assert.ok(replacement.self.incarnation > incarnation);
+    replacement.start();
+    await until(() => first.find('a2')?.incarnation === replacement.self.incarnation);
+  },
+);
+
+test(
+  'members start from a list that is partly dead, and the list adds leaving but never removes',
+  DEADLINE,
+  async (context) => {
+    const network = new Network();
+    context.after(() => network.stop());
+    const machines: membership.ListedMachine[] = ['127.0.0.1:900', '127.0.0.1:901'].map(
+      (peerAddress, index) => ({ name: `dead-${index}`, zone: 'a', peerAddress, state: 'live' }),
+    );
+    const first = network.add('a1');
+    machines.push({ ...first.self, state: 'live' });
+    const second = network.add('a2', { listedMachines: () => machines });
+    first.start();
+    second.start();
+    await until(() => sees(first, ['a1', 'a2']) && sees(second, ['a1', 'a2']));
+    machines[2] = { ...machines[2]!, state: 'leaving' };
+    assert.equal(second.members()[1]?.state, 'leaving');
+    machines.length = 0;
+    const before = network.calls.length;
+    await until(() => network.calls.length > before + 50);
+    assert.ok(sees(second, ['a1', 'a2']));
+  },
+);
+
+test(
+  'a revision reaches all members, and each message stays within its bounds',
+  DEADLINE,
+  async (context) => {
+    const names = Array.from({ length: 40 }, (_, index) => `a${index}`);
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    nodes.forEach((node) => node.announceRevision(9));
+    await until(() => nodes.every((node) => node.members().every((one) => one.revision === 9)));
+    for (const { input } of network.calls) {
+      const { updates, revisions } = input as { updates: unknown[]; revisions: unknown[] };
+      assert.ok(updates.length <= 9 && revisions.length <= 32);
+    }
+  },
+);
+
+test(
+  'a failed call of the request path is followed by a probe at once',
+  DEADLINE,
+  async (context) => {
+    const network = new Network();
+    context.after(() => network.stop());
+    const slow = { probeInterval: 60_000, probeTimeout: 100, indirectTimeout: 100, suspicion: 50 };
+    const first = network.add('a1', { timings: { ...slow, listedRetry: 10, failedRetry: 60_000 } });
+    const second = network.add('a2', { seeds: [first.self.peerAddress], timings: slow });
+    first.start();
+    second.start();
+    await until(() => sees(first, ['a1', 'a2']));
+    await network.crash(second);
+    first.reportUnreachable('a2');
+    assert.equal(first.isReachable('a2'), false);
+    await until(() => first.find('a2')?.state === 'failed');
+  },
+);
+
+test(
+  'news under a name that is not the one of the certificate is refused',
+  DEADLINE,
+  async (context) => {
+    const { nodes } = startNetwork(context, ['a1', 'a2']);
+    const [first, second] = nodes as [membership.Membership, membership.Membership];
+    const input = { from: second.self, updates: [], revisions: [], join: false };
+    await assert.rejects(first.handlers.probe(input, { name: 'a3' }));
+  },
+);
--- /dev/null
+++ b/packages/peers/peer-link/test/peer-link.test.ts
@@ -0,0 +1,199 @@
+import * as assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+import { Readable } from 'node:stream';
+import { test, type TestContext } from 'node:test';
+import * as results from '@dogwoodstall/results';
+import * as undici from 'undici';
+import * as peerLink from '../src/index.js';
+
+const DEADLINE = { timeout: 20_000 };
+const FIRST = ['authority-first'];
+const BOTH = ['authority-first', 'authority-second'];
+const SECOND = ['authority-second'];
+
+async function readPem(name: string): Promise<string> {
+  return readFile(new URL(`../../test/certificates/${name}.pem`, import.meta.url), 'utf8');
+}
+
+async function readTls(name: string, authorities: readonly string[]): Promise<peerLink.PeerTls> {
+  return {
+    certificate: await readPem(name),
+    key: await readPem(`${name}.key`),
+    authorities: await Promise.all(authorities.map(readPem)),
+  };
+}
+
+interface Pair {
+  readonly server: peerLink.PeerServer;
+  readonly links: peerLink.PeerLinks;
+  readonly peerAddress: string;
+  readonly callers: string[];
+  link(name?: string): peerLink.PeerLink;
+}
+
+async function startPair(
+  context: TestContext,
+  clientTls: peerLink.PeerTls,
+  handlers: Partial<peerLink.PeerHandlers> = {},
+): Promise<Pair> {
+  const callers: string[] = [];
+  const server = new peerLink.PeerServer({
+    tls: await readTls('daemon-b', FIRST),
+    handlers: {
+      summary: async (_input, caller) => {
+        callers.push(caller.name);
+        return { revision: 7, hasConfiguration: true };
+      },
+      ...handlers,
+    },
+    forward: (request, answer, caller) => {
+      answer.writeHead(200, { caller: caller.name });
+      request.pipe(answer);
+    },
+  });
+  const peerAddress = await server.listen('127.0.0.1', 0);
+  const links = new peerLink.PeerLinks(clientTls);
+  context.after(async () => {
+    await links.destroy();
+    await server.destroy();
+  });
+  const link = (name = 'daemon-b'): peerLink.PeerLink => links.linkTo({ name, peerAddress });
+  return { server, links, peerAddress, callers, link };
+}
+
+const summary = { from: 'daemon-a', revision: 1 };
+
+test('a call carries the name of the certificate of its caller', DEADLINE, async (context) => {
+  const pair = await startPair(context, await readTls('daemon-a', FIRST));
+  const answer = await pair.link().call('summary', summary);
+  assert.deepEqual(answer, { revision: 7, hasConfiguration: true });
+  assert.deepEqual(pair.callers, ['daemon-a']);
+  assert.notEqual(pair.link().lastHeardAt, undefined);
+});
+
+test('a stranger without a certificate of the fleet is refused', DEADLINE, async (context) => {
+  const stranger = await readTls('stranger', FIRST);
+  const pair = await startPair(context, stranger);
+  await assert.rejects(pair.link().call('summary', summary));
+  const bare = new undici.Agent({ connect: { rejectUnauthorized: false } });
+  context.after(() => bare.destroy());
+  const url = `https://${pair.peerAddress}/trpc/summary`;
+  await assert.rejects(undici.request(url, { method: 'POST', dispatcher: bare, body: '{}' }));
+  assert.deepEqual(pair.callers, []);
+});
+
+test(
+  'a server with the certificate of another daemon or another fleet is refused',
+  DEADLINE,
+  async (context) => {
+    const pair = await startPair(context, await readTls('daemon-a', FIRST));
+    const isRefused = (error: unknown): boolean => results.isFailure(error, 'PeerUnauthenticated');
+    await assert.rejects(pair.link('daemon-c').call('summary', summary), isRefused);
+    const other = await startPair(context, await readTls('daemon-a', ['authority-strange']));
+    await assert.rejects(other.link().call('summary', summary), isRefused);
+    assert.deepEqual([...pair.callers, ...other.callers], []);
+  },
+);
+
+test(
+  'authorities rotate with an overlap, without a restart and without a failed call',
+  DEADLINE,
+  async (context) => {
+    const pair = await startPair(context, await readTls('daemon-a', FIRST));
+    const steps = [
+      { server: await readTls('daemon-b', BOTH), client: await readTls('daemon-a', BOTH) },
+      { server: await readTls('daemon-b-rotated', BOTH), client: await readTls('daemon-a', BOTH) },
+      {
+        server: await readTls('daemon-b-rotated', BOTH),
+        client: await readTls('daemon-a-rotated', BOTH),
+      },
+      {
+        server: await readTls('daemon-b-rotated', SECOND),
+        client: await readTls('daemon-a-rotated', SECOND),
+      },
+    ];
+    for (const step of steps) {
+      pair.server.reload(step.server);
+      pair.links.reload(step.client);
+      await pair.link().call('summary', summary);
+    }
+    pair.links.reload(await readTls('daemon-a', BOTH));
+    await assert.rejects(pair.link().call('summary', summary));
+  },
+);
+
+test(
+  'a message beyond its limits is refused before its handler runs',
+  DEADLINE,
+  async (context) => {
+    const reported: unknown[] = [];
+    const pair = await startPair(context, await readTls('daemon-a', FIRST), {
+      reportCrash: async (input) => {
+        reported.push(input);
+        return { accepted: 0 };
+      },
+    });
+    const isInvalid = (error: unknown): boolean => results.isFailure(error, 'PeerMessageInvalid');
+    const many = Array.from({ length: 101 }, () => ({}));
+    await assert.rejects(
+      pair.link().call('reportCrash', { from: 'daemon-a', reports: many }),
+      isInvalid,
+    );
+    const large = [{ text: 'a'.repeat(3_000_000) }];
+    await assert.rejects(pair.link().call('reportCrash', { from: 'daemon-a', reports: large }));
+    assert.deepEqual(reported, []);
+  },
+);
+
+test(
+  'a handler that does not answer ends in a timeout, and a failure keeps its result code',
+  DEADLINE,
+  async (context) => {
+    const pair = await startPair(context, await readTls('daemon-a', FIRST), {
+      pushChange: () => new Promise(() => {}),
+      activateRecords: async () => {
+        throw new results.FailureError('NotReady');
+      },
+    });
+    const push = { from: 'daemon-a', revision: 1 };
+    await assert.rejects(pair.link().call('pushChange', push, { milliseconds: 50 }), (error) =>
+      results.isFailure(error, 'PeerTimeout'),
+    );
+    const activate = { from: 'daemon-a', incarnation: 1, records: 0 };
+    await assert.rejects(pair.link().call('activateRecords', activate), (error) =>
+      results.isFailure(error, 'NotReady'),
+    );
+  },
+);
+
+test(
+  'control calls are answered while forwarded bodies fill their own connections',
+  DEADLINE,
+  async (context) => {
+    const pair = await startPair(context, await readTls('daemon-a', FIRST));
+    const link = pair.link();
+    let finish = (): void => {};
+    const finished = new Promise<void>((resolve) => {
+      finish = resolve;
+    });
+    async function* body(): AsyncGenerator<Buffer> {
+      yield Buffer.from('first');
+      await finished;
+      yield Buffer.from('last');
+    }
+    const forwards = Array.from({ length: 20 }, () =>
+      undici.request(`${link.baseUrl}/x`, {
+        method: 'POST',
+        dispatcher: link.dispatcher,
+        body: Readable.from(body()),
+      }),
+    );
+    const answers = await Promise.all(forwards);
+    await link.call('summary', summary);
+    finish();
+    for (const answer of answers) {
+      assert.equal(answer.headers.caller, 'daemon-a');
+      assert.equal(await answer.body.text(), 'firstlast');
+    }
+  },
+);
