--- a/packages/control/configuration-spread/test/keeper.test.ts
+++ b/packages/control/configuration-spread/test/keeper.test.ts
@@ -61,10 +61,9 @@
     fleet.link = (from, to) =>
       from === 'daemon-late' && to !== 'daemon-0-0' ? 'request-lost' : 'open';
     late.keeper.start();
-    while (late.keeper.lastStartFailure === undefined) {
+    while (late.keeper.lastStartFailure?.kind !== 'PeerLacksConfiguration') {
       await new Promise(setImmediate);
     }
-    assert.equal(late.keeper.lastStartFailure.kind, 'PeerLacksConfiguration');
     assert.equal(late.keeper.current, undefined);
     fleet.link = () => 'open';
     await reach(late, 1);
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -4,22 +4,19 @@
  */
 import { EventEmitter } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
-import * as hashing from '@dogwoodstall/hashing';
 import type * as observability from '@dogwoodstall/observability';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import * as most from 'most';
 import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
 import { MemberTable } from './member-table.js';
+import { ProbeTurn } from './probe-turn.js';
 import { Prober, type MembershipLinks, type ProbeResult } from './prober.js';
 import { RandomChoice } from './random.js';
 import { Rejoiner, type ListedMachine } from './rejoiner.js';
 import { Suspicions } from './suspicions.js';
 import { defaultTimings, type MembershipTimings } from './timings.js';
 
-// Each daemon probes this many members in turn and keeps its connections to them. In a random graph
-// of this degree every member is watched by about as many others, and a handshake is rare.
-const NEIGHBOURS = 24;
 const INDIRECT_PROBES = 3;
 const LEAVE_TARGETS = 6;
 const MAXIMUM_KEY_HOMES = 200;
@@ -73,11 +70,9 @@
 
   private readonly suspicions: Suspicions;
 
-  private readonly urgent = new Set<string>();
-
   private wake = new AbortController();
 
-  private turn: string[] = [];
+  private readonly turn: ProbeTurn;
 
   private emitting = false;
 
@@ -112,6 +107,7 @@
       signal: this.stopping.signal,
       chooseHelpers: (target) => this.chooseHelpers(target),
     });
+    this.turn = new ProbeTurn(options.name, this.random);
     this.rejoiner = new Rejoiner({
       name: options.name,
       peerAddress: options.peerAddress,
@@ -184,7 +180,7 @@
       return;
     }
     this.unreachable.add(name);
-    this.urgent.add(name);
+    this.turn.addUrgent(name, this.timings.probeInterval);
     this.wake.abort();
   }
 
@@ -250,7 +246,7 @@
   }
 
   private async pause(startedAt: number): Promise<void> {
-    if (this.urgent.size > 0) {
+    if (this.turn.hasUrgent) {
       return;
     }
     this.wake = new AbortController();
@@ -260,7 +256,7 @@
   }
 
   private async probeNext(): Promise<void> {
-    const target = this.nextTarget();
+    const target = this.turn.next(this.livePeers());
     if (target === undefined) {
       return;
     }
@@ -345,23 +341,6 @@
     return [...this.table.peers].filter((member) => member.state !== 'failed');
   }
 
-  private nextTarget(): Member | undefined {
-    for (const name of this.urgent) {
-      this.urgent.delete(name);
-      const member = this.table.find(name);
-      if (member !== undefined && member.state !== 'failed') {
-        return member;
-      }
-    }
-    if (this.turn.length === 0) {
-      const ranked = hashing.rankMembers(this.options.name, this.livePeers(), (peer) => peer.name);
-      const neighbours = ranked.slice(0, NEIGHBOURS).map((peer) => peer.name);
-      this.turn = this.random.sample(neighbours, NEIGHBOURS);
-    }
-    const member = this.table.find(this.turn.pop() ?? '');
-    return member === undefined || member.state === 'failed' ? undefined : member;
-  }
-
   private chooseHelpers(target: string): Member[] {
     const candidates = this.livePeers().filter(
       (peer) => peer.name !== target && peer.state === 'alive' && this.isReachable(peer.name),
@@ -372,6 +351,7 @@
   private forgetOldMembers(): void {
     for (const name of this.table.forgetOldFailures(performance.now())) {
       this.unreachable.delete(name);
+      this.turn.forget(name);
     }
   }
 }
--- /dev/null
+++ b/packages/peers/membership/src/probe-turn.ts
@@ -0,0 +1,72 @@
+/**
+ * The order in which a daemon probes others.
+ */
+import * as hashing from '@dogwoodstall/hashing';
+import type * as peerLink from '@dogwoodstall/peer-link';
+import type { RandomChoice } from './random.js';
+
+// Each daemon probes this many members in turn and keeps its connections to them. In a random graph
+// of this degree every member is watched by about as many others, and a handshake is rare.
+const NEIGHBOURS = 24;
+
+/** Chooses the member that is probed next. */
+export class ProbeTurn {
+  private readonly ownName: string;
+
+  private readonly random: RandomChoice;
+
+  private readonly urgent = new Set<string>();
+
+  private readonly urgentAt = new Map<string, number>();
+
+  private turn: string[] = [];
+
+  constructor(ownName: string, random: RandomChoice) {
+    this.ownName = ownName;
+    this.random = random;
+  }
+
+  /** Whether a member is to be probed without waiting for the next round. */
+  get hasUrgent(): boolean {
+    return this.urgent.size > 0;
+  }
+
+  /** Puts a member first, at most once in each interval, however often its calls fail. */
+  addUrgent(name: string, interval: number): void {
+    const now = performance.now();
+    if (now - (this.urgentAt.get(name) ?? -Infinity) >= interval) {
+      this.urgentAt.set(name, now);
+      this.urgent.add(name);
+    }
+  }
+
+  /** Forgets a member that is gone. */
+  forget(name: string): void {
+    this.urgentAt.delete(name);
+  }
+
+  /** Returns the next of the live peers; undefined when there is none. */
+  next(peers: readonly peerLink.MemberUpdate[]): peerLink.MemberUpdate | undefined {
+    const byName = new Map(peers.map((peer) => [peer.name, peer]));
+    for (const name of this.urgent) {
+      this.urgent.delete(name);
+      const member = byName.get(name);
+      if (member !== undefined) {
+        return member;
+      }
+    }
+    if (this.turn.length === 0) {
+      const ranked = hashing.rankMembers(this.ownName, peers, (peer) => peer.name);
+      const neighbours = ranked.slice(0, NEIGHBOURS).map((peer) => peer.name);
+      this.turn = this.random.sample(neighbours, NEIGHBOURS);
+    }
+    // A member that failed since the turn was drawn is passed over without losing the round.
+    while (this.turn.length > 0) {
+      const member = byName.get(this.turn.pop() ?? '');
+      if (member !== undefined) {
+        return member;
+      }
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/peers/peer-link/src/call-handler.ts
@@ -0,0 +1,86 @@
+/**
+ * Answers calls in the tRPC wire format straight from Node.js requests. The standalone adapter of tRPC
+ * converts each request and answer to web streams, which costs more than the rest of a small call.
+ */
+import type * as http from 'node:http';
+import { FailureError, toFailure, type ResultName } from '@dogwoodstall/results';
+import { getTRPCErrorFromUnknown, TRPCError } from '@trpc/server';
+import { getHTTPStatusCodeFromError } from '@trpc/server/http';
+import { procedures, type ProcedureName } from './messages.js';
+import type { PeerCaller } from './router.js';
+
+const MAXIMUM_CALL_BYTES = 2_097_152;
+const HTTP_OK = 200;
+// The code of an internal error in JSON-RPC, which the tRPC client expects as a number.
+const ERROR_CODE = -32_603;
+
+function resultOf(error: TRPCError): ResultName {
+  if (error.cause instanceof FailureError) {
+    return error.cause.failure.kind;
+  }
+  const malformed = error.code === 'BAD_REQUEST' || error.code === 'PARSE_ERROR';
+  const refused = malformed || error.code === 'PAYLOAD_TOO_LARGE' || error.code === 'NOT_FOUND';
+  return refused ? 'PeerMessageInvalid' : toFailure(error).kind;
+}
+
+function findProcedure(path: string): ProcedureName {
+  if (!Object.hasOwn(procedures, path)) {
+    throw new TRPCError({ code: 'NOT_FOUND', message: `there is no procedure "${path}"` });
+  }
+  return path as ProcedureName;
+}
+
+async function readBody(request: http.IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAXIMUM_CALL_BYTES) {
+      throw new TRPCError({ code: 'PAYLOAD_TOO_LARGE' });
+    }
+    chunks.push(chunk);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  } catch (cause) {
+    throw new TRPCError({ code: 'PARSE_ERROR', cause });
+  }
+}
+
+function send(answer: http.ServerResponse, status: number, body: object): void {
+  if (answer.destroyed || answer.headersSent) {
+    return;
+  }
+  const text = JSON.stringify(body);
+  const length = Buffer.byteLength(text);
+  answer.writeHead(status, { 'content-type': 'application/json', 'content-length': length });
+  answer.end(text);
+}
+
+function sendError(answer: http.ServerResponse, error: unknown): void {
+  const failure = getTRPCErrorFromUnknown(error);
+  const httpStatus = getHTTPStatusCodeFromError(failure);
+  if (failure.code === 'PAYLOAD_TOO_LARGE') {
+    // The rest of the body is not read.
+    answer.setHeader('connection', 'close');
+  }
+  const data = { code: failure.code, httpStatus, result: resultOf(failure) };
+  send(answer, httpStatus, { error: { message: failure.message, code: ERROR_CODE, data } });
+}
+
+/** Answers one call; `path` is the name of the procedure. */
+export async function answerCall(
+  path: string,
+  request: http.IncomingMessage,
+  answer: http.ServerResponse,
+  caller: PeerCaller,
+): Promise<void> {
+  try {
+    const name = findProcedure(path);
+    const call = caller[name] as (input: unknown) => Promise<unknown>;
+    const data = await call(await readBody(request));
+    send(answer, HTTP_OK, { result: { data } });
+  } catch (error) {
+    sendError(answer, error);
+  }
+}
--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -167,17 +167,27 @@
     if (this.running >= MAXIMUM_CONCURRENT_CALLS) {
       throw new FailureError('PeerUnreachable', `too many calls to ${this.target.peerAddress}`);
     }
-    const timeout = AbortSignal.timeout(options.milliseconds ?? DEFAULT_CALL_MILLISECONDS);
-    const signal =
-      options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
+    // `AbortSignal.timeout` fires after calls that ended as well, which costs more than a timer that is
+    // cleared.
+    const stopping = new AbortController();
+    let timedOut = false;
+    const timer = setTimeout(() => {
+      timedOut = true;
+      stopping.abort();
+    }, options.milliseconds ?? DEFAULT_CALL_MILLISECONDS);
+    const stop = (): void => stopping.abort();
+    options.signal?.addEventListener('abort', stop);
     this.running += 1;
     try {
-      const answer = await this.client[name].mutate(input, { signal });
+      options.signal?.throwIfAborted();
+      const answer = await this.client[name].mutate(input, { signal: stopping.signal });
       this.lastHeardAt = performance.now();
       return this.parse(name, answer);
     } catch (error) {
-      throw toPeerFailure(error, this.target, timeout.aborted);
+      throw toPeerFailure(error, this.target, timedOut);
     } finally {
+      clearTimeout(timer);
+      options.signal?.removeEventListener('abort', stop);
       this.running -= 1;
     }
   }
--- a/packages/peers/peer-link/src/router.ts
+++ b/packages/peers/peer-link/src/router.ts
@@ -1,7 +1,6 @@
 /**
  * The tRPC router of the peer port.
  */
-import { FailureError, toFailure, type ResultName } from '@dogwoodstall/results';
 import { initTRPC, TRPCError } from '@trpc/server';
 import { procedures, type Caller, type PeerHandlers } from './messages.js';
 
@@ -11,22 +10,7 @@
   readonly handlers: Partial<PeerHandlers>;
 }
 
-function resultOf(error: TRPCError): ResultName {
-  if (error.cause instanceof FailureError) {
-    return error.cause.failure.kind;
-  }
-  const malformed = error.code === 'BAD_REQUEST' || error.code === 'PARSE_ERROR';
-  const refused = malformed || error.code === 'PAYLOAD_TOO_LARGE' || error.code === 'NOT_FOUND';
-  return refused ? 'PeerMessageInvalid' : toFailure(error).kind;
-}
-
-const trpc = initTRPC.context<PeerContext>().create({
-  isDev: false,
-  errorFormatter: ({ shape, error }) => ({
-    ...shape,
-    data: { ...shape.data, result: resultOf(error) },
-  }),
-});
+const trpc = initTRPC.context<PeerContext>().create({ isDev: false });
 
 function requireHandler<Name extends keyof PeerHandlers>(
   context: PeerContext,
@@ -72,3 +56,9 @@
 
 /** The type of the router, for clients. */
 export type PeerRouter = typeof peerRouter;
+
+/** Creates the callable procedures of the router for one connection. */
+export const createPeerCaller = trpc.createCallerFactory(peerRouter);
+
+/** The callable procedures of the router. */
+export type PeerCaller = ReturnType<typeof createPeerCaller>;
--- a/packages/peers/peer-link/src/server.ts
+++ b/packages/peers/peer-link/src/server.ts
@@ -7,14 +7,13 @@
 import type { AddressInfo } from 'node:net';
 import * as tls from 'node:tls';
 import { FailureError } from '@dogwoodstall/results';
-import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { answerCall } from './call-handler.js';
 import { MINIMUM_TLS_VERSION, readSubjectName, type PeerTls } from './identity.js';
 import type { Caller, PeerHandlers } from './messages.js';
-import { peerRouter } from './router.js';
+import { createPeerCaller, type PeerCaller } from './router.js';
 
 const CALL_PREFIX = '/trpc/';
 const FORWARD_PREFIX = '/forward/';
-const MAXIMUM_CALL_BYTES = 2_097_152;
 const HEADERS_MILLISECONDS = 10_000;
 // Longer than the client keeps an idle connection, so that the client closes it first.
 const KEEP_ALIVE_MILLISECONDS = 90_000;
@@ -52,24 +51,21 @@
   return { name: readSubjectName(certificate) };
 }
 
+interface Connection {
+  readonly caller: Caller;
+  readonly calls: PeerCaller;
+}
+
 /** Serves the peer port. */
 export class PeerServer {
   private readonly options: PeerServerOptions;
 
   private readonly server: https.Server;
 
-  private readonly callers = new WeakMap<object, Caller>();
-
-  private readonly callHandler: http.RequestListener;
+  private readonly connections = new WeakMap<object, Connection>();
 
   constructor(options: PeerServerOptions) {
     this.options = options;
-    this.callHandler = createHTTPHandler({
-      router: peerRouter,
-      basePath: CALL_PREFIX,
-      maxBodySize: MAXIMUM_CALL_BYTES,
-      createContext: ({ req }) => ({ caller: this.identify(req), handlers: options.handlers }),
-    });
     this.server = https.createServer(
       {
         ...secureContext(options.tls),
@@ -122,10 +118,12 @@
 
   private handle(request: http.IncomingMessage, answer: http.ServerResponse): void {
     const url = request.url ?? '';
-    const caller = this.identify(request);
+    const { caller, calls } = this.identify(request);
     this.options.onHeard?.(caller.name);
     if (url.startsWith(CALL_PREFIX)) {
-      this.callHandler(request, answer);
+      answerCall(url.slice(CALL_PREFIX.length), request, answer, calls).catch(() =>
+        answer.destroy(),
+      );
     } else if (url.startsWith(FORWARD_PREFIX) && this.options.forward !== undefined) {
       this.options.forward(request, answer, caller);
     } else {
@@ -134,13 +132,15 @@
   }
 
   // Decoding the certificate costs more than a call; it is done once for each connection.
-  private identify(request: http.IncomingMessage): Caller {
-    const known = this.callers.get(request.socket);
+  private identify(request: http.IncomingMessage): Connection {
+    const known = this.connections.get(request.socket);
     if (known !== undefined) {
       return known;
     }
     const caller = callerOf(request);
-    this.callers.set(request.socket, caller);
-    return caller;
+    const calls = createPeerCaller({ caller, handlers: this.options.handlers });
+    const connection = { caller, calls };
+    this.connections.set(request.socket, connection);
+    return connection;
   }
 }
