--- a/packages/peers/membership/src/index.ts
+++ b/packages/peers/membership/src/index.ts
@@ -1,7 +1,8 @@
 /**
  * SWIM membership: probes, suspicion, incarnations, leaving.
  */
-export { type Member, type MembershipOptions, Membership } from './membership.js';
+export { type Member, Membership } from './membership.js';
+export type { MembershipOptions } from './options.js';
 export type { ListedMachine } from './rejoiner.js';
 export { compareUpdates, mergeUpdate } from './merge.js';
 export { type Gossip, MemberTable } from './member-table.js';
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -4,16 +4,16 @@
  */
 import { EventEmitter } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
-import type * as observability from '@dogwoodstall/observability';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import * as most from 'most';
 import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
 import { MemberTable } from './member-table.js';
+import type { MembershipOptions } from './options.js';
 import { ProbeTurn } from './probe-turn.js';
-import { Prober, type MembershipLinks, type ProbeResult } from './prober.js';
+import { Prober, type ProbeResult } from './prober.js';
 import { RandomChoice } from './random.js';
-import { Rejoiner, type ListedMachine } from './rejoiner.js';
+import { Rejoiner } from './rejoiner.js';
 import { Suspicions } from './suspicions.js';
 import { defaultTimings, type MembershipTimings } from './timings.js';
 
@@ -24,24 +24,6 @@
 /** A member as seen from this daemon. */
 export type Member = Readonly<peerLink.MemberUpdate>;
 
-/** Options of membership. */
-export interface MembershipOptions {
-  readonly name: string;
-  readonly zone: string;
-  readonly region: string;
-  /** `IP address:port` at which other daemons reach the peer port. */
-  readonly peerAddress: string;
-  readonly links: MembershipLinks;
-  /** Peer addresses that are asked while no member is known. */
-  readonly seeds?: readonly string[];
-  /** The platform's list of VMs, read at each round. */
-  readonly listedMachines?: () => readonly ListedMachine[];
-  readonly logger?: observability.PartLogger;
-  readonly timings?: Partial<MembershipTimings>;
-  /** Seed of the random choices; taken from the incarnation by default. */
-  readonly seed?: number;
-}
-
 /** The members of the fleet, seen from one daemon. */
 export class Membership {
   /** The members after each change of a state, an address or announced data but the revision. */
