--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -17,7 +17,8 @@
 const CONNECT_MILLISECONDS = 1000;
 const KEEP_ALIVE_MILLISECONDS = 60_000;
 const CONTROL_CONNECTIONS = 2;
-const FORWARD_CONNECTIONS = 256;
+// Without a limit: a heartbeat that waits for a connection would look like a stalled link.
+const FORWARD_CONNECTIONS = null;
 const MAXIMUM_CONCURRENT_CALLS = 16;
 
 /** The peer that a link leads to. */
@@ -74,7 +75,11 @@
   return new FailureError(timedOut ? 'PeerTimeout' : unauthenticated, detail, { cause: error });
 }
 
-function createPool(target: PeerTarget, material: PeerTls, connections: number): undici.Pool {
+function createPool(
+  target: PeerTarget,
+  material: PeerTls,
+  connections: number | null,
+): undici.Pool {
   return new undici.Pool(`https://${target.peerAddress}`, {
     connections,
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
