Count the traffic of the peer port in the daemon status

Cause: the cost of control could not be measured at a running daemon.

Change: the peer server counts calls, connections and bytes, the links count calls by procedure, and the daemon status lists them with memory and processor time.

--- a/packages/daemon/daemon/src/administration.ts
+++ b/packages/daemon/daemon/src/administration.ts
@@ -66,6 +66,12 @@
   };
 }
 
+function describeProcess(): administrationApi.DaemonStatus {
+  const { rss: residentBytes, heapUsed: heapUsedBytes } = process.memoryUsage();
+  const { user, system } = process.cpuUsage();
+  return { residentBytes, heapUsedBytes, cpuMicroseconds: user + system };
+}
+
 function describeDaemon(options: AdministrationOptions): administrationApi.DaemonStatus {
   const { control, requests } = options;
   return {
@@ -80,6 +86,8 @@
     members: control.members.members(),
     violations: Object.fromEntries(results.countViolations()),
     machineListAgeMilliseconds: control.machines.ageMilliseconds,
+    process: describeProcess(),
+    ...control.traffic,
   };
 }
 
--- a/packages/daemon/daemon/src/control-plane.ts
+++ b/packages/daemon/daemon/src/control-plane.ts
@@ -88,6 +88,12 @@
     this.register(this.keeper.handlers);
   }
 
+  /** What passed the peer port, and the calls that this daemon sent by procedure. */
+  get traffic(): { peerPort: peerLink.PeerTraffic; peerCalls: Record<string, number> } {
+    const peerCalls = Object.fromEntries(this.links.callCounts);
+    return { peerPort: this.server.traffic, peerCalls };
+  }
+
   /** Registers procedures that other parts answer. */
   register(handlers: Partial<peerLink.PeerHandlers>): void {
     Object.assign(this.handlers, handlers);
--- a/packages/peers/peer-link/src/index.ts
+++ b/packages/peers/peer-link/src/index.ts
@@ -16,4 +16,9 @@
   memberUpdateSchema,
   procedures,
 } from './messages.js';
-export { type ForwardHandler, type PeerServerOptions, PeerServer } from './server.js';
+export {
+  type ForwardHandler,
+  type PeerServerOptions,
+  type PeerTraffic,
+  PeerServer,
+} from './server.js';
--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -140,8 +140,16 @@
 
   private running = 0;
 
-  constructor(target: PeerTarget, material: PeerTls) {
+  private readonly onCall: (name: ProcedureName) => void;
+
+  /** `onCall` is called with the procedure of each call that is sent. */
+  constructor(
+    target: PeerTarget,
+    material: PeerTls,
+    onCall: (name: ProcedureName) => void = () => {},
+  ) {
     this.target = target;
+    this.onCall = onCall;
     this.material = material;
     this.controlPool = createPool(target, material, CONTROL_CONNECTIONS);
     this.client = createClient(this.controlPool, target);
@@ -185,6 +193,7 @@
     this.running += 1;
     try {
       options.signal?.throwIfAborted();
+      this.onCall(name);
       const answer = await this.client[name].mutate(input, { signal: stopping.signal });
       this.lastHeardAt = performance.now();
       return this.parse(name, answer);
--- a/packages/peers/peer-link/src/links.ts
+++ b/packages/peers/peer-link/src/links.ts
@@ -2,18 +2,26 @@
  * All links of one daemon: one link for each peer, shared by every part of the process.
  */
 import type { PeerTls } from './identity.js';
+import type { ProcedureName } from './messages.js';
 import { PeerLink, type PeerTarget } from './link.js';
 
 /** The links of one daemon. */
 export class PeerLinks {
   private readonly links = new Map<string, PeerLink>();
 
+  private readonly calls = new Map<ProcedureName, number>();
+
   private material: PeerTls;
 
   constructor(material: PeerTls) {
     this.material = material;
   }
 
+  /** Calls sent since the start, by procedure. */
+  get callCounts(): ReadonlyMap<ProcedureName, number> {
+    return this.calls;
+  }
+
   /** Returns the link to a peer; a peer that came back at another address gets a new one. */
   linkTo(target: PeerTarget): PeerLink {
     const key = target.name ?? `address ${target.peerAddress}`;
@@ -22,7 +30,7 @@
       return known;
     }
     known?.close().catch(() => {});
-    const link = new PeerLink(target, this.material);
+    const link = new PeerLink(target, this.material, (name) => this.countCall(name));
     this.links.set(key, link);
     return link;
   }
@@ -56,4 +64,8 @@
     this.links.clear();
     await Promise.all(links.map((link) => link.destroy()));
   }
+
+  private countCall(name: ProcedureName): void {
+    this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
+  }
 }
--- a/packages/peers/peer-link/src/server.ts
+++ b/packages/peers/peer-link/src/server.ts
@@ -4,7 +4,7 @@
 import { once } from 'node:events';
 import type * as http from 'node:http';
 import * as https from 'node:https';
-import type { AddressInfo } from 'node:net';
+import type * as net from 'node:net';
 import * as tls from 'node:tls';
 import { FailureError } from '@dogwoodstall/results';
 import { answerCall } from './call-handler.js';
@@ -26,6 +26,16 @@
   caller: Caller,
 ) => void;
 
+/** What passed the peer port since the start. */
+export interface PeerTraffic {
+  /** Calls of other daemons. */
+  readonly calls: number;
+  /** Bytes on the connections that other daemons opened, with TLS records and handshakes. */
+  readonly receivedBytes: number;
+  readonly sentBytes: number;
+  readonly connections: number;
+}
+
 /** Options of the peer server. */
 export interface PeerServerOptions {
   readonly tls: PeerTls;
@@ -64,6 +74,14 @@
 
   private readonly connections = new WeakMap<object, Connection>();
 
+  private readonly sockets = new Set<net.Socket>();
+
+  private readonly closed = { receivedBytes: 0, sentBytes: 0 };
+
+  private accepted = 0;
+
+  private calls = 0;
+
   constructor(options: PeerServerOptions) {
     this.options = options;
     this.server = https.createServer(
@@ -78,6 +96,7 @@
       },
       (request, answer) => this.handle(request, answer),
     );
+    this.server.on('connection', (socket: net.Socket) => this.countBytes(socket));
     this.server.on('tlsClientError', (_error, socket) => socket.destroy());
   }
 
@@ -89,12 +108,22 @@
     } catch (error) {
       throw new FailureError('ListenFailed', `${host}:${port}`, { cause: error });
     }
-    const bound = this.server.address() as AddressInfo;
+    const bound = this.server.address() as net.AddressInfo;
     return bound.family === 'IPv6'
       ? `[${bound.address}]:${bound.port}`
       : `${bound.address}:${bound.port}`;
   }
 
+  /** What passed the port since the start; open connections are included. */
+  get traffic(): PeerTraffic {
+    let { receivedBytes, sentBytes } = this.closed;
+    for (const socket of this.sockets) {
+      receivedBytes += socket.bytesRead;
+      sentBytes += socket.bytesWritten;
+    }
+    return { calls: this.calls, receivedBytes, sentBytes, connections: this.accepted };
+  }
+
   /** Uses another certificate, key and authorities for connections from now on. */
   reload(material: PeerTls): void {
     this.server.setSecureContext(secureContext(material));
@@ -116,11 +145,22 @@
     await closed;
   }
 
+  private countBytes(socket: net.Socket): void {
+    this.accepted += 1;
+    this.sockets.add(socket);
+    socket.once('close', () => {
+      this.sockets.delete(socket);
+      this.closed.receivedBytes += socket.bytesRead;
+      this.closed.sentBytes += socket.bytesWritten;
+    });
+  }
+
   private handle(request: http.IncomingMessage, answer: http.ServerResponse): void {
     const url = request.url ?? '';
     const { caller, calls } = this.identify(request);
     this.options.onHeard?.(caller.name);
     if (url.startsWith(CALL_PREFIX)) {
+      this.calls += 1;
       answerCall(url.slice(CALL_PREFIX.length), request, answer, calls).catch(() =>
         answer.destroy(),
       );
