--- /dev/null
+++ b/packages/testing/measure/src/control/change-writer.ts
@@ -0,0 +1,80 @@
+/**
+ * Commits changes through the administration API of varying daemons.
+ */
+import * as undici from 'undici';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { OPERATOR_TOKEN } from '../fleet/local-fleet.js';
+import type { RandomChoice } from './random-choice.js';
+
+const CALL_MILLISECONDS = 15_000;
+
+/** What became of one submission. */
+export interface Submission {
+  readonly id: string;
+  readonly outcome: 'accepted' | 'conflict' | 'failed';
+  readonly revision: number;
+  /** Epoch milliseconds of the answer. */
+  readonly answeredAt: number;
+}
+
+/** Calls the administration API of a daemon as an operator. */
+export async function callAdministration(
+  daemon: DaemonProcess,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: unknown,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const answer = await undici.request(`http://${daemon.administrationAddress}${path}`, {
+    method,
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}`, 'content-type': 'application/json' },
+    body: body === undefined ? null : JSON.stringify(body),
+    headersTimeout: CALL_MILLISECONDS,
+  });
+  return { status: answer.statusCode, body: await answer.body.json() };
+}
+
+/** Submits changes of one organisation; each raises its weight a little. */
+export class ChangeWriter {
+  private count = 0;
+
+  private readonly prefix: string;
+
+  private readonly random: RandomChoice;
+
+  constructor(prefix: string, random: RandomChoice) {
+    this.prefix = prefix;
+    this.random = random;
+  }
+
+  /** Submits the change after a base revision at a random one of the daemons. */
+  async submit(daemons: readonly DaemonProcess[], baseRevision: number): Promise<Submission> {
+    this.count += 1;
+    const id = `${this.prefix}-change-${this.count}`;
+    const [daemon] = this.random.sample(daemons, 1);
+    const failed = { id, outcome: 'failed', revision: 0, answeredAt: Date.now() } as const;
+    if (daemon === undefined) {
+      return failed;
+    }
+    const entity = { name: `writer-${this.count % 50}`, weight: 1 + this.count / 1000 };
+    const draft = {
+      id,
+      baseRevision,
+      author: 'measurement',
+      reason: 'measures the spread of changes',
+      operations: [{ action: 'put', kind: 'organisation', entity }],
+    };
+    try {
+      const answer = await callAdministration(daemon, 'POST', '/v1/changes', draft);
+      const answeredAt = Date.now();
+      if (answer.status === 409) {
+        return { ...failed, outcome: 'conflict', answeredAt };
+      }
+      const { revision } = answer.body as { revision?: number };
+      return answer.status >= 300 || revision === undefined
+        ? { ...failed, answeredAt }
+        : { id, outcome: 'accepted', revision, answeredAt };
+    } catch {
+      return { ...failed, answeredAt: Date.now() };
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/control/process-cost.ts
@@ -0,0 +1,101 @@
+/**
+ * What control costs the daemons of a fleet over a window of time.
+ */
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import { callAdministration } from './change-writer.js';
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+const MICROSECONDS_PER_MILLISECOND = 1000;
+const PERCENT = 100;
+
+interface DaemonReading {
+  readonly process: {
+    readonly residentBytes: number;
+    readonly heapUsedBytes: number;
+    readonly cpuMicroseconds: number;
+  };
+  readonly peerPort: {
+    readonly calls: number;
+    readonly receivedBytes: number;
+    readonly sentBytes: number;
+    readonly connections: number;
+  };
+  readonly peerCalls: Readonly<Record<string, number>>;
+}
+
+/** Readings of all daemons and of the store at one time. */
+export interface FleetReading {
+  readonly at: number;
+  readonly daemons: readonly DaemonReading[];
+  readonly storeCalls: Readonly<Record<string, number>>;
+}
+
+/** Means for each daemon, and the calls of the whole fleet to the store. */
+export interface FleetCost {
+  readonly daemons: number;
+  /** Share of one core. */
+  readonly corePercent: number;
+  readonly highestCorePercent: number;
+  readonly residentMegabytes: number;
+  readonly heapMegabytes: number;
+  /** Sent and received, as a server and as a client of peer ports; without TCP and IP headers. */
+  readonly bytesPerSecond: number;
+  readonly callsPerSecond: number;
+  readonly handshakesPerSecond: number;
+  readonly storeCallsPerSecond: Readonly<Record<string, number>>;
+}
+
+async function readDaemon(daemon: DaemonProcess): Promise<DaemonReading> {
+  return (await callAdministration(daemon, 'GET', '/v1/daemon')).body as DaemonReading;
+}
+
+/** Reads the counters of a fleet. */
+export async function readFleet(fleet: LocalFleet): Promise<FleetReading> {
+  const daemons = await Promise.all(fleet.daemons.map(readDaemon));
+  const storeCalls = await fleet.store.control.get<Record<string, number>>('/calls');
+  return { at: performance.now(), daemons, storeCalls };
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Returns the cost between two readings. */
+export function compareReadings(before: FleetReading, after: FleetReading): FleetCost {
+  const milliseconds = after.at - before.at;
+  const seconds = milliseconds / 1000;
+  const rates = (select: (reading: DaemonReading) => number): number[] =>
+    after.daemons.map((reading, index) => {
+      const earlier = before.daemons[index];
+      return earlier === undefined ? 0 : (select(reading) - select(earlier)) / seconds;
+    });
+  const shares = rates(({ process: { cpuMicroseconds } }) => cpuMicroseconds).map(
+    (rate) => (rate / MICROSECONDS_PER_MILLISECOND / 1000) * PERCENT,
+  );
+  const storeCallsPerSecond: Record<string, number> = {};
+  for (const [kind, count] of Object.entries(after.storeCalls)) {
+    storeCallsPerSecond[kind] = (count - (before.storeCalls[kind] ?? 0)) / seconds;
+  }
+  // Each byte at a peer port is sent by one daemon and received by another.
+  const portBytes = mean(rates(({ peerPort }) => peerPort.receivedBytes + peerPort.sentBytes));
+  const lastProcesses = after.daemons.map((reading) => reading.process);
+  return {
+    daemons: after.daemons.length,
+    corePercent: mean(shares),
+    highestCorePercent: Math.max(...shares),
+    residentMegabytes:
+      mean(lastProcesses.map(({ residentBytes }) => residentBytes)) / BYTES_PER_MEGABYTE,
+    heapMegabytes:
+      mean(lastProcesses.map(({ heapUsedBytes }) => heapUsedBytes)) / BYTES_PER_MEGABYTE,
+    bytesPerSecond: 2 * portBytes,
+    callsPerSecond: mean(rates(({ peerPort }) => peerPort.calls)),
+    handshakesPerSecond: mean(rates(({ peerPort }) => peerPort.connections)),
+    storeCallsPerSecond,
+  };
+}
+
+/** Returns one call count of the store, all kinds together. */
+export function sumStoreCalls(cost: FleetCost): number {
+  return Object.values(cost.storeCallsPerSecond).reduce((sum, rate) => sum + rate, 0);
+}
--- /dev/null
+++ b/packages/testing/measure/src/control/random-choice.ts
@@ -0,0 +1,24 @@
+/**
+ * Random choices of a measurement from its seed.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** Draws from one seeded generator. */
+export class RandomChoice {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** Returns at most `count` different items in random order. */
+  sample<Item>(items: readonly Item[], count: number): Item[] {
+    const pool = [...items];
+    const chosen: Item[] = [];
+    while (pool.length > 0 && chosen.length < count) {
+      chosen.push(...pool.splice(uniformInt(this.generator, 0, pool.length - 1), 1));
+    }
+    return chosen;
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/control/store-watch-daemon.ts
@@ -0,0 +1,41 @@
+/**
+ * The daemon of the baseline: the program of the product in which every member watches the store, and
+ * neither pushes nor exchanges revisions with peers. Takes the arguments of the program.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type * as model from '@dogwoodstall/model';
+
+const RETRY_MILLISECONDS = 1000;
+const packages = new URL('../../../../../', import.meta.url);
+
+/** The parts of the keeper that its own watch uses. */
+interface WatchingKeeper {
+  readonly stopping: AbortController;
+  follow(signal: AbortSignal): Promise<void>;
+  current: model.Configuration | undefined;
+}
+
+async function watchAlways(this: WatchingKeeper): Promise<void> {
+  const { signal } = this.stopping;
+  while (!signal.aborted) {
+    await this.follow(signal).catch(() => {});
+    await delay(RETRY_MILLISECONDS * (1 + Math.random()), undefined, { signal }).catch(() => {});
+  }
+}
+
+async function replaceMethods(file: string, name: string, methods: object): Promise<void> {
+  const loaded = (await import(new URL(file, packages).href)) as Record<
+    string,
+    { prototype: object }
+  >;
+  Object.assign(loaded[name]?.prototype ?? {}, methods);
+}
+
+const spread = 'control/configuration-spread/dist/src/';
+await replaceMethods(`${spread}keeper.js`, 'ConfigurationKeeper', { watch: watchAlways });
+await replaceMethods(`${spread}spreader.js`, 'Spreader', {
+  run: async () => {},
+  push: () => {},
+  noteRevision: () => {},
+});
+await import(new URL('daemon/command-line/dist/src/bin.js', packages).href);
--- /dev/null
+++ b/packages/testing/measure/src/measurements/control-cost.ts
@@ -0,0 +1,193 @@
+/**
+ * Cost of control without request load in fleets of several sizes, its slope over the size, and the
+ * cost of a configuration of the target size. Baseline: a fleet in which every daemon watches the store.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { ChangeWriter } from '../control/change-writer.js';
+import { endControlFleet, startControlFleet, storeWatchDaemon } from '../control/fleets.js';
+import { fitLine } from '../control/least-squares.js';
+import {
+  compareReadings,
+  readFleet,
+  sumStoreCalls,
+  type FleetCost,
+  type FleetReading,
+} from '../control/process-cost.js';
+import { RandomChoice } from '../control/random-choice.js';
+import { measureTargetConfiguration } from '../control/target-configuration.js';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import {
+  roundFigure,
+  type Figures,
+  type Measurement,
+  type MeasurementContext,
+} from '../measurement.js';
+
+const SIZES_BY_DEFAULT = [10, 20, 40];
+const LARGEST_SIZE = 80;
+// From this duration on the largest fleet is measured instead of the baseline.
+const LONG_DURATION_MILLISECONDS = 60_000;
+const BASELINE_SIZE = 20;
+const SETTLE_MILLISECONDS = 5000;
+const WINDOW_MILLISECONDS = 8000;
+const CHANGE_INTERVAL_MILLISECONDS = 3000;
+const TARGET_DAEMONS = 810;
+
+interface Fleet {
+  readonly name: string;
+  readonly fleet: LocalFleet;
+}
+
+interface Costs {
+  readonly calm: FleetCost;
+  readonly changing: FleetCost;
+}
+
+// Sizes that are no multiple of the zones of the target size use five zones.
+async function startSize(
+  name: string,
+  size: number,
+  seed: number,
+  daemonCommand?: readonly string[],
+): Promise<Fleet> {
+  const zoneCount = 5;
+  const daemonsPerZone = size / zoneCount;
+  const command = daemonCommand === undefined ? {} : { daemonCommand };
+  return { name, fleet: await startControlFleet({ seed, zoneCount, daemonsPerZone, ...command }) };
+}
+
+async function writeChanges(fleet: LocalFleet, seed: number, until: number): Promise<number> {
+  const writer = new ChangeWriter('cost', new RandomChoice(seed));
+  let revision = 1;
+  let accepted = 0;
+  while (performance.now() < until) {
+    const submission = await writer.submit(fleet.daemons, revision);
+    if (submission.outcome === 'accepted') {
+      revision = submission.revision;
+      accepted += 1;
+    }
+    await delay(CHANGE_INTERVAL_MILLISECONDS);
+  }
+  return accepted;
+}
+
+async function measureWindows(fleets: readonly Fleet[], seed: number): Promise<Costs[]> {
+  const readAll = async (): Promise<FleetReading[]> =>
+    Promise.all(fleets.map(({ fleet }) => readFleet(fleet)));
+  await delay(SETTLE_MILLISECONDS);
+  const first = await readAll();
+  await delay(WINDOW_MILLISECONDS);
+  const second = await readAll();
+  const until = performance.now() + WINDOW_MILLISECONDS;
+  await Promise.all(fleets.map(({ fleet }) => writeChanges(fleet, seed, until)));
+  const third = await readAll();
+  return fleets.map((_, index) => ({
+    calm: compareReadings(first[index]!, second[index]!),
+    changing: compareReadings(second[index]!, third[index]!),
+  }));
+}
+
+function describe(name: string, cost: FleetCost): Figures {
+  return {
+    [`${name}CorePercent`]: roundFigure(cost.corePercent),
+    [`${name}HighestCorePercent`]: roundFigure(cost.highestCorePercent),
+    [`${name}ResidentMegabytes`]: roundFigure(cost.residentMegabytes),
+    [`${name}HeapMegabytes`]: roundFigure(cost.heapMegabytes),
+    [`${name}BytesPerSecond`]: roundFigure(cost.bytesPerSecond),
+    [`${name}CallsPerSecond`]: roundFigure(cost.callsPerSecond),
+    [`${name}HandshakesPerSecond`]: roundFigure(cost.handshakesPerSecond),
+    [`${name}StoreCallsPerSecond`]: roundFigure(sumStoreCalls(cost)),
+    ...Object.fromEntries(
+      Object.entries(cost.storeCallsPerSecond).map(([kind, rate]) => [
+        `${name}Store${kind[0]?.toUpperCase()}${kind.slice(1)}CallsPerSecond`,
+        roundFigure(rate),
+      ]),
+    ),
+  };
+}
+
+function describeSlope(
+  name: string,
+  costs: readonly FleetCost[],
+  unit: string,
+  select: (cost: FleetCost) => number,
+): Figures {
+  const line = fitLine(costs.map((cost) => ({ x: cost.daemons, y: select(cost) })));
+  const atTarget = line.intercept + line.slope * TARGET_DAEMONS;
+  return {
+    [`${name}SlopePer100Daemons${unit}`]: roundFigure(line.slope * 100),
+    [`${name}At${TARGET_DAEMONS}Daemons${unit}`]: roundFigure(atTarget),
+  };
+}
+
+function describeSlopes(name: string, costs: readonly FleetCost[]): Figures {
+  return {
+    ...describeSlope(name, costs, 'CorePercent', (cost) => cost.corePercent),
+    ...describeSlope(name, costs, 'ResidentMegabytes', (cost) => cost.residentMegabytes),
+    ...describeSlope(name, costs, 'HeapMegabytes', (cost) => cost.heapMegabytes),
+    ...describeSlope(name, costs, 'BytesPerSecond', (cost) => cost.bytesPerSecond),
+    ...describeSlope(name, costs, 'CallsPerSecond', (cost) => cost.callsPerSecond),
+    ...describeSlope(name, costs, 'StoreCallsPerSecond', sumStoreCalls),
+  };
+}
+
+async function measureFleets(
+  fleets: readonly Fleet[],
+  context: MeasurementContext,
+): Promise<Costs[]> {
+  try {
+    const costs = await measureWindows(fleets, context.seed);
+    for (const [index, { name }] of fleets.entries()) {
+      context.print(`${name} calm ${JSON.stringify(describe('', costs[index]!.calm))}`);
+      context.print(`${name} changing ${JSON.stringify(describe('', costs[index]!.changing))}`);
+    }
+    return costs;
+  } finally {
+    await Promise.all(fleets.map(({ fleet }) => endControlFleet(fleet)));
+  }
+}
+
+/** Starts fleets one after another and measures them in the same windows of time. */
+async function startAndMeasure(
+  starts: readonly (() => Promise<Fleet>)[],
+  context: MeasurementContext,
+): Promise<readonly (readonly [string, Costs])[]> {
+  const fleets: Fleet[] = [];
+  for (const start of starts) {
+    fleets.push(await start());
+  }
+  const costs = await measureFleets(fleets, context);
+  return fleets.map(({ name }, index) => [name, costs[index]!] as const);
+}
+
+async function run(context: MeasurementContext): Promise<Figures> {
+  const { seed } = context;
+  const startOf = (size: number) => async (): Promise<Fleet> =>
+    startSize(`fleetOf${size}`, size, seed);
+  const isLong = context.durationMilliseconds >= LONG_DURATION_MILLISECONDS;
+  const startBaseline = async (): Promise<Fleet> =>
+    startSize('everyDaemonWatches', BASELINE_SIZE, seed, storeWatchDaemon);
+  const sizes = isLong ? [...SIZES_BY_DEFAULT, LARGEST_SIZE] : SIZES_BY_DEFAULT;
+  const starts = [...sizes.map(startOf), ...(isLong ? [] : [startBaseline])];
+  const measured = await startAndMeasure(starts, context);
+  const sized = measured.slice(0, sizes.length);
+  const figures = measured.flatMap(([name, { calm, changing }]) => [
+    describe(`${name}Calm`, calm),
+    describe(`${name}Changing`, changing),
+  ]);
+  const calmCosts = sized.map(([, { calm }]) => calm);
+  const changingCosts = sized.map(([, { changing }]) => changing);
+  return Object.assign(
+    {},
+    ...figures,
+    describeSlopes('calm', calmCosts),
+    describeSlopes('changing', changingCosts),
+    await measureTargetConfiguration(context),
+  ) as Figures;
+}
+
+export const measurement: Measurement = {
+  name: 'control-cost',
+  summary: 'processor, memory, bytes and store calls of control by the size of the fleet',
+  run,
+};
