--- a/packages/testing/measure/src/measurements/control-cost.ts
+++ b/packages/testing/measure/src/measurements/control-cost.ts
@@ -174,7 +174,7 @@
   const sizes = isLong ? [...SIZES_BY_DEFAULT, LARGEST_SIZE] : SIZES_BY_DEFAULT;
   const starts = [...sizes.map(startOf), ...(isLong ? [] : [startBaseline])];
   // The largest fleet starts first, because it needs the longest time to settle.
-  const measured = (await startAndMeasure(starts.reverse(), context)).reverse();
+  const measured = [...(await startAndMeasure(starts.reverse(), context))].reverse();
   const sized = measured.slice(0, sizes.length);
   const figures = measured.flatMap(([name, { calm, changing }]) => [
     describe(`${name}Calm`, calm),
