Name members by short numbers in the news about revisions and send fewer calls

Cause: after each change a daemon passes on the revision of every member. Probes already carry the revision of both daemons, so that the exchange each second told nothing new.

Change: revisions are grouped and members are named by 32-bit numbers, about 11 bytes each. Revisions told by probes start a pull, and the exchange follows every 5 s. Calls pass neither through the HTTP link of the tRPC client nor through an asynchronous iterator, and pauses create no abort signals.

--- a/packages/control/configuration-spread/src/keeper.ts
+++ b/packages/control/configuration-spread/src/keeper.ts
@@ -131,6 +131,11 @@
     }
   }
 
+  /** Takes in the revision that a peer told by other means, such as the probes of membership. */
+  noteRevision(peer: string, revision: number): void {
+    this.spreader.noteRevision(peer, revision);
+  }
+
   /** Returns the revision in force in each zone and the age of the knowledge of the store. */
   statusByZone(): SpreadStatus {
     const members = this.options.members.members();
@@ -212,7 +217,7 @@
     while (!signal.aborted) {
       if (!isWatcher(members.self, members.members())) {
         this.watchFailures = 0;
-        await this.pause(this.timings.exchange);
+        await this.pause(this.timings.role);
         continue;
       }
       const renew = AbortSignal.timeout(this.timings.watch);
--- a/packages/control/configuration-spread/src/ports.ts
+++ b/packages/control/configuration-spread/src/ports.ts
@@ -24,8 +24,13 @@
 
 /** Intervals in milliseconds. */
 export interface SpreadTimings {
-  /** Between two exchanges of revisions with a random peer. */
+  /**
+   * Between two exchanges of revisions with a random peer. Probes of membership tell revisions several
+   * times a second; an exchange is the only message that also tells how old the knowledge of the store is.
+   */
   readonly exchange: number;
+  /** Between two checks whether this daemon is a watcher. */
+  readonly role: number;
   /** Shortest time between two pushes to one peer. */
   readonly push: number;
   /** Shortest and longest wait before the store is tried again. */
@@ -40,7 +45,8 @@
 
 /** The intervals of production. */
 export const defaultTimings: SpreadTimings = {
-  exchange: 1000,
+  exchange: 5000,
+  role: 1000,
   push: 1000,
   retryMinimum: 1000,
   retryMaximum: 15_000,
--- a/packages/control/configuration-spread/test/fleet.ts
+++ b/packages/control/configuration-spread/test/fleet.ts
@@ -9,6 +9,7 @@
 
 export const fastTimings = {
   exchange: 40,
+  role: 40,
   push: 40,
   retryMinimum: 20,
   retryMaximum: 100,
--- a/packages/daemon/daemon/src/control-plane.ts
+++ b/packages/daemon/daemon/src/control-plane.ts
@@ -71,6 +71,7 @@
       links: this.links,
       seeds: fleet.seeds,
       listedMachines,
+      onHeard: (peer) => this.keeper.noteRevision(peer.name, peer.revision),
       logger: log.part('membership'),
     });
     this.changes = new configurationLog.ConfigurationLog({
--- a/packages/peers/membership/src/handlers.ts
+++ b/packages/peers/membership/src/handlers.ts
@@ -3,7 +3,7 @@
  */
 import type * as peerLink from '@dogwoodstall/peer-link';
 import { FailureError } from '@dogwoodstall/results';
-import type { MemberTable } from './member-table.js';
+import type { Gossip, MemberTable } from './member-table.js';
 import type { Prober } from './prober.js';
 
 function checkSender(from: peerLink.MemberUpdate, caller: peerLink.Caller): void {
@@ -17,17 +17,18 @@
 export function createHandlers(
   table: MemberTable,
   prober: Prober,
+  takeIn: (gossip: Gossip) => void,
 ): Pick<peerLink.PeerHandlers, 'probe' | 'indirectProbe'> {
   return {
     probe: async (input, caller) => {
       checkSender(input.from, caller);
-      table.mergeGossip(input);
+      takeIn(input);
       const gossip = table.takeGossip(input.from.name);
       return input.join ? { ...gossip, updates: table.listForJoin() } : gossip;
     },
     indirectProbe: async (input, caller) => {
       checkSender(input.from, caller);
-      table.mergeGossip(input);
+      takeIn(input);
       const target = { name: input.target, peerAddress: input.targetAddress };
       const reached = await prober.probeDirectly(target, false);
       return { reached, target: reached ? table.find(input.target) : undefined };
--- a/packages/peers/membership/src/member-table.ts
+++ b/packages/peers/membership/src/member-table.ts
@@ -3,6 +3,7 @@
  */
 import type * as peerLink from '@dogwoodstall/peer-link';
 import { GossipQueue } from './gossip-queue.js';
+import { digestMember, MemberDigests } from './member-digests.js';
 import { compareUpdates, mergeUpdate } from './merge.js';
 
 const MAXIMUM_UPDATES = 8;
@@ -17,7 +18,7 @@
 export interface Gossip {
   readonly from: peerLink.MemberUpdate;
   readonly updates: peerLink.MemberUpdate[];
-  readonly revisions: peerLink.MemberRevision[];
+  readonly revisions: peerLink.RevisionGroup[];
 }
 
 /** Called when a member was added or its state, address or data changed. */
@@ -34,6 +35,8 @@
 
   private readonly failedAt = new Map<string, number>();
 
+  private readonly digests = new MemberDigests();
+
   private readonly updates = new GossipQueue();
 
   private readonly revisions = new GossipQueue();
@@ -85,6 +88,7 @@
       return false;
     }
     this.others.set(update.name, merged);
+    this.digests.note(merged, known);
     if (known !== undefined && compareUpdates(merged, known) === 0) {
       this.revisions.add(update.name);
       return true;
@@ -100,10 +104,9 @@
     for (const update of gossip.updates) {
       this.merge(update);
     }
-    for (const [name, incarnation, revision] of gossip.revisions) {
-      const known = this.others.get(name);
-      if (known?.incarnation === incarnation) {
-        this.merge({ ...known, revision });
+    for (const [revision, digests] of gossip.revisions) {
+      for (const digest of digests) {
+        this.mergeRevision(digest, revision);
       }
     }
   }
@@ -121,8 +124,7 @@
       names.push(about.name);
     }
     const updates = names.flatMap((name) => this.others.get(name) ?? []);
-    const revisions = revisionNames.flatMap((name) => this.formatRevision(name));
-    return { from: this.own, updates, revisions };
+    return { from: this.own, updates, revisions: this.groupRevisions(revisionNames) };
   }
 
   /** Returns every member that has not failed, for a daemon that joins. */
@@ -136,6 +138,7 @@
     for (const [name, since] of this.failedAt) {
       if (now - since > FAILED_RETENTION_MILLISECONDS) {
         this.failedAt.delete(name);
+        this.digests.forget(this.others.get(name));
         this.others.delete(name);
         this.updates.remove(name);
         this.revisions.remove(name);
@@ -145,9 +148,25 @@
     return forgotten;
   }
 
-  private formatRevision(name: string): peerLink.MemberRevision[] {
-    const member = name === this.own.name ? this.own : this.others.get(name);
-    return member === undefined ? [] : [[name, member.incarnation, member.revision]];
+  // A revision reaches all members within moments, so that most of them share one number.
+  private groupRevisions(names: readonly string[]): peerLink.RevisionGroup[] {
+    const groups = new Map<number, number[]>();
+    for (const name of names) {
+      const member = name === this.own.name ? this.own : this.others.get(name);
+      if (member !== undefined) {
+        const digests = groups.get(member.revision) ?? [];
+        digests.push(digestMember(member));
+        groups.set(member.revision, digests);
+      }
+    }
+    return [...groups];
+  }
+
+  private mergeRevision(digest: number, revision: number): void {
+    const known = this.others.get(this.digests.findName(digest) ?? '');
+    if (known !== undefined && revision > known.revision) {
+      this.merge({ ...known, revision });
+    }
   }
 
   private noteState(member: peerLink.MemberUpdate): void {
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -3,12 +3,11 @@
  * answer, and passes news on with its probes.
  */
 import { EventEmitter } from 'node:events';
-import { setTimeout as delay } from 'node:timers/promises';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import * as most from 'most';
 import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
-import { MemberTable } from './member-table.js';
+import { MemberTable, type Gossip } from './member-table.js';
 import type { MembershipOptions } from './options.js';
 import { ProbeTurn } from './probe-turn.js';
 import { Prober, type ProbeResult } from './prober.js';
@@ -52,7 +51,8 @@
 
   private readonly suspicions: Suspicions;
 
-  private wake = new AbortController();
+  /** Ends the pause before the next probe. */
+  private endPause: (() => void) | undefined;
 
   private readonly turn: ProbeTurn;
 
@@ -82,7 +82,12 @@
       },
       (member, previous) => this.noteChange(member, previous),
     );
+    const takeIn = (gossip: Gossip): void => {
+      this.table.mergeGossip(gossip);
+      options.onHeard?.(gossip.from);
+    };
     this.prober = new Prober({
+      takeIn,
       links: options.links,
       table: this.table,
       timings: this.timings,
@@ -107,7 +112,7 @@
       confirm: (name) => this.confirmSuspicion(name),
       declareFailed: (name) => this.declareFailed(name),
     });
-    this.handlers = createHandlers(this.table, this.prober);
+    this.handlers = createHandlers(this.table, this.prober, takeIn);
   }
 
   /** This daemon as it announces itself. */
@@ -163,7 +168,7 @@
     }
     this.unreachable.add(name);
     this.turn.addUrgent(name, this.timings.probeInterval);
-    this.wake.abort();
+    this.endPause?.();
   }
 
   /** Feeds in a successful call. */
@@ -211,7 +216,7 @@
   /** Stops probing. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.wake.abort();
+    this.endPause?.();
     this.suspicions.clear();
     await this.task;
   }
@@ -228,13 +233,17 @@
   }
 
   private async pause(startedAt: number): Promise<void> {
-    if (this.turn.hasUrgent) {
+    if (this.turn.hasUrgent || this.stopping.signal.aborted) {
       return;
     }
-    this.wake = new AbortController();
-    const signal = AbortSignal.any([this.wake.signal, this.stopping.signal]);
     const left = Math.max(1, this.timings.probeInterval - (performance.now() - startedAt));
-    await delay(left, undefined, { signal }).catch(() => {});
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, left);
+      this.endPause = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
   }
 
   private async probeNext(): Promise<void> {
--- a/packages/peers/membership/src/options.ts
+++ b/packages/peers/membership/src/options.ts
@@ -2,6 +2,7 @@
  * What membership is created with.
  */
 import type * as observability from '@dogwoodstall/observability';
+import type * as peerLink from '@dogwoodstall/peer-link';
 import type { MembershipLinks } from './prober.js';
 import type { ListedMachine } from './rejoiner.js';
 import type { MembershipTimings } from './timings.js';
@@ -18,6 +19,8 @@
   readonly seeds?: readonly string[];
   /** The platform's list of VMs, read at each round. */
   readonly listedMachines?: () => readonly ListedMachine[];
+  /** Called with what a member says about itself in each message. */
+  readonly onHeard?: (member: peerLink.MemberUpdate) => void;
   readonly logger?: observability.PartLogger;
   readonly timings?: Partial<MembershipTimings>;
   /** Seed of the random choices; taken from the incarnation by default. */
--- a/packages/peers/membership/src/prober.ts
+++ b/packages/peers/membership/src/prober.ts
@@ -2,7 +2,7 @@
  * Probes of single members: direct, then through others.
  */
 import type * as peerLink from '@dogwoodstall/peer-link';
-import type { MemberTable } from './member-table.js';
+import type { Gossip, MemberTable } from './member-table.js';
 import type { MembershipTimings } from './timings.js';
 
 /** The calls of membership; `PeerLinks` fits. */
@@ -20,6 +20,8 @@
   readonly table: MemberTable;
   readonly timings: MembershipTimings;
   readonly signal: AbortSignal;
+  /** Takes in the news of a message. */
+  readonly takeIn: (gossip: Gossip) => void;
   /** Returns members that can be asked to probe another one. */
   readonly chooseHelpers: (target: string) => peerLink.MemberUpdate[];
 }
@@ -48,7 +50,7 @@
 
   /** Probes a member or an address once; returns whether it answered. */
   async probeDirectly(target: peerLink.PeerTarget, join: boolean): Promise<boolean> {
-    const { links, table, timings, signal } = this.options;
+    const { links, table, timings, signal, takeIn } = this.options;
     try {
       const answer = await links
         .linkTo({ name: target.name, peerAddress: target.peerAddress })
@@ -57,7 +59,7 @@
           { ...table.takeGossip(target.name), join },
           { milliseconds: join ? timings.probeTimeout * 10 : timings.probeTimeout, signal },
         );
-      table.mergeGossip(answer);
+      takeIn(answer);
       return true;
     } catch {
       return false;
--- a/packages/peers/peer-link/src/call-handler.ts
+++ b/packages/peers/peer-link/src/call-handler.ts
@@ -30,18 +30,30 @@
   return path as ProcedureName;
 }
 
+// Listeners cost less than the asynchronous iteration of a request.
+async function readText(request: http.IncomingMessage): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAXIMUM_CALL_BYTES) {
+        request.pause();
+        reject(new TRPCError({ code: 'PAYLOAD_TOO_LARGE' }));
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    request.once('error', reject);
+    request.once('close', () => reject(new TRPCError({ code: 'CLIENT_CLOSED_REQUEST' })));
+  });
+}
+
 async function readBody(request: http.IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAXIMUM_CALL_BYTES) {
-      throw new TRPCError({ code: 'PAYLOAD_TOO_LARGE' });
-    }
-    chunks.push(chunk);
-  }
+  const text = await readText(request);
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    return JSON.parse(text);
   } catch (cause) {
     throw new TRPCError({ code: 'PARSE_ERROR', cause });
   }
--- a/packages/peers/peer-link/src/index.ts
+++ b/packages/peers/peer-link/src/index.ts
@@ -7,12 +7,12 @@
 export {
   type Caller,
   type KeyHome,
-  type MemberRevision,
   type MemberUpdate,
   type PeerHandlers,
   type ProcedureInput,
   type ProcedureName,
   type ProcedureOutput,
+  type RevisionGroup,
   memberUpdateSchema,
   procedures,
 } from './messages.js';
--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -2,8 +2,9 @@
  * The link to one peer: calls with limits, and connections of its own for forwarded requests.
  */
 import { FailureError, findResult, type ResultName } from '@dogwoodstall/results';
-import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
+import { createTRPCClient, TRPCClientError } from '@trpc/client';
 import * as undici from 'undici';
+import { createCallLink } from './call-link.js';
 import { checkPeerName, MINIMUM_TLS_VERSION, type PeerTls } from './identity.js';
 import {
   procedures,
@@ -97,29 +98,8 @@
   });
 }
 
-function createClient(pool: undici.Pool, target: PeerTarget): Client {
-  const origin = `https://${target.peerAddress}`;
-  const client = createTRPCClient<PeerRouter>({
-    links: [
-      httpLink({
-        url: `${origin}/trpc`,
-        fetch: async (url, init) => {
-          const answer = await pool.request({
-            path: String(url).slice(origin.length),
-            method: 'POST',
-            headers: { 'content-type': 'application/json' },
-            body: init?.body as string,
-            signal: init?.signal ?? null,
-          });
-          const text = await answer.body.text();
-          return {
-            ok: answer.statusCode < 300,
-            json: () => Promise.resolve(JSON.parse(text) as unknown),
-          };
-        },
-      }),
-    ],
-  });
+function createClient(pool: undici.Pool): Client {
+  const client = createTRPCClient<PeerRouter>({ links: [createCallLink(pool)] });
   return client as unknown as Client;
 }
 
@@ -152,7 +132,7 @@
     this.onCall = onCall;
     this.material = material;
     this.controlPool = createPool(target, material, CONTROL_CONNECTIONS);
-    this.client = createClient(this.controlPool, target);
+    this.client = createClient(this.controlPool);
   }
 
   /** The base URL of forwarded requests. */
@@ -211,7 +191,7 @@
     const pools = [this.controlPool, this.forwardPool];
     this.material = material;
     this.controlPool = createPool(this.target, material, CONTROL_CONNECTIONS);
-    this.client = createClient(this.controlPool, this.target);
+    this.client = createClient(this.controlPool);
     this.forwardPool = undefined;
     for (const pool of pools) {
       pool?.close().catch(() => {});
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -42,13 +42,13 @@
   keyHomes: zod.array(keyHomeSchema).max(MAXIMUM_KEY_HOMES),
 });
 
-/** The name, incarnation and configuration revision of a member. */
-export const memberRevisionSchema = zod.tuple([name, count, count]);
+/** A configuration revision and the members that have it in force, each by a number of 32 bits. */
+export const revisionGroupSchema = zod.tuple([count, zod.array(count).max(MAXIMUM_REVISIONS)]);
 
 const gossip = {
   from: memberUpdateSchema,
   updates: zod.array(memberUpdateSchema).max(MAXIMUM_UPDATES),
-  revisions: zod.array(memberRevisionSchema).max(MAXIMUM_REVISIONS),
+  revisions: zod.array(revisionGroupSchema).max(MAXIMUM_REVISIONS),
 };
 
 /** The incarnation whose idempotency records move, and how often they have moved. */
@@ -135,7 +135,7 @@
 
 export type KeyHome = zod.infer<typeof keyHomeSchema>;
 export type MemberUpdate = zod.infer<typeof memberUpdateSchema>;
-export type MemberRevision = zod.infer<typeof memberRevisionSchema>;
+export type RevisionGroup = zod.infer<typeof revisionGroupSchema>;
 export type ProcedureName = keyof typeof procedures;
 export type ProcedureInput<Name extends ProcedureName> = zod.infer<
   (typeof procedures)[Name]['input']
