Start from a peer that still has every change, and show members that only the list calls leaving

Cause: a daemon without a configuration asked a peer for changes after revision 0. A peer that had kept all of them sent them, and they could not be applied to nothing, so that the daemon never started. A member that was leaving only by the platform's list did not appear in the stream of changes.

Change: a daemon without a configuration asks for the whole one. Membership compares the list in each round and tells a difference.

--- a/packages/control/configuration-spread/src/peer-source.ts
+++ b/packages/control/configuration-spread/src/peer-source.ts
@@ -19,7 +19,11 @@
 /** Reads everything that a peer has and this daemon lacks. */
 export async function pullAll(state: ConfigurationState, call: PullCall): Promise<void> {
   let operations: model.Operation[] = [];
-  let input: PullInput = { after: state.revision, offset: 0 };
+  // Changes can't be applied to nothing: a daemon without a configuration asks for the whole one.
+  let input: PullInput =
+    state.current === undefined
+      ? { after: 0, snapshotRevision: 0, offset: 0 }
+      : { after: state.revision, offset: 0 };
   for (let page = 0; page < MAXIMUM_PAGES; page += 1) {
     const answer = await call(input);
     if (answer.kind === 'changes') {
--- a/packages/control/configuration-spread/test/fleet.ts
+++ b/packages/control/configuration-spread/test/fleet.ts
@@ -35,12 +35,20 @@
 
   readonly calls: string[] = [];
 
+  /** Called with the input of each call. */
+  onCall: ((name: peerLink.ProcedureName, input: unknown) => void) | undefined;
+
   /** Returns whether a call may reach its target, and whether the answer comes back. */
   link: LinkFault | undefined;
 
   readonly log = new MemoryLog();
 
-  add(name: string, zone: string, log: spread.Log = this.log): Daemon {
+  add(
+    name: string,
+    zone: string,
+    log: spread.Log = this.log,
+    timings: Partial<spread.SpreadTimings> = {},
+  ): Daemon {
     const member: membership.Member = {
       name,
       zone,
@@ -63,7 +71,7 @@
         announceRevision: (revision) => this.revisions.set(name, revision),
       },
       links: { linkTo: (target) => this.linkTo(name, target.name ?? '') },
-      timings: fastTimings,
+      timings: { ...fastTimings, ...timings },
       seed: this.daemons.size + 1,
     });
     const daemon = { member, keeper };
@@ -91,6 +99,7 @@
   private linkTo(from: string, to: string): Pick<peerLink.PeerLink, 'call'> {
     const call = async (name: peerLink.ProcedureName, input: unknown): Promise<unknown> => {
       this.calls.push(`${from} ${name} ${to}`);
+      this.onCall?.(name, input);
       await new Promise((resolve) => {
         setImmediate(resolve);
       });
--- a/packages/control/configuration-spread/test/memory-log.ts
+++ b/packages/control/configuration-spread/test/memory-log.ts
@@ -1,7 +1,7 @@
 /**
  * The configuration log at its interface, in memory.
  */
-import { EventEmitter, on } from 'node:events';
+import { EventEmitter, on, once } from 'node:events';
 import * as model from '@dogwoodstall/model';
 import { FailureError } from '@dogwoodstall/results';
 import type * as spread from '../src/index.js';
@@ -26,6 +26,15 @@
 
   readers = 0;
 
+  /** Times at which a watch was opened or tried. */
+  readonly openedAt: number[] = [];
+
+  /** Revisions of the snapshots that were written. */
+  readonly snapshots: number[] = [];
+
+  /** New watches stay open and tell nothing, like a connection that died unnoticed. */
+  silent = false;
+
   private readonly emitter = new EventEmitter().setMaxListeners(0);
 
   commit(reason?: string): model.Change {
@@ -58,7 +67,12 @@
     signal: AbortSignal,
     onAnswer: () => void = () => {},
   ): AsyncGenerator<model.Change, void, undefined> {
+    this.openedAt.push(performance.now());
     this.check();
+    if (this.silent) {
+      await once(signal, 'abort');
+      return;
+    }
     const events = on(this.emitter, 'change', { signal });
     onAnswer();
     this.readers += 1;
@@ -74,6 +88,7 @@
 
   async writeSnapshot(configuration: model.Configuration): Promise<number> {
     this.check();
+    this.snapshots.push(configuration.revision);
     return configuration.revision;
   }
 
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -7,6 +7,7 @@
 import * as most from 'most';
 import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
+import { ListedLeaving } from './listed-leaving.js';
 import { MemberTable, type Gossip } from './member-table.js';
 import type { MembershipOptions } from './options.js';
 import { ProbeTurn } from './probe-turn.js';
@@ -51,6 +52,8 @@
 
   private readonly suspicions: Suspicions;
 
+  private readonly listedLeaving: ListedLeaving;
+
   /** Ends the pause before the next probe. */
   private endPause: (() => void) | undefined;
 
@@ -94,12 +97,14 @@
       signal: this.stopping.signal,
       chooseHelpers: (target) => this.chooseHelpers(target),
     });
+    const listedMachines = options.listedMachines ?? (() => []);
+    this.listedLeaving = new ListedLeaving(listedMachines);
     this.turn = new ProbeTurn(options.name, this.random);
     this.rejoiner = new Rejoiner({
       name: options.name,
       peerAddress: options.peerAddress,
       seeds: options.seeds ?? [],
-      listedMachines: options.listedMachines ?? (() => []),
+      listedMachines,
       links: options.links,
       table: this.table,
       prober: this.prober,
@@ -122,19 +127,7 @@
 
   /** Every member that has not failed, this daemon included. */
   members(): Member[] {
-    const leaving = new Set<string>();
-    for (const machine of this.options.listedMachines?.() ?? []) {
-      if (machine.state === 'leaving') {
-        leaving.add(machine.name);
-      }
-    }
-    const members: Member[] = [this.table.self];
-    for (const member of this.table.peers) {
-      if (member.state !== 'failed') {
-        members.push(leaving.has(member.name) ? { ...member, state: 'leaving' } : member);
-      }
-    }
-    return members;
+    return [this.table.self, ...this.listedLeaving.apply(this.table.peers)];
   }
 
   /** Returns a member by name, this daemon and failed members included. */
@@ -228,6 +221,9 @@
       await this.probeNext();
       await this.rejoiner.tryNext();
       this.forgetOldMembers();
+      if (this.listedLeaving.refresh()) {
+        this.emitSoon();
+      }
       await this.pause(startedAt);
     }
   }
--- a/packages/peers/membership/test/membership.test.ts
+++ b/packages/peers/membership/test/membership.test.ts
@@ -1,9 +1,11 @@
 import * as assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
-import type * as membership from '../src/index.js';
+import * as membership from '../src/index.js';
 import { Network, sees, until } from './network.js';
 
 const DEADLINE = { timeout: 20_000 };
+// At 810 daemons every message carries as much of this news as it may.
+const MAXIMUM_REVISION_BYTES = 500;
 const SEEDS = ['127.0.0.1:1'];
 
 function startNetwork(
@@ -160,8 +162,10 @@
     nodes.forEach((node) => node.announceRevision(9));
     await until(() => nodes.every((node) => node.members().every((one) => one.revision === 9)));
     for (const { input } of network.calls) {
-      const { updates, revisions } = input as { updates: unknown[]; revisions: unknown[] };
-      assert.ok(updates.length <= 9 && revisions.length <= 32);
+      const { updates, revisions } = input as membership.Gossip;
+      const named = revisions.flatMap(([, digests]) => digests);
+      assert.ok(updates.length <= 9 && named.length <= 32);
+      assert.ok(JSON.stringify(revisions).length <= MAXIMUM_REVISION_BYTES, 'news fills a message');
     }
   },
 );
@@ -195,3 +199,92 @@
     await assert.rejects(first.handlers.probe(input, { name: 'a3' }));
   },
 );
+
+test(
+  'two regions of many members that lost contact for a while know all members again',
+  DEADLINE,
+  async (context) => {
+    const names = Array.from(
+      { length: 42 },
+      (_, index) => `${index % 2 === 0 ? 'a' : 'b'}${index}`,
+    );
+    const { network, nodes } = startNetwork(context, names);
+    await untilAllSee(nodes, names);
+    network.isOpen = (from, to) => from[0] === to[0];
+    for (const region of ['a', 'b']) {
+      const own = names.filter((name) => name.startsWith(region));
+      const inside = nodes.filter((node) => own.includes(node.self.name));
+      await untilAllSee(inside, own);
+    }
+    network.isOpen = undefined;
+    await untilAllSee(nodes, names);
+  },
+);
+
+test(
+  'a member that leaves only by the list of VMs appears in the stream of changes',
+  DEADLINE,
+  async (context) => {
+    const network = new Network();
+    context.after(() => network.stop());
+    const machines: membership.ListedMachine[] = [];
+    const first = network.add('a1', { seeds: SEEDS, listedMachines: () => machines });
+    const second = network.add('a2', { seeds: SEEDS });
+    first.start();
+    second.start();
+    await until(() => sees(first, ['a1', 'a2']));
+    const states: (string | undefined)[] = [];
+    const note = (members: readonly membership.Member[]): void => {
+      states.push(members.find(({ name }) => name === 'a2')?.state);
+    };
+    first.changes.forEach(note).catch(assert.fail);
+    machines.push({ ...second.self, state: 'leaving' });
+    await until(() => states.at(-1) === 'leaving');
+    machines.length = 0;
+    await until(() => states.at(-1) === 'alive');
+  },
+);
+
+test(
+  'each message tells the revision of its sender, also when the news of others fills it',
+  DEADLINE,
+  async (context) => {
+    const network = new Network();
+    context.after(() => network.stop());
+    const heard = new Map<string, number>();
+    const onHeard = ({ name, revision }: membership.Member): void => {
+      heard.set(name, revision);
+    };
+    const first = network.add('a1', { seeds: SEEDS, onHeard });
+    const second = network.add('a2', { seeds: SEEDS });
+    first.start();
+    second.start();
+    second.announceRevision(5);
+    await until(() => heard.get('a2') === 5);
+    const late: membership.Member = { ...second.self, name: 'a3', revision: 6 };
+    const gossip = { updates: [], revisions: [], join: false };
+    await first.handlers.probe({ ...gossip, from: late }, { name: 'a3' });
+    assert.equal(heard.get('a3'), 6);
+  },
+);
+
+test('a revision of an earlier incarnation is not taken for the one that runs now', async () => {
+  const network = new Network();
+  const first = network.add('a1');
+  const old: membership.Member = { ...first.self, name: 'a2', revision: 0 };
+  const digest = membership.digestMember(old);
+  const gossip = { updates: [], join: false };
+  const fresh = { ...old, incarnation: old.incarnation + 1 };
+  await first.handlers.probe({ ...gossip, from: old, revisions: [] }, { name: 'a2' });
+  await first.handlers.probe(
+    { ...gossip, from: fresh, revisions: [[9, [digest]]] },
+    { name: 'a2' },
+  );
+  assert.equal(first.find('a2')?.revision, 0);
+  const current = membership.digestMember(fresh);
+  await first.handlers.probe(
+    { ...gossip, from: fresh, revisions: [[9, [current]]] },
+    { name: 'a2' },
+  );
+  assert.equal(first.find('a2')?.revision, 9);
+});
--- a/packages/peers/peer-link/test/peer-link.test.ts
+++ b/packages/peers/peer-link/test/peer-link.test.ts
@@ -197,3 +197,17 @@
     }
   },
 );
+
+test('calls and their bytes are counted at both ends', DEADLINE, async (context) => {
+  const pair = await startPair(context, await readTls('daemon-a', FIRST));
+  await pair.link().call('summary', summary);
+  const { receivedBytes, sentBytes } = pair.server.traffic;
+  await pair.link().call('summary', summary);
+  const { traffic } = pair.server;
+  assert.equal(traffic.calls, 2);
+  assert.ok(traffic.connections >= 1 && traffic.connections <= 2);
+  assert.equal(pair.links.callCounts.get('summary'), 2);
+  assert.ok(traffic.receivedBytes > receivedBytes && traffic.sentBytes > sentBytes);
+  await pair.links.destroy();
+  assert.ok(pair.server.traffic.receivedBytes >= traffic.receivedBytes, 'closed ones count');
+});
