Tell suspected and failed members by number

Cause: when a zone of 116 daemons is lost, each daemon tells 232 changes of state up to 30 times. With the whole data of each member this fills every message for minutes.

Change: a doubt names the incarnation by a 32-bit number and carries only counter and state.

--- a/packages/peers/membership/src/member-table.ts
+++ b/packages/peers/membership/src/member-table.ts
@@ -18,6 +18,8 @@
 export interface Gossip {
   readonly from: peerLink.MemberUpdate;
   readonly updates: peerLink.MemberUpdate[];
+  /** Suspected and failed members, without the data that the receiver has. */
+  readonly doubts: peerLink.Doubt[];
   readonly revisions: peerLink.RevisionGroup[];
 }
 
@@ -47,6 +49,7 @@
     this.own = own;
     this.onChange = onChange;
     this.updates.add(own.name);
+    this.digests.note(own, undefined);
   }
 
   /** What this daemon says about itself. */
@@ -104,6 +107,13 @@
     for (const update of gossip.updates) {
       this.merge(update);
     }
+    for (const [digest, counter, state] of gossip.doubts) {
+      const name = this.digests.findName(digest);
+      const known = name === this.own.name ? this.own : this.others.get(name ?? '');
+      if (known !== undefined) {
+        this.merge({ ...known, counter, state });
+      }
+    }
     for (const [revision, digests] of gossip.revisions) {
       for (const digest of digests) {
         this.mergeRevision(digest, revision);
@@ -123,8 +133,17 @@
     if (about !== undefined && about.state !== 'alive' && !names.includes(about.name)) {
       names.push(about.name);
     }
-    const updates = names.flatMap((name) => this.others.get(name) ?? []);
-    return { from: this.own, updates, revisions: this.groupRevisions(revisionNames) };
+    const updates: peerLink.MemberUpdate[] = [];
+    const doubts: peerLink.Doubt[] = [];
+    for (const name of names) {
+      const member = this.others.get(name);
+      if (member?.state === 'suspect' || member?.state === 'failed') {
+        doubts.push([digestMember(member), member.counter, member.state]);
+      } else if (member !== undefined) {
+        updates.push(member);
+      }
+    }
+    return { from: this.own, updates, doubts, revisions: this.groupRevisions(revisionNames) };
   }
 
   /** Returns every member that has not failed, for a daemon that joins. */
--- a/packages/peers/membership/test/membership.test.ts
+++ b/packages/peers/membership/test/membership.test.ts
@@ -70,7 +70,7 @@
   ];
   const rumour = { ...second.self, state: 'suspect' as const };
   await first.handlers.probe(
-    { from: third.self, updates: [rumour], revisions: [], join: false },
+    { from: third.self, updates: [rumour], doubts: [], revisions: [], join: false },
     { name: 'b1' },
   );
   assert.equal(first.find('a2')?.state, 'suspect');
@@ -162,9 +162,9 @@
     nodes.forEach((node) => node.announceRevision(9));
     await until(() => nodes.every((node) => node.members().every((one) => one.revision === 9)));
     for (const { input } of network.calls) {
-      const { updates, revisions } = input as membership.Gossip;
+      const { updates, doubts, revisions } = input as membership.Gossip;
       const named = revisions.flatMap(([, digests]) => digests);
-      assert.ok(updates.length <= 9 && named.length <= 32);
+      assert.ok(updates.length + doubts.length <= 9 && named.length <= 32);
       assert.ok(JSON.stringify(revisions).length <= MAXIMUM_REVISION_BYTES, 'news fills a message');
     }
   },
@@ -195,7 +195,7 @@
   async (context) => {
     const { nodes } = startNetwork(context, ['a1', 'a2']);
     const [first, second] = nodes as [membership.Membership, membership.Membership];
-    const input = { from: second.self, updates: [], revisions: [], join: false };
+    const input = { from: second.self, updates: [], doubts: [], revisions: [], join: false };
     await assert.rejects(first.handlers.probe(input, { name: 'a3' }));
   },
 );
@@ -262,7 +262,7 @@
     second.announceRevision(5);
     await until(() => heard.get('a2') === 5);
     const late: membership.Member = { ...second.self, name: 'a3', revision: 6 };
-    const gossip = { updates: [], revisions: [], join: false };
+    const gossip = { updates: [], doubts: [], revisions: [], join: false };
     await first.handlers.probe({ ...gossip, from: late }, { name: 'a3' });
     assert.equal(heard.get('a3'), 6);
   },
@@ -273,7 +273,7 @@
   const first = network.add('a1');
   const old: membership.Member = { ...first.self, name: 'a2', revision: 0 };
   const digest = membership.digestMember(old);
-  const gossip = { updates: [], join: false };
+  const gossip = { updates: [], doubts: [], join: false };
   const fresh = { ...old, incarnation: old.incarnation + 1 };
   await first.handlers.probe({ ...gossip, from: old, revisions: [] }, { name: 'a2' });
   await first.handlers.probe(
@@ -288,3 +288,29 @@
   );
   assert.equal(first.find('a2')?.revision, 9);
 });
+
+test('the loss of many members is told without the data that every member has', async () => {
+  const network = new Network();
+  const first = network.add('a1');
+  const lost: membership.Member = { ...first.self, name: 'a2' };
+  const table = new membership.MemberTable(first.self, () => {});
+  const receiver = new membership.MemberTable({ ...first.self, name: 'a3' }, () => {});
+  table.merge(lost);
+  receiver.merge(lost);
+  table.merge({ ...lost, state: 'failed' });
+  const gossip = table.takeGossip('a3');
+  assert.deepEqual(gossip.updates, []);
+  receiver.mergeGossip(gossip);
+  assert.equal(receiver.find('a2')?.state, 'failed');
+});
+
+test('a doubt about an earlier incarnation does not touch the one that runs now', async () => {
+  const network = new Network();
+  const { self } = network.add('a1');
+  const old: membership.Member = { ...self, name: 'a2' };
+  const table = new membership.MemberTable(self, () => {});
+  table.merge({ ...old, incarnation: old.incarnation + 1 });
+  const doubts: [number, number, 'failed'][] = [[membership.digestMember(old), 9, 'failed']];
+  table.mergeGossip({ from: old, updates: [], doubts, revisions: [] });
+  assert.equal(table.find('a2')?.state, 'alive');
+});
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -45,9 +45,13 @@
 /** A configuration revision and the members that have it in force, each by a number of 32 bits. */
 export const revisionGroupSchema = zod.tuple([count, zod.array(count).max(MAXIMUM_REVISIONS)]);
 
+/** A doubt about a member that the receiver knows, by its number of 32 bits, with its counter. */
+export const doubtSchema = zod.tuple([count, count, zod.enum(['suspect', 'failed'])]);
+
 const gossip = {
   from: memberUpdateSchema,
   updates: zod.array(memberUpdateSchema).max(MAXIMUM_UPDATES),
+  doubts: zod.array(doubtSchema).max(MAXIMUM_UPDATES),
   revisions: zod.array(revisionGroupSchema).max(MAXIMUM_REVISIONS),
 };
 
@@ -135,6 +139,7 @@
 
 export type KeyHome = zod.infer<typeof keyHomeSchema>;
 export type MemberUpdate = zod.infer<typeof memberUpdateSchema>;
+export type Doubt = zod.infer<typeof doubtSchema>;
 export type RevisionGroup = zod.infer<typeof revisionGroupSchema>;
 export type ProcedureName = keyof typeof procedures;
 export type ProcedureInput<Name extends ProcedureName> = zod.infer<
