Let V8 shrink the heap of a daemon again

Cause: without its collections the heap of a daemon that received a configuration of the target size stayed at 96 MB instead of 80, 66 MB above a daemon with a small one, over the limit of 64 MB.

Change: the flag is removed.

--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -10,7 +10,6 @@
 import { ControlPlane } from './control-plane.js';
 import { CrashReports } from './crash-reports.js';
 import { READY_CONDITION } from './fleet-view.js';
-import { keepHeapSize } from './garbage-collection.js';
 import { readFleetKeys, readKeyPair, readPeerTls } from './key-material.js';
 import { RecordsTransfer } from './records-transfer.js';
 import { RequestPlane } from './request-plane.js';
@@ -254,7 +253,6 @@
   daemonSettings: settings.Settings,
   options: DaemonOptions,
 ): Promise<Daemon> {
-  keepHeapSize();
   followViolations(daemonSettings, options.log);
   const daemon = new Daemon(daemonSettings, options, await readMaterial(daemonSettings));
   try {
