--- a/packages/routing/proxy/src/answer.ts
+++ b/packages/routing/proxy/src/answer.ts
@@ -7,6 +7,14 @@
 
 const MAXIMUM_DRAINED_BYTES = 4_194_304;
 
+// After these, what follows on the connection may not be what its sender means by it.
+const CLOSING_RESULTS: ReadonlySet<string> = new Set([
+  'RequestMalformed',
+  'RequestAmbiguousLength',
+  'RequestHostInvalid',
+  'MethodUnsupported',
+]);
+
 /** Value of the result header of an answer that came from a backend server. */
 export const ANSWERED = '0';
 
@@ -67,6 +75,9 @@
   }
   const body = formatBody(failure);
   const headers = listHeaders(failure, requestId, Buffer.byteLength(body));
+  if (CLOSING_RESULTS.has(failure.kind)) {
+    headers.Connection = 'close';
+  }
   response.writeHead(findResult(failure.kind).httpStatus, { ...headers, ...extraHeaders });
   response.end(body);
   if (!response.req.complete) {
--- /dev/null
+++ b/packages/routing/proxy/test/once.test.ts
@@ -0,0 +1,189 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import { Pool } from 'undici';
+import { call, createFleet, startBackend, startDaemon, startRawBackend } from './fixture.js';
+import type { CallOptions, TestDaemon, TestFleet } from './fixture.js';
+
+async function startTwo(
+  context: TestContext,
+  fleet: TestFleet,
+): Promise<{ entry: TestDaemon; home: TestDaemon }> {
+  const home = await startDaemon(context, fleet, 'daemon-a');
+  const entry = await startDaemon(context, fleet, 'daemon-b');
+  Object.assign(fleet, {
+    locate: (asking: string) =>
+      asking === 'daemon-a' ? { kind: 'local' } : { kind: 'peer', peer: home.peer },
+  });
+  return { entry, home };
+}
+
+async function prepare(port: number, body = 'pay 5'): Promise<CallOptions> {
+  const refused = await call(port, { path: '/write', method: 'POST' });
+  const headers = { 'idempotency-key': refused.headers['idempotency-key'] as string };
+  return { path: '/write', method: 'POST', body, headers };
+}
+
+test('resends at the same moment through two entries run once and get one answer', async (context) => {
+  let answer = (): void => {};
+  const backend = await startBackend(context, (_request, response) => {
+    answer = () => response.end('paid');
+  });
+  const { entry, home } = await startTwo(context, createFleet([backend.address]));
+  const post = await prepare(entry.port);
+  const calls = [entry, home, entry, home].map(({ port }) => call(port, post));
+  await once(backend.server, 'request');
+  while (entry.server.inFlight.count < 2 || home.server.inFlight.count < 4) {
+    await new Promise(setImmediate);
+  }
+  answer();
+  for (const received of await Promise.all(calls)) {
+    assert.equal(received.body, 'paid');
+    assert.equal(received.headers['dogwoodstall-execution'], 'ran');
+  }
+  assert.equal(backend.requests.length, 1);
+});
+
+test('a caller that goes away and resends gets the answer of its one execution', async (context) => {
+  let answer = (): void => {};
+  const backend = await startBackend(context, (_request, response) => {
+    answer = () => response.end('paid');
+  });
+  const { entry } = await startTwo(context, createFleet([backend.address]));
+  const post = await prepare(entry.port);
+  const request = http.request({
+    host: '127.0.0.1',
+    port: entry.port,
+    path: post.path,
+    method: 'POST',
+    headers: { host: 'shop.test', ...post.headers },
+  });
+  request.on('error', () => {});
+  request.end(post.body);
+  await once(backend.server, 'request');
+  request.destroy();
+  const resent = call(entry.port, post);
+  while (entry.server.inFlight.count !== 1) {
+    await new Promise(setImmediate);
+  }
+  answer();
+  assert.equal((await resent).body, 'paid');
+  assert.equal(backend.requests.length, 1);
+});
+
+test('an answer above the limit is delivered once and told as not kept afterwards', async (context) => {
+  const large = 'x'.repeat(100_000);
+  const backend = await startBackend(context, (_request, response) => response.end(large));
+  const daemon = await startDaemon(context, createFleet([backend.address]));
+  const post = await prepare(daemon.port);
+  assert.equal((await call(daemon.port, post)).body.length, large.length);
+  const resent = await call(daemon.port, post);
+  assert.equal(resent.headers['dogwoodstall-result'], '4008');
+  assert.equal(resent.headers['dogwoodstall-execution'], 'ran');
+  assert.equal(backend.requests.length, 1);
+});
+
+test('a recorded answer keeps status, headers and every cookie', async (context) => {
+  const backend = await startBackend(context, (_request, response) => {
+    response.writeHead(201, { 'Set-Cookie': ['a=1', 'b=2'], 'X-Order': '17' });
+    response.end(Buffer.from([0, 255, 1]));
+  });
+  const daemon = await startDaemon(context, createFleet([backend.address]));
+  const post = await prepare(daemon.port);
+  const [first, second] = [await call(daemon.port, post), await call(daemon.port, post)];
+  assert.equal(second.status, 201);
+  assert.equal(second.body, first.body);
+  assert.deepEqual(second.headers['set-cookie'], ['a=1', 'b=2']);
+  assert.equal(second.headers['x-order'], '17');
+});
+
+test('a lost home is told as not known, an unreachable one as not run', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([backend.address]);
+  const daemon = await startDaemon(context, fleet);
+  const post = await prepare(daemon.port);
+  fleet.locate = () => ({ kind: 'lost' });
+  const lost = await call(daemon.port, post);
+  assert.equal(lost.headers['dogwoodstall-result'], '4005');
+  assert.equal(lost.headers['dogwoodstall-execution'], 'not-known');
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const baseUrl = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  server.close();
+  await once(server, 'close');
+  const dispatcher = new Pool(baseUrl);
+  context.after(() => dispatcher.destroy());
+  fleet.locate = () => ({ kind: 'peer', peer: { name: 'gone', dispatcher, baseUrl } });
+  const unreachable = await call(daemon.port, post);
+  assert.equal(unreachable.headers['dogwoodstall-result'], '4009');
+  assert.equal(unreachable.headers['dogwoodstall-execution'], 'not-run');
+  assert.equal(backend.requests.length, 0);
+});
+
+test('a home that is lost after the request was sent is told as not known', async (context) => {
+  const address = await startRawBackend(context, (socket) => {
+    socket.once('data', () => socket.resetAndDestroy());
+  });
+  const fleet = createFleet([]);
+  const daemon = await startDaemon(context, fleet);
+  const post = await prepare(daemon.port);
+  const dispatcher = new Pool(`http://${address}`);
+  context.after(() => dispatcher.destroy());
+  const peer = { name: 'gone', dispatcher, baseUrl: `http://${address}` };
+  fleet.locate = () => ({ kind: 'peer', peer });
+  const answer = await call(daemon.port, post);
+  assert.equal(answer.headers['dogwoodstall-result'], '4006');
+});
+
+for (const [name, path, expected] of [
+  ['moves an idempotent request to the next rank', '/', 'ok'],
+  ['moves no non-idempotent request', '/write', ''],
+] as const) {
+  test(`a dispatcher that stalls ${name}`, async (context) => {
+    let taken = 0;
+    const silent = await startRawBackend(context, (socket) => {
+      socket.on('data', (data: Buffer) => {
+        taken += data.toString().includes('forward-kind') ? 1 : 0;
+      });
+    });
+    const backend = await startBackend(context, (_request, response) => response.end('ok'));
+    const fleet = createFleet([backend.address]);
+    const daemon = await startDaemon(context, fleet);
+    const post = await prepare(daemon.port);
+    const dispatcher = new Pool(`http://${silent}`, { headersTimeout: 0 });
+    context.after(() => dispatcher.destroy());
+    const peer = { name: 'silent', dispatcher, baseUrl: `http://${silent}` };
+    fleet.plan = () => [{ kind: 'peer', peer }, { kind: 'local' }];
+    const answer = await call(daemon.port, { ...post, path });
+    assert.equal(taken, 1);
+    if (expected === 'ok') {
+      assert.equal(answer.body, 'ok');
+    } else {
+      assert.equal(answer.headers['dogwoodstall-execution'], 'not-known');
+      assert.equal(backend.requests.length, 0);
+    }
+  });
+}
+
+test('a request that went through two daemons is forwarded no further', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([backend.address]);
+  const daemon = await startDaemon(context, fleet);
+  const headers = {
+    'request-id': 'r',
+    'dogwoodstall-forward-kind': 'dispatch',
+    'dogwoodstall-forward-hops': '3',
+    'dogwoodstall-forward-milliseconds': '1000',
+    'dogwoodstall-forward-sent': String(Date.now()),
+  };
+  const { port } = daemon.peerServer.address() as net.AddressInfo;
+  const answer = await call(port, { path: '/forward/', headers });
+  assert.equal(answer.headers['dogwoodstall-result'], '2011');
+  const late = { ...headers, 'dogwoodstall-forward-hops': '1', 'dogwoodstall-forward-sent': '1' };
+  const expired = await call(port, { path: '/forward/', headers: late });
+  assert.equal(expired.headers['dogwoodstall-result'], '3003');
+  assert.equal(backend.requests.length, 0);
+});
--- /dev/null
+++ b/packages/routing/proxy/test/stop.test.ts
@@ -0,0 +1,96 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import { test } from 'node:test';
+import * as results from '@dogwoodstall/results';
+import { call, callRaw, createFleet, startBackend, startDaemon } from './fixture.js';
+import { READY_PATH } from '../src/index.js';
+
+async function waitUntilRefused(port: number): Promise<void> {
+  for (;;) {
+    const socket = net.connect(port, '127.0.0.1');
+    const refused = await Promise.race([
+      once(socket, 'connect').then(() => false),
+      once(socket, 'error').then(() => true),
+    ]).catch(() => true);
+    socket.destroy();
+    if (refused) {
+      return;
+    }
+  }
+}
+
+test('a planned stop fails readiness at once and lets a running upload end', async (context) => {
+  const backend = await startBackend(context, (request, response) => {
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+    });
+    request.on('end', () => response.end(String(bytes)));
+  });
+  const fleet = createFleet([backend.address], {
+    contract: { deadlineMilliseconds: 60_000 },
+    balancerMilliseconds: 50,
+  });
+  const daemon = await startDaemon(context, fleet);
+  assert.equal((await call(daemon.port, { path: READY_PATH })).status, 200);
+  const request = http.request({
+    host: '127.0.0.1',
+    port: daemon.port,
+    method: 'PUT',
+    headers: { host: 'shop.test' },
+  });
+  request.write('x'.repeat(100_000));
+  await once(backend.server, 'request');
+  daemon.entry.beginStop();
+  assert.equal((await call(daemon.port, { path: READY_PATH })).status, 503);
+  const accepted = await call(daemon.port, { method: 'POST', body: 'x' });
+  assert.equal(accepted.status, 200);
+  assert.equal(accepted.headers.connection, 'close');
+  let idle = false;
+  const stopped = daemon.entry.whenIdle().then(() => {
+    idle = true;
+  });
+  await waitUntilRefused(daemon.port);
+  assert.equal(idle, false);
+  request.end('x'.repeat(100_000));
+  const [response] = (await once(request, 'response')) as [http.IncomingMessage];
+  const [body] = (await once(response, 'data')) as [Buffer];
+  assert.equal(body.toString(), '200000');
+  await stopped;
+  const before = results.countViolations().get('RequestCutByStop') ?? 0;
+  daemon.entry.close();
+  assert.equal(results.countViolations().get('RequestCutByStop') ?? 0, before);
+});
+
+test('after the balancer time a kept connection gets "not run" and is closed', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const daemon = await startDaemon(context, createFleet([backend.address]));
+  const socket = net.connect(daemon.port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (data: Buffer) => {
+    received += data.toString();
+  });
+  const text = 'GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n';
+  socket.write(text);
+  await once(socket, 'data');
+  daemon.entry.beginStop();
+  await daemon.entry.whenIdle();
+  socket.write(text);
+  await once(socket, 'close');
+  assert.match(received, /Dogwoodstall-Result: 3012\r\n/);
+  assert.match(received, /Dogwoodstall-Execution: not-run\r\n/);
+  assert.equal(backend.requests.length, 1);
+});
+
+test('closing while a request runs is reported as a violation', async (context) => {
+  const backend = await startBackend(context, () => {});
+  const daemon = await startDaemon(context, createFleet([backend.address]));
+  const answered = callRaw(daemon.port, 'GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n');
+  await once(backend.server, 'request');
+  const before = results.countViolations().get('RequestCutByStop') ?? 0;
+  daemon.entry.close();
+  await answered.catch(() => '');
+  assert.equal(results.countViolations().get('RequestCutByStop'), before + 1);
+});
