Close gaps of the planned stop and of repeated transmissions

Cause: A caller that left with pipelined requests held up a planned stop for good. Answers that were under way at the beginning of a stop kept their connections. A pool that sends a request again on a replaced connection made its first transmission look proved not run.

Change: A request counts as ended when its connection has ended. beginStop reaches answers that have not begun. A second start of the same transmission ends it as broken. Tests cover late hand-over messages, TLS reload and pipelined callers.

--- a/packages/routing/idempotency/test/key-home.test.ts
+++ b/packages/routing/idempotency/test/key-home.test.ts
@@ -192,3 +192,44 @@
   successor.markOriginLost('a-1');
   assert.equal(await failureOf(successor.run(use(keys[1]), runWell)), 'OutcomeNotKnown');
 });
+
+test('a late message of the hand-over does not end an attempt that the new home began', async () => {
+  const messages: idempotency.CompleteRecord[] = [];
+  const source = new idempotency.KeyHome({
+    incarnation: 'a-1',
+    onCompletedAfterSeal: (message) => messages.push(message),
+  });
+  const keys = [issue(), issue()] as [idempotency.KeyContents, idempotency.KeyContents];
+  const refused = (): Promise<never> => Promise.reject(new results.FailureError('BackendRefused'));
+  await failureOf(source.run(use(keys[0]), refused));
+  let refuse = (): void => {};
+  const running = source.run(use(keys[1]), () => new Promise((_resolve, reject) => {
+      refuse = () => reject(new results.FailureError('BackendRefused'));
+    }));
+  source.seal();
+  const [installed] = source.exportRecords() as [idempotency.InstallRecords];
+  refuse();
+  await failureOf(running);
+  const successor = new idempotency.KeyHome({ incarnation: 'b-1' });
+  const { origin, epoch } = installed;
+  successor.installRecords(installed);
+  successor.activateRecords({ origin, epoch, recordCount: 2 });
+  const deliver = (): void => {
+    successor.installRecords(installed);
+    for (const message of messages) {
+      successor.completeRecord(message);
+    }
+  };
+  deliver();
+  let runs = 0;
+  const never: idempotency.KeyAttempt = (permit) => {
+    permit.begin();
+    runs += 1;
+    return new Promise(() => {});
+  };
+  for (const key of [...keys, ...keys]) {
+    successor.run(use(key), never).catch(() => {});
+    deliver();
+  }
+  assert.equal(runs, 2);
+});
--- a/packages/routing/proxy/src/entry-server.ts
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -97,7 +97,7 @@
     if (this.options.server.stopping) {
       return;
     }
-    Object.assign(this.options.server, { stopping: true });
+    this.options.server.beginStop();
     this.stopTimer = setTimeout(() => this.stopAccepting(), this.options.balancerMilliseconds);
   }
 
--- a/packages/routing/proxy/src/exchange-server.ts
+++ b/packages/routing/proxy/src/exchange-server.ts
@@ -2,7 +2,6 @@
  * The frame around each exchange, on the caller port and on the peer port: counting, the failure
  * answer, the decision, and the state of a planned stop.
  */
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { type Failure, FailureError, toFailure } from '@dogwoodstall/results';
 import { describeExecution, sendFailure } from './answer.js';
@@ -28,19 +27,50 @@
   return untrue ? unproved.failure : failure;
 }
 
+// The answer to a pipelined request gets no close event when its connection ends before its turn.
+function waitUntilClosed(response: ServerResponse): Promise<void> {
+  const { socket } = response.req;
+  if (response.writableFinished || response.destroyed || socket.destroyed) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    const end = (): void => {
+      response.off('close', end);
+      socket.off('close', end);
+      resolve();
+    };
+    response.on('close', end);
+    socket.on('close', end);
+  });
+}
+
 /** Runs exchanges and answers their failures. */
 export class ExchangeServer {
   readonly decisions: DecisionRing;
 
   readonly inFlight = new InFlight();
 
-  /** Whether answers close their connections. */
-  stopping = false;
+  private readonly responses = new Set<ServerResponse>();
+
+  private stopBegun = false;
 
   constructor(private readonly options: ExchangeServerOptions) {
     this.decisions = new DecisionRing(options.decisionRingSize ?? DECISION_RING_SIZE);
   }
 
+  /** Whether a planned stop has begun. */
+  get stopping(): boolean {
+    return this.stopBegun;
+  }
+
+  /** Lets every answer that has not begun close its connection, from now on. */
+  beginStop(): void {
+    this.stopBegun = true;
+    for (const response of this.responses) {
+      Object.assign(response, { shouldKeepAlive: false });
+    }
+  }
+
   /** Counts a request from its headers until its answer has left or its connection has ended. */
   async track(
     response: ServerResponse,
@@ -48,8 +78,8 @@
     work: () => Promise<void>,
   ): Promise<void> {
     this.inFlight.enter();
-    const { stopping } = this;
-    if (stopping) {
+    this.responses.add(response);
+    if (this.stopBegun) {
       Object.assign(response, { shouldKeepAlive: false });
     }
     try {
@@ -57,9 +87,8 @@
     } catch (error) {
       this.tellFailure(response, requestId, error);
     }
-    if (!response.writableFinished && !response.destroyed) {
-      await once(response, 'close').catch(() => {});
-    }
+    await waitUntilClosed(response);
+    this.responses.delete(response);
     this.inFlight.leave();
   }
 
--- a/packages/routing/proxy/src/transfer.ts
+++ b/packages/routing/proxy/src/transfer.ts
@@ -96,6 +96,14 @@
       controller.abort(new FailureError('CallerCancelled'));
       return;
     }
+    if (this.controller !== undefined) {
+      // The pool sends a request again when its connection was replaced; the first transmission may
+      // have been run.
+      const repeated = new FailureError('BackendReset', 'the connection was replaced');
+      this.settle('broken', repeated);
+      controller.abort(repeated);
+      return;
+    }
     try {
       this.options.begin();
       this.controller = controller;
--- a/packages/routing/proxy/test/once.test.ts
+++ b/packages/routing/proxy/test/once.test.ts
@@ -52,8 +52,13 @@
   const backend = await startBackend(context, (_request, response) => {
     answer = () => response.end('paid');
   });
-  const { entry } = await startTwo(context, createFleet([backend.address]));
+  const { entry, home } = await startTwo(context, createFleet([backend.address]));
   const post = await prepare(entry.port);
+  const left = new Promise((resolve) => {
+    home.peerServer.once('request', (_request, response: http.ServerResponse) => {
+      response.once('close', resolve);
+    });
+  });
   const request = http.request({
     host: '127.0.0.1',
     port: entry.port,
@@ -65,10 +70,8 @@
   request.end(post.body);
   await once(backend.server, 'request');
   request.destroy();
+  await left;
   const resent = call(entry.port, post);
-  while (entry.server.inFlight.count !== 1) {
-    await new Promise(setImmediate);
-  }
   answer();
   assert.equal((await resent).body, 'paid');
   assert.equal(backend.requests.length, 1);
--- a/packages/routing/proxy/test/stop.test.ts
+++ b/packages/routing/proxy/test/stop.test.ts
@@ -84,6 +84,21 @@
   assert.equal(backend.requests.length, 1);
 });
 
+test('a caller that leaves with pipelined requests does not hold up a planned stop', async (context) => {
+  const backend = await startBackend(context, () => {});
+  const fleet = createFleet([backend.address], { contract: { deadlineMilliseconds: 300 } });
+  const daemon = await startDaemon(context, fleet);
+  const socket = net.connect(daemon.port, '127.0.0.1');
+  socket.write('GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n'.repeat(3));
+  while (backend.requests.length < 3) {
+    await new Promise(setImmediate);
+  }
+  socket.destroy();
+  daemon.entry.beginStop();
+  await daemon.entry.whenIdle();
+  assert.equal(daemon.server.inFlight.count, 0);
+});
+
 test('closing while a request runs is reported as a violation', async (context) => {
   const backend = await startBackend(context, () => {});
   const daemon = await startDaemon(context, createFleet([backend.address]));
--- /dev/null
+++ b/packages/routing/proxy/test/tls.test.ts
@@ -0,0 +1,34 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as tls from 'node:tls';
+import { test } from 'node:test';
+import * as selfsigned from 'selfsigned';
+import { createFleet, startBackend, startDaemon } from './fixture.js';
+import type { TlsMaterial } from '../src/index.js';
+
+async function createMaterial(name: string): Promise<TlsMaterial> {
+  const pems = await selfsigned.generate([{ name: 'commonName', value: name }]);
+  return { certificate: pems.cert, key: pems.private };
+}
+
+async function connect(port: number): Promise<tls.TLSSocket> {
+  const socket = tls.connect({ port, host: '127.0.0.1', rejectUnauthorized: false });
+  await once(socket, 'secureConnect');
+  return socket;
+}
+
+test('a new certificate serves new connections without a restart and without cutting old ones', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const material = await createMaterial('first.test');
+  const daemon = await startDaemon(context, createFleet([backend.address], { tls: material }));
+  const old = await connect(daemon.port);
+  daemon.entry.reloadTls(await createMaterial('second.test'));
+  const renewed = await connect(daemon.port);
+  assert.equal(old.getPeerCertificate().subject.CN, 'first.test');
+  assert.equal(renewed.getPeerCertificate().subject.CN, 'second.test');
+  old.write('GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n');
+  const [answer] = (await once(old, 'data')) as [Buffer];
+  assert.match(answer.toString(), /^HTTP\/1.1 200 /);
+  old.destroy();
+  renewed.destroy();
+});
