Test answers that wait behind others on a connection that ends

Cause: The test of pipelined callers passed without the listener on the connection.

Change: One answer now waits behind the first when the connection ends, and one comes after its end.

--- a/packages/routing/proxy/test/stop.test.ts
+++ b/packages/routing/proxy/test/stop.test.ts
@@ -85,15 +85,24 @@
 });
 
 test('a caller that leaves with pipelined requests does not hold up a planned stop', async (context) => {
-  const backend = await startBackend(context, () => {});
-  const fleet = createFleet([backend.address], { contract: { deadlineMilliseconds: 300 } });
+  const answers: http.ServerResponse[] = [];
+  const backend = await startBackend(context, (_request, response) => answers.push(response));
+  const fleet = createFleet([backend.address], { contract: { deadlineMilliseconds: 60_000 } });
   const daemon = await startDaemon(context, fleet);
   const socket = net.connect(daemon.port, '127.0.0.1');
   socket.write('GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n'.repeat(3));
   while (backend.requests.length < 3) {
     await new Promise(setImmediate);
   }
+  // One answer waits behind the first, and one comes after the connection has ended.
+  answers[1]?.end('ok');
+  while (daemon.decisions.length < 1) {
+    await new Promise(setImmediate);
+  }
+  const cancelled = once(answers[0] as http.ServerResponse, 'close');
   socket.destroy();
+  await cancelled;
+  answers[2]?.end('ok');
   daemon.entry.beginStop();
   await daemon.entry.whenIdle();
   assert.equal(daemon.server.inFlight.count, 0);
