--- a/packages/routing/idempotency/test/key-home.test.ts
+++ b/packages/routing/idempotency/test/key-home.test.ts
@@ -203,9 +203,13 @@
   const refused = (): Promise<never> => Promise.reject(new results.FailureError('BackendRefused'));
   await failureOf(source.run(use(keys[0]), refused));
   let refuse = (): void => {};
-  const running = source.run(use(keys[1]), () => new Promise((_resolve, reject) => {
-      refuse = () => reject(new results.FailureError('BackendRefused'));
-    }));
+  const running = source.run(
+    use(keys[1]),
+    () =>
+      new Promise((_resolve, reject) => {
+        refuse = () => reject(new results.FailureError('BackendRefused'));
+      }),
+  );
   source.seal();
   const [installed] = source.exportRecords() as [idempotency.InstallRecords];
   refuse();
