Judge slow endpoints by the surprise of their service times

Cause: Counting answers beyond a multiple of the median found an endpoint that was ten times slower only after 1.8 to 2.3 s in the median.

Change: The slowness test sums negative log probabilities against the route's distribution, relative to the peers.

The dispatch tests were not run yet.

--- /dev/null
+++ b/packages/routing/dispatch/test/event-queue.ts
@@ -0,0 +1,91 @@
+/**
+ * A controlled clock with timers, for tests in virtual time.
+ */
+
+interface TimedCall {
+  readonly at: number;
+  readonly order: number;
+  readonly call: () => void;
+  cancelled: boolean;
+}
+
+function comesBefore(left: TimedCall, right: TimedCall): boolean {
+  return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
+
+/** Runs calls in the order of their virtual times. */
+export class EventQueue {
+  /** Virtual milliseconds. */
+  time = 0;
+
+  private readonly heap: TimedCall[] = [];
+
+  private count = 0;
+
+  /** Reads the virtual clock. */
+  readonly now = (): number => this.time;
+
+  /** Calls a function after a delay; returns a function that cancels the call. */
+  readonly schedule = (call: () => void, milliseconds: number): (() => void) => {
+    this.count += 1;
+    const timed = { at: this.time + milliseconds, order: this.count, call, cancelled: false };
+    this.push(timed);
+    return () => {
+      timed.cancelled = true;
+    };
+  };
+
+  /** Runs all calls up to a virtual time; promises settle between two calls. */
+  async runUntil(end: number): Promise<void> {
+    for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
+      this.pop();
+      if (!next.cancelled) {
+        this.time = next.at;
+        next.call();
+        await settle();
+      }
+    }
+    this.time = end;
+  }
+
+  private push(timed: TimedCall): void {
+    let index = this.heap.length;
+    while (index > 0) {
+      const parentIndex = Math.floor((index - 1) / 2);
+      const parent = this.heap[parentIndex];
+      if (parent === undefined || comesBefore(parent, timed)) {
+        break;
+      }
+      this.heap[index] = parent;
+      index = parentIndex;
+    }
+    this.heap[index] = timed;
+  }
+
+  private pop(): void {
+    const last = this.heap.pop();
+    if (last === undefined || this.heap.length === 0) {
+      return;
+    }
+    let index = 0;
+    for (;;) {
+      const left = this.heap[2 * index + 1];
+      const right = this.heap[2 * index + 2];
+      const useRight = left !== undefined && right !== undefined && comesBefore(right, left);
+      const child = useRight ? right : left;
+      if (child === undefined || comesBefore(last, child)) {
+        break;
+      }
+      this.heap[index] = child;
+      index = 2 * index + (useRight ? 2 : 1);
+    }
+    this.heap[index] = last;
+  }
+}
+
+/** Lets the promise callbacks that are due run. */
+async function settle(): Promise<void> {
+  await Promise.resolve();
+  await Promise.resolve();
+  await Promise.resolve();
+}
--- a/packages/routing/health/src/endpoint-record.ts
+++ b/packages/routing/health/src/endpoint-record.ts
@@ -28,7 +28,7 @@
 
 /** Suspicion added by an outcome that speaks against the endpoint, and removed by a good one. */
 const SUSPICION_STEP = 1;
-const SUSPICION_RELIEF = 0.12;
+const SUSPICION_RELIEF = 0.2;
 const MAXIMUM_SUSPICION = 20;
 
 /** The evidence and the state of one endpoint. */
--- a/packages/routing/health/src/evidence-book.ts
+++ b/packages/routing/health/src/evidence-book.ts
@@ -6,7 +6,7 @@
 import type { EndpointRecord, HealthAttempt } from './endpoint-record.js';
 import { LatencyScale } from './latency-scale.js';
 import type { AttemptOutcome } from './outcome.js';
-import { isMarked, type Marks, noMarks, type Sample } from './samples.js';
+import { isMarked, type Marks, noMarks, type RelativeTime, type Sample } from './samples.js';
 import { Strata } from './strata.js';
 
 /** Medians of the route beyond which an answer is slow, and very slow. */
@@ -19,6 +19,9 @@
 /** Differences below this time are never slow: the timers of both sides are not more exact. */
 const MINIMUM_SLOW_MILLISECONDS = 5;
 
+/** A single surprise counts no more than this, so that one odd request proves nothing. */
+const MAXIMUM_SURPRISE = 14;
+
 /** Routes with a scale; the one that was added first is dropped beyond that. */
 const MAXIMUM_SCALES = 500;
 
@@ -61,6 +64,18 @@
     return { failed: false, slow, verySlow, slowerThanPast };
   }
 
+  /** Relates a time to those of the route; undefined while too few are known. */
+  relateTime(attempt: HealthAttempt, milliseconds: number): RelativeTime | undefined {
+    const scale = this.findScale(attempt);
+    if (scale === undefined) {
+      return undefined;
+    }
+    const time = Math.max(milliseconds, MINIMUM_SLOW_MILLISECONDS);
+    const surprise = Math.min(MAXIMUM_SURPRISE, -Math.log(scale.exceedance(time)));
+    const logarithm = Math.log(time / Math.max(scale.median, MINIMUM_SLOW_MILLISECONDS));
+    return { surprise, logarithm };
+  }
+
   /** Returns the sample of an outcome, or undefined when it is no statement about the endpoint. */
   judge(
     record: EndpointRecord,
@@ -72,7 +87,8 @@
     const timeMarks = cold ? noMarks : this.markTime(record, attempt, outcome.milliseconds);
     const late = isMarked(timeMarks);
     const { routeName, stratum } = attempt;
-    const sample = (marks: Marks): Sample => ({ at: now, routeName, stratum, marks });
+    const time = cold ? undefined : this.relateTime(attempt, outcome.milliseconds);
+    const sample = (marks: Marks): Sample => ({ at: now, routeName, stratum, marks, time });
     switch (outcome.kind) {
       case 'success':
         if (!cold) {
@@ -86,7 +102,7 @@
       case 'timeout':
         return late ? sample({ ...timeMarks, failed: true }) : undefined;
       default:
-        return sample({ ...noMarks, failed: true });
+        return { at: now, routeName, stratum, marks: { ...noMarks, failed: true } };
     }
   }
 
--- a/packages/routing/health/src/outlier-search.ts
+++ b/packages/routing/health/src/outlier-search.ts
@@ -9,7 +9,7 @@
 import { findStall } from './stall-test.js';
 
 /** Windows over which endpoints are compared. */
-const WINDOWS_MILLISECONDS = [500, 1000, 2000, 4000, 8000] as const;
+const WINDOWS_MILLISECONDS = [500, 750, 1000, 1500, 2000, 4000, 8000] as const;
 
 /**
  * Strength needed to eject: a chance of 1e-10 in each comparison of a window. The README derives the
@@ -66,7 +66,8 @@
     const found = book.markTime(record, attempt, now - attempt.startedAt);
     if (isMarked(found)) {
       const { routeName, stratum } = attempt;
-      const sample = { at: now, routeName, stratum, marks: found };
+      const time = book.relateTime(attempt, now - attempt.startedAt);
+      const sample = { at: now, routeName, stratum, marks: found, time };
       counts.own.add(sample);
       all.add(sample);
     }
--- a/packages/routing/health/src/outlier-test.ts
+++ b/packages/routing/health/src/outlier-test.ts
@@ -2,21 +2,22 @@
  * The statistical test: whether the marked outcomes of one endpoint exceed what its peers lead to
  * expect, by more than chance explains.
  */
+import { addSlowness, findSlowness, type SlownessSums } from './slowness-test.js';
 import { isMarked, type Marks, type Sample } from './samples.js';
 
 /** Counts within one stratum. */
 interface Counts {
   total: number;
-  readonly marked: [number, number, number, number];
+  readonly marked: [number, number];
 }
 
 /** The marks in the order of `Counts.marked`. */
-const markKeys: readonly (keyof Marks)[] = ['failed', 'slow', 'verySlow', 'slowerThanPast'];
+const markKeys: readonly (keyof Marks)[] = ['failed', 'slowerThanPast'];
 
-const markNames = ['failures', 'slow', 'very-slow', 'slower-than-past'] as const;
+const markNames = ['failures', 'slower-than-past'] as const;
 
 /** What a test is about. */
-export type EvidenceKind = (typeof markNames)[number];
+export type EvidenceKind = (typeof markNames)[number] | 'slow';
 
 /** The strongest evidence against one endpoint. */
 export interface Evidence {
@@ -43,23 +44,27 @@
 const MINIMUM_MARKED = 3;
 
 /** Smallest excess of the share of marked outcomes that matters, by kind of mark. */
-const MINIMUM_EXCESS = [0.1, 0.35, 0.25, 0.35] as const;
+const MINIMUM_EXCESS = [0.1, 0.35] as const;
 
 /** The outcomes of one endpoint or of all endpoints in a window, by stratum. */
 export class StratumCounts {
   readonly strata = new Map<string, Counts>();
 
+  readonly slowness = new Map<string, SlownessSums>();
+
   readonly routeOf = new Map<string, string>();
 
   /** Adds one outcome. */
   add(sample: Sample): void {
     let counts = this.strata.get(sample.stratum);
     if (counts === undefined) {
-      counts = { total: 0, marked: [0, 0, 0, 0] };
+      counts = { total: 0, marked: [0, 0] };
       this.strata.set(sample.stratum, counts);
       this.routeOf.set(sample.stratum, sample.routeName);
     }
     counts.total += 1;
+    const sums = this.slowness.get(sample.stratum) ?? { total: 0, surprise: 0, logarithm: 0 };
+    this.slowness.set(sample.stratum, addSlowness(sums, sample));
     if (!isMarked(sample.marks)) {
       return;
     }
@@ -117,6 +122,15 @@
   return sums;
 }
 
+function findSlowEvidence(own: StratumCounts, all: StratumCounts): Evidence | undefined {
+  const slowness = findSlowness(own.slowness, all.slowness);
+  if (slowness === undefined) {
+    return undefined;
+  }
+  const { samples, surprise, expected, strength } = slowness;
+  return { kind: 'slow', routeName: '*', samples, observed: surprise, expected, strength };
+}
+
 /**
  * Tests one endpoint against its peers in one window.
  *
@@ -124,7 +138,7 @@
  * nothing is both larger than chance allows and large enough to matter.
  */
 export function findEvidence(own: StratumCounts, all: StratumCounts): Evidence | undefined {
-  let strongest: Evidence | undefined;
+  let strongest = findSlowEvidence(own, all);
   for (const [index, kind] of markNames.entries()) {
     for (const [routeName, sum] of sumRoutes(own, all, index)) {
       const excess = (sum.observed - sum.expected) / Math.max(1, sum.samples);
--- a/packages/routing/health/src/samples.ts
+++ b/packages/routing/health/src/samples.ts
@@ -27,6 +27,14 @@
   return marks.failed || marks.slow || marks.slowerThanPast;
 }
 
+/** A service time in relation to those of its route. */
+export interface RelativeTime {
+  /** Negative logarithm of the probability that a request takes at least that long. */
+  readonly surprise: number;
+  /** Logarithm of the ratio to the route's median. */
+  readonly logarithm: number;
+}
+
 /** One outcome as evidence. */
 export interface Sample {
   readonly at: number;
@@ -34,6 +42,8 @@
   /** Route and group of organisations: outcomes are compared within a stratum only. */
   readonly stratum: string;
   readonly marks: Marks;
+  /** Undefined when the time says nothing about the endpoint. */
+  readonly time?: RelativeTime | undefined;
 }
 
 /** Samples kept for one endpoint; at 20 to 200 requests/s this covers the longest window. */
