Test floor, slots, fairness, overload and detection in virtual time

Change: Slowness needs a strength of 17 and thin strata follow their route. Logging and grants are modules of their own.

--- a/packages/routing/crash-guard/test/guard.test.ts
+++ b/packages/routing/crash-guard/test/guard.test.ts
@@ -2,7 +2,7 @@
  * Tests of the crash guard.
  */
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { test } from 'node:test';
 import * as results from '@dogwoodstall/results';
 import { CrashGuard, createFingerprint, type Fingerprint } from '../src/index.js';
 
@@ -17,60 +17,58 @@
   assert.equal(guard.finished(next, 'refused'), true);
 }
 
-describe('crash guard', () => {
-  const crashing = fingerprintOf('bad', 'crash');
-  let time = 0;
-  const create = (origin = 'a'): CrashGuard =>
-    new CrashGuard({ now: () => time, origin, entriesPerOrganisation: 3 });
+const crashing = fingerprintOf('bad', 'crash');
+let time = 0;
+const create = (origin = 'a'): CrashGuard =>
+  new CrashGuard({ now: () => time, origin, entriesPerOrganisation: 3 });
 
-  it('refuses a request after two lost servers, so that a resend can not crash a third', () => {
-    const guard = create();
-    lose(guard, 'one', crashing, fingerprintOf('good', '1'));
-    guard.check(crashing);
-    lose(guard, 'two', crashing, fingerprintOf('good', '2'));
-    assert.throws(() => guard.check(crashing), results.FailureError);
-    assert.equal(guard.isCrashing(fingerprintOf('good', '1')), false);
-    assert.equal(guard.isCrashing(fingerprintOf('good', 'crash')), false);
-  });
+test('refuses a request after two lost servers, so that a resend can not crash a third', () => {
+  const guard = create();
+  lose(guard, 'one', crashing, fingerprintOf('good', '1'));
+  guard.check(crashing);
+  lose(guard, 'two', crashing, fingerprintOf('good', '2'));
+  assert.throws(() => guard.check(crashing), results.FailureError);
+  assert.equal(guard.isCrashing(fingerprintOf('good', '1')), false);
+  assert.equal(guard.isCrashing(fingerprintOf('good', 'crash')), false);
+});
 
-  it('counts several resets of one crash as one loss', () => {
-    const guard = create();
-    lose(guard, 'one', crashing, crashing, crashing);
-    assert.equal(guard.isCrashing(crashing), false);
-  });
+test('counts several resets of one crash as one loss', () => {
+  const guard = create();
+  lose(guard, 'one', crashing, crashing, crashing);
+  assert.equal(guard.isCrashing(crashing), false);
+});
 
-  it('does not take a single reset of a server that still answers for a loss', () => {
-    const guard = create();
-    for (const endpoint of ['one', 'two']) {
-      assert.equal(guard.finished(guard.started(endpoint, crashing), 'reset'), false);
-      time += 1;
-      const later = guard.started(endpoint, fingerprintOf('good', 'x'));
-      assert.equal(guard.finished(later, 'answered'), false);
-      const refused = guard.started(endpoint, fingerprintOf('good', 'y'));
-      assert.equal(guard.finished(refused, 'refused'), false);
-    }
-    assert.equal(guard.isCrashing(crashing), false);
-  });
+test('does not take a single reset of a server that still answers for a loss', () => {
+  const guard = create();
+  for (const endpoint of ['one', 'two']) {
+    assert.equal(guard.finished(guard.started(endpoint, crashing), 'reset'), false);
+    time += 1;
+    const later = guard.started(endpoint, fingerprintOf('good', 'x'));
+    assert.equal(guard.finished(later, 'answered'), false);
+    const refused = guard.started(endpoint, fingerprintOf('good', 'y'));
+    assert.equal(guard.finished(refused, 'refused'), false);
+  }
+  assert.equal(guard.isCrashing(crashing), false);
+});
 
-  it('shares losses between dispatchers, counting none twice, and forgets after 10 minutes', () => {
-    const first = create('a');
-    const second = create('b');
-    lose(first, 'one', crashing);
-    second.importEntries(first.exportEntries());
-    second.importEntries(first.exportEntries());
-    assert.equal(second.isCrashing(crashing), false);
-    lose(second, 'two', crashing);
-    assert.equal(second.isCrashing(crashing), true);
-    time += 600_000;
-    assert.equal(second.isCrashing(crashing), false);
-    assert.deepEqual(second.exportEntries(), []);
-  });
+test('shares losses between dispatchers, counting none twice, and forgets after 10 minutes', () => {
+  const first = create('a');
+  const second = create('b');
+  lose(first, 'one', crashing);
+  second.importEntries(first.exportEntries());
+  second.importEntries(first.exportEntries());
+  assert.equal(second.isCrashing(crashing), false);
+  lose(second, 'two', crashing);
+  assert.equal(second.isCrashing(crashing), true);
+  time += 600_000;
+  assert.equal(second.isCrashing(crashing), false);
+  assert.deepEqual(second.exportEntries(), []);
+});
 
-  it('keeps a bounded number of entries for an organisation', () => {
-    const guard = create();
-    for (let index = 0; index < 10; index += 1) {
-      lose(guard, `server-${index}`, fingerprintOf('bad', `key-${index}`));
-    }
-    assert.equal(guard.exportEntries().length, 3);
-  });
+test('keeps a bounded number of entries for an organisation', () => {
+  const guard = create();
+  for (let index = 0; index < 10; index += 1) {
+    lose(guard, `server-${index}`, fingerprintOf('bad', `key-${index}`));
+  }
+  assert.equal(guard.exportEntries().length, 3);
 });
--- a/packages/routing/dispatch/src/cell-dispatcher.ts
+++ b/packages/routing/dispatch/src/cell-dispatcher.ts
@@ -1,14 +1,15 @@
 /**
  * The dispatcher of one cell: queue, slots and the health evidence of its endpoints.
  */
-import type { AttemptEnd } from '@dogwoodstall/crash-guard';
 import * as health from '@dogwoodstall/health';
 import type { BackendServer, Contract } from '@dogwoodstall/model';
 import * as results from '@dogwoodstall/results';
 import { Admission, type Expectation } from './admission.js';
-import type { DispatchDecision, RefusalResult } from './decision.js';
+import type { RefusalResult } from './decision.js';
+import { DecisionLog } from './decision-log.js';
 import { EndpointPool } from './endpoint-pool.js';
 import type { EndpointSlots } from './endpoint-slots.js';
+import { createGrant } from './grant.js';
 import { LongShare } from './long-share.js';
 import { type CellDispatcherOptions, type Schedule, scheduleTimer } from './options.js';
 import { OrganisationLimits } from './organisation-limits.js';
@@ -26,15 +27,6 @@
 /** Parked requests that are looked at for each free slot. */
 const PARKED_SEARCH_LIMIT = 32;
 
-const attemptEnds: Partial<Record<health.OutcomeKind, AttemptEnd>> = {
-  success: 'answered',
-  'server-error': 'answered',
-  shed: 'answered',
-  'cut-answer': 'reset',
-  reset: 'reset',
-  refused: 'refused',
-};
-
 /** Grants slots of the endpoints of one cell. */
 export class CellDispatcher {
   /** Evidence and ejections; `changes` is its stream. */
@@ -56,14 +48,12 @@
 
   private readonly longShare: LongShare;
 
+  private readonly log: DecisionLog;
+
   private contract: Contract;
 
   private cancelTick: (() => void) | undefined;
 
-  private grants = 0;
-
-  private refusals = 0;
-
   private inFlight = 0;
 
   private usedAt: number;
@@ -81,6 +71,12 @@
     this.limits = new OrganisationLimits(contract);
     this.admission = new Admission(this.times, this.room, now());
     this.longShare = new LongShare(contract.longSlotShare);
+    this.log = new DecisionLog({
+      cellName: options.cellName,
+      now,
+      countWaiting: () => this.room.size,
+      write: options.logDecision,
+    });
   }
 
   /**
@@ -133,8 +129,8 @@
       endpoints: describeEndpoints(this.pool, this.health.snapshot(), this.options.now()),
       waitingShort: this.room.count('short'),
       waitingLong: this.room.count('long'),
-      grants: this.grants,
-      refusals: this.refusals,
+      grants: this.log.grants,
+      refusals: this.log.refusals,
       meanShortMilliseconds: this.times.mean('short'),
       meanLongMilliseconds: this.times.mean('long'),
     };
@@ -154,7 +150,7 @@
     const expectation = this.admission.judge(request, capacity, longLimit, now);
     const refusal = this.findRefusal(request, expectation, now);
     if (refusal !== undefined) {
-      this.logRefusal(request, refusal, 0, expectation.waitMilliseconds);
+      this.log.addRefusal(request, refusal, 0, expectation.waitMilliseconds);
       reject(new results.FailureError(refusal));
       return;
     }
@@ -233,13 +229,7 @@
   /** Gives free slots to waiting requests, as long as there are both. */
   private pump(): void {
     const now = this.options.now();
-    for (
-      let expired = this.room.findExpired(now);
-      expired !== undefined;
-      expired = this.room.findExpired(now)
-    ) {
-      this.refuseWaiter(expired, 'DeadlineInQueue');
-    }
+    this.refuseExpired(now, 'DeadlineInQueue');
     this.serveParked(now);
     while (this.pool.hasRoom(now)) {
       const waiter = this.nextWaiter(now);
@@ -307,39 +297,19 @@
       'SlotsOverrun',
       () => `${endpoint.inFlight} requests were granted at ${name}, which has ${slots} slots`,
     );
-    this.grants += 1;
     this.inFlight += 1;
-    const grant = this.createGrant(waiter, endpoint, now);
-    this.logGrant(waiter, endpoint, now);
+    this.log.addGrant(waiter, endpoint);
+    const grant = createGrant({
+      waiter,
+      server: endpoint.server,
+      grantedAt: now,
+      health: this.health,
+      crashGuard: this.options.crashGuard,
+      onRelease: (outcome) => this.release(request, endpoint, outcome, now),
+    });
     waiter.resolve(grant);
   }
 
-  private createGrant(waiter: Waiter, endpoint: EndpointSlots, grantedAt: number): SlotGrant {
-    const { request } = waiter;
-    const { server } = endpoint;
-    const { fingerprint } = request;
-    const attempt = this.health.started(server.name, request);
-    const guard = fingerprint === undefined ? undefined : this.options.crashGuard;
-    const guarded = fingerprint && guard?.started(server.name, fingerprint);
-    let released = false;
-    return {
-      endpoint: server,
-      queuedMilliseconds: grantedAt - waiter.enteredAt,
-      release: (outcome) => {
-        if (released) {
-          return;
-        }
-        released = true;
-        this.health.finished(attempt, outcome);
-        const end = attemptEnds[outcome.kind] ?? 'other';
-        if (guarded !== undefined && guard?.finished(guarded, end) === true) {
-          this.health.markLost(server.name);
-        }
-        this.release(request, endpoint, outcome, grantedAt);
-      },
-    };
-  }
-
   private release(
     request: DispatchRequest,
     endpoint: EndpointSlots,
@@ -375,12 +345,20 @@
     }
   }
 
+  private refuseExpired(now: number, result: RefusalResult): void {
+    let waiter = this.room.findExpired(now);
+    while (waiter !== undefined) {
+      this.refuseWaiter(waiter, result);
+      waiter = this.room.findExpired(now);
+    }
+  }
+
   private refuseWaiter(waiter: Waiter, result: RefusalResult): void {
     this.room.remove(waiter);
     waiter.stopListening();
     this.limits.leave(waiter.request.organisation);
     const queued = this.options.now() - waiter.enteredAt;
-    this.logRefusal(waiter.request, result, queued, waiter.expectedWaitMilliseconds);
+    this.log.addRefusal(waiter.request, result, queued, waiter.expectedWaitMilliseconds);
     waiter.reject(new results.FailureError(result));
   }
 
@@ -398,49 +376,4 @@
       Math.min(TICK_MILLISECONDS, untilExpiry),
     );
   }
-
-  private logGrant(waiter: Waiter, endpoint: EndpointSlots, now: number): void {
-    this.options.logDecision?.({
-      ...this.describe(waiter.request, now - waiter.enteredAt, waiter.expectedWaitMilliseconds),
-      kind: 'grant',
-      endpoint: endpoint.server.name,
-      endpointZone: endpoint.server.zone,
-      endpointInFlight: endpoint.inFlight,
-      endpointLimit: endpoint.limit(now),
-    });
-  }
-
-  private logRefusal(
-    request: DispatchRequest,
-    result: RefusalResult,
-    queued: number,
-    expectedWait: number,
-  ): void {
-    this.refusals += 1;
-    const facts = this.describe(request, queued, expectedWait);
-    this.options.logDecision?.({ ...facts, kind: 'refusal', result });
-  }
-
-  private describe(
-    request: DispatchRequest,
-    queuedMilliseconds: number,
-    expectedWaitMilliseconds: number,
-  ): Omit<DispatchDecision, 'kind'> {
-    const { requestId, routeName, organisation, sizeClass, priority, originZone } = request;
-    const at = this.options.now();
-    return {
-      cell: this.options.cellName,
-      requestId,
-      routeName,
-      organisation,
-      sizeClass,
-      priority,
-      originZone,
-      at,
-      remainingMilliseconds: request.deadlineAt - at,
-      queuedMilliseconds,
-      expectedWaitMilliseconds,
-      waiting: this.room.size,
-    };
-  }
 }
--- a/packages/routing/dispatch/test/detection.test.ts
+++ b/packages/routing/dispatch/test/detection.test.ts
@@ -2,7 +2,7 @@
  * Detection times and false ejections in virtual time, at 25 endpoints of 2 slots and 70% load.
  */
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { test } from 'node:test';
 import { type Fault, percentile, VirtualCell } from './virtual-cell.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -48,34 +48,32 @@
   return cell;
 }
 
-describe('detection', () => {
-  for (const [name, createFault] of Object.entries(faults)) {
-    it(`ejects an endpoint that ${name} in time, and no other`, async () => {
-      const times: number[] = [];
-      for (const seed of SEEDS) {
-        const cell = createCell(seed);
-        cell.events.schedule(() => cell.faults.set(FAULTY, createFault(cell)), FAULT_AT);
-        await cell.events.runUntil(END);
-        times.push((cell.findEjection(FAULTY, FAULT_AT) ?? Infinity) - FAULT_AT);
-        const others = cell.changes.filter(({ endpointName }) => endpointName !== FAULTY);
-        assert.deepEqual(others, [], `seed ${seed}`);
-      }
-      assert.ok(percentile(times, 0.5) < 1000, `detection times ${times.join(', ')} ms`);
-      assert.ok(Math.max(...times) < 3000, `detection times ${times.join(', ')} ms`);
-    });
-  }
-
-  it('ejects nobody when the whole service becomes slow or one organisation fails', async () => {
-    const cell = createCell(6);
-    const degraded: Fault = (request, work) =>
-      request.organisation === 'organisation-1'
-        ? { kind: 'server-error', milliseconds: work }
-        : { kind: 'success', milliseconds: work * 1.3 };
-    cell.events.schedule(
-      () => cell.servers.forEach((server) => cell.faults.set(server.name, degraded)),
-      FAULT_AT,
-    );
-    await cell.events.runUntil(END);
-    assert.deepEqual(cell.changes, []);
+for (const [name, createFault] of Object.entries(faults)) {
+  test(`ejects an endpoint that ${name} in time, and no other`, async () => {
+    const times: number[] = [];
+    for (const seed of SEEDS) {
+      const cell = createCell(seed);
+      cell.events.schedule(() => cell.faults.set(FAULTY, createFault(cell)), FAULT_AT);
+      await cell.events.runUntil(END);
+      times.push((cell.findEjection(FAULTY, FAULT_AT) ?? Infinity) - FAULT_AT);
+      const others = cell.changes.filter(({ endpointName }) => endpointName !== FAULTY);
+      assert.deepEqual(others, [], `seed ${seed}`);
+    }
+    assert.ok(percentile(times, 0.5) < 1000, `detection times ${times.join(', ')} ms`);
+    assert.ok(Math.max(...times) < 3000, `detection times ${times.join(', ')} ms`);
   });
+}
+
+test('ejects nobody when the whole service becomes slow or one organisation fails', async () => {
+  const cell = createCell(6);
+  const degraded: Fault = (request, work) =>
+    request.organisation === 'organisation-1'
+      ? { kind: 'server-error', milliseconds: work }
+      : { kind: 'success', milliseconds: work * 1.3 };
+  cell.events.schedule(
+    () => cell.servers.forEach((server) => cell.faults.set(server.name, degraded)),
+    FAULT_AT,
+  );
+  await cell.events.runUntil(END);
+  assert.deepEqual(cell.changes, []);
 });
--- a/packages/routing/dispatch/test/event-queue.ts
+++ b/packages/routing/dispatch/test/event-queue.ts
@@ -9,6 +9,13 @@
   cancelled: boolean;
 }
 
+/** Lets the promise callbacks that are due run. */
+async function settle(): Promise<void> {
+  await Promise.resolve();
+  await Promise.resolve();
+  await Promise.resolve();
+}
+
 function comesBefore(left: TimedCall, right: TimedCall): boolean {
   return left.at < right.at || (left.at === right.at && left.order < right.order);
 }
@@ -37,7 +44,11 @@
 
   /** Runs all calls up to a virtual time; promises settle between two calls. */
   async runUntil(end: number): Promise<void> {
-    for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
+    for (;;) {
+      const next = this.heap.at(0);
+      if (next === undefined || next.at > end) {
+        break;
+      }
       this.pop();
       if (!next.cancelled) {
         this.time = next.at;
@@ -82,10 +93,3 @@
     this.heap[index] = last;
   }
 }
-
-/** Lets the promise callbacks that are due run. */
-async function settle(): Promise<void> {
-  await Promise.resolve();
-  await Promise.resolve();
-  await Promise.resolve();
-}
--- a/packages/routing/dispatch/test/overload.test.ts
+++ b/packages/routing/dispatch/test/overload.test.ts
@@ -2,7 +2,7 @@
  * Overload, fairness and head-of-line blocking in virtual time.
  */
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { test } from 'node:test';
 import { percentile, VirtualCell } from './virtual-cell.js';
 
 const WORK_MILLISECONDS = 20;
@@ -17,62 +17,60 @@
   });
 }
 
-describe('overload', () => {
-  it('keeps 97% of the capacity as goodput at 5 times capacity, and recovers in 2 s', async () => {
-    const cell = createCell(1, 25);
-    const capacityPerSecond = 50 * (1000 / WORK_MILLISECONDS);
-    const factor = (now: number): number =>
-      now < 2000 || now > 6000 ? 0.7 : 0.7 + 4.3 * Math.min(1, (now - 2000) / 1000);
-    cell.generate((now) => factor(now) * capacityPerSecond, 9000);
-    await cell.events.runUntil(3000);
-    const before = cell.tally.inTime;
-    await cell.events.runUntil(6000);
-    const goodput = (cell.tally.inTime - before) / (3 * capacityPerSecond);
-    assert.ok(goodput >= 0.97, `goodput share ${goodput}`);
-    await cell.events.runUntil(8000);
-    cell.tally.shortWaits.length = 0;
-    await cell.events.runUntil(9000);
-    const wait = percentile(cell.tally.shortWaits, 0.99);
-    assert.ok(wait < 50, `p99 wait ${wait} ms after the surge`);
-    assert.deepEqual(cell.changes, []);
-  });
+test('keeps 97% of the capacity as goodput at 5 times capacity, and recovers in 2 s', async () => {
+  const cell = createCell(1, 25);
+  const capacityPerSecond = 50 * (1000 / WORK_MILLISECONDS);
+  const factor = (now: number): number =>
+    now < 2000 || now > 6000 ? 0.7 : 0.7 + 4.3 * Math.min(1, (now - 2000) / 1000);
+  cell.generate((now) => factor(now) * capacityPerSecond, 9000);
+  await cell.events.runUntil(3000);
+  const before = cell.tally.inTime;
+  await cell.events.runUntil(6000);
+  const goodput = (cell.tally.inTime - before) / (3 * capacityPerSecond);
+  assert.ok(goodput >= 0.97, `goodput share ${goodput}`);
+  await cell.events.runUntil(8000);
+  cell.tally.shortWaits.length = 0;
+  await cell.events.runUntil(9000);
+  const wait = percentile(cell.tally.shortWaits, 0.99);
+  assert.ok(wait < 50, `p99 wait ${wait} ms after the surge`);
+  assert.deepEqual(cell.changes, []);
+});
 
-  it('serves modest organisations fully while one floods the queue', async () => {
-    const cell = createCell(2, 4);
-    let modest = 0;
-    cell.generate(
-      () => 1200,
-      8000,
-      () => {
-        const organisation =
-          cell.random() < 0.85 ? 'flood' : `modest-${Math.floor(cell.random() * 10)}`;
-        modest += organisation === 'flood' ? 0 : 1;
-        return { organisation };
-      },
-    );
-    await cell.events.runUntil(10_000);
-    let served = 0;
-    for (const [organisation, count] of cell.tally.servedByOrganisation) {
-      served += organisation === 'flood' ? 0 : count;
-    }
-    assert.ok(served >= modest * 0.97, `${served} of ${modest} modest requests were served`);
-  });
+test('serves modest organisations fully while one floods the queue', async () => {
+  const cell = createCell(2, 4);
+  let modest = 0;
+  cell.generate(
+    () => 1200,
+    8000,
+    () => {
+      const organisation =
+        cell.random() < 0.85 ? 'flood' : `modest-${Math.floor(cell.random() * 10)}`;
+      modest += organisation === 'flood' ? 0 : 1;
+      return { organisation };
+    },
+  );
+  await cell.events.runUntil(10_000);
+  let served = 0;
+  for (const [organisation, count] of cell.tally.servedByOrganisation) {
+    served += organisation === 'flood' ? 0 : count;
+  }
+  assert.ok(served >= modest * 0.97, `${served} of ${modest} modest requests were served`);
+});
 
-  it('keeps short requests from waiting behind long ones, and starves neither', async () => {
-    const cell = createCell(3, 25);
-    const meanMilliseconds = 0.98 * WORK_MILLISECONDS + 0.02 * 1000;
-    const ratePerSecond = (50 * 0.85 * 1000) / meanMilliseconds;
-    cell.generate(
-      () => ratePerSecond,
-      20_000,
-      () => ({
-        deadlineAt: cell.events.time + 20_000,
-        sizeClass: cell.random() < 0.02 ? 'long' : 'short',
-      }),
-    );
-    await cell.events.runUntil(40_000);
-    const wait = percentile(cell.tally.shortWaits, 0.99);
-    assert.ok(wait < 50, `p99 wait of short requests ${wait} ms`);
-    assert.equal(cell.tally.inTime, cell.tally.offered);
-  });
+test('keeps short requests from waiting behind long ones, and starves neither', async () => {
+  const cell = createCell(3, 25);
+  const meanMilliseconds = 0.98 * WORK_MILLISECONDS + 0.02 * 1000;
+  const ratePerSecond = (50 * 0.85 * 1000) / meanMilliseconds;
+  cell.generate(
+    () => ratePerSecond,
+    20_000,
+    () => ({
+      deadlineAt: cell.events.time + 20_000,
+      sizeClass: cell.random() < 0.02 ? 'long' : 'short',
+    }),
+  );
+  await cell.events.runUntil(40_000);
+  const wait = percentile(cell.tally.shortWaits, 0.99);
+  assert.ok(wait < 50, `p99 wait of short requests ${wait} ms`);
+  assert.equal(cell.tally.inTime, cell.tally.offered);
 });
--- a/packages/routing/dispatch/test/virtual-cell.ts
+++ b/packages/routing/dispatch/test/virtual-cell.ts
@@ -44,6 +44,19 @@
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
+/** Creates the configuration of one backend server. */
+export function createServer(index: number, slots: number): model.BackendServer {
+  return {
+    name: `server-${index}`,
+    service: 'service',
+    address: `127.0.0.1:${9000 + index}`,
+    zone: ZONES[index % ZONES.length] ?? 'zone-a',
+    slots,
+    connectionLimit: 330,
+    draining: false,
+  };
+}
+
 /** A cell of endpoints in virtual time. */
 export class VirtualCell {
   readonly events = new EventQueue();
@@ -183,19 +196,6 @@
   }
 }
 
-/** Creates the configuration of one backend server. */
-export function createServer(index: number, slots: number): model.BackendServer {
-  return {
-    name: `server-${index}`,
-    service: 'service',
-    address: `127.0.0.1:${9000 + index}`,
-    zone: ZONES[index % ZONES.length] ?? 'zone-a',
-    slots,
-    connectionLimit: 330,
-    draining: false,
-  };
-}
-
 /** Returns the value that a share of the values does not exceed. */
 export function percentile(values: readonly number[], share: number): number {
   const sorted = [...values].sort((left, right) => left - right);
--- a/packages/routing/health/src/outlier-search.ts
+++ b/packages/routing/health/src/outlier-search.ts
@@ -4,7 +4,7 @@
 import type { EjectionEvidence } from './change.js';
 import type { EndpointRecord } from './endpoint-record.js';
 import type { EvidenceBook } from './evidence-book.js';
-import { findEvidence, StratumCounts } from './outlier-test.js';
+import { type Evidence, findEvidence, StratumCounts } from './outlier-test.js';
 import { isMarked } from './samples.js';
 import { findStall } from './stall-test.js';
 
@@ -17,6 +17,12 @@
  */
 const NEEDED_STRENGTH = 23;
 
+/**
+ * Strength needed against a slow endpoint, a chance of 4e-8: an endpoint that is ten times slower ends
+ * few requests in a second, and each is one sample only.
+ */
+const NEEDED_SLOW_STRENGTH = 17;
+
 /** Strength needed for a stall; it is tested per request and not per comparison. */
 const NEEDED_STALL_STRENGTH = 16;
 
@@ -51,6 +57,10 @@
   return (record.returning ? RETURNED_FACTOR : 1) * (supported ? SUPPORTED_FACTOR : 1);
 }
 
+function neededStrength(evidence: Evidence): number {
+  return evidence.kind === 'slow' ? NEEDED_SLOW_STRENGTH : NEEDED_STRENGTH;
+}
+
 // Requests in flight that are late already count as slow before they end.
 function countLateRequests(
   counts: WindowCounts,
@@ -117,7 +127,7 @@
       const evidence = findEvidence(own, all);
       if (
         evidence !== undefined &&
-        evidence.strength >= NEEDED_STRENGTH * strengthFactor(record, records)
+        evidence.strength >= neededStrength(evidence) * strengthFactor(record, records)
       ) {
         const { kind, ...facts } = evidence;
         found.set(record, { reason: kind, ...facts });
--- a/packages/routing/health/src/outlier-test.ts
+++ b/packages/routing/health/src/outlier-test.ts
@@ -123,7 +123,7 @@
 }
 
 function findSlowEvidence(own: StratumCounts, all: StratumCounts): Evidence | undefined {
-  const slowness = findSlowness(own.slowness, all.slowness);
+  const slowness = findSlowness(own, all);
   if (slowness === undefined) {
     return undefined;
   }
--- a/packages/routing/health/src/slowness-test.ts
+++ b/packages/routing/health/src/slowness-test.ts
@@ -27,9 +27,12 @@
 
 const MINIMUM_SAMPLES = 3;
 
-/** Below this number of the peers' samples a stratum is not compared. */
+/** Below this number of the peers' samples a route is not compared. */
 const MINIMUM_PEER_SAMPLES = 10;
 
+/** Weight of the whole route in the mean of a stratum, in samples; thin strata follow the route. */
+const ROUTE_WEIGHT = 10;
+
 /** Adds a sample; one without a known service time is left out. */
 export function addSlowness(sums: SlownessSums, sample: Sample): SlownessSums {
   if (sample.time === undefined) {
@@ -42,30 +45,64 @@
   };
 }
 
+function subtract(left: SlownessSums, right: SlownessSums | undefined): SlownessSums {
+  return {
+    total: left.total - (right?.total ?? 0),
+    surprise: left.surprise - (right?.surprise ?? 0),
+    logarithm: left.logarithm - (right?.logarithm ?? 0),
+  };
+}
+
+/** Sums by stratum, and the route of each stratum. */
+export interface SlownessByStratum {
+  readonly slowness: ReadonlyMap<string, SlownessSums>;
+  readonly routeOf: ReadonlyMap<string, string>;
+}
+
+function sumByRoute(own: SlownessByStratum, all: SlownessByStratum): Map<string, SlownessSums> {
+  const routes = new Map<string, SlownessSums>();
+  for (const [stratum, sums] of all.slowness) {
+    const peers = subtract(sums, own.slowness.get(stratum));
+    const routeName = all.routeOf.get(stratum) ?? '*';
+    const route = routes.get(routeName) ?? { total: 0, surprise: 0, logarithm: 0 };
+    route.total += peers.total;
+    route.surprise += peers.surprise;
+    route.logarithm += peers.logarithm;
+    routes.set(routeName, route);
+  }
+  return routes;
+}
+
+function expectMean(
+  key: 'surprise' | 'logarithm',
+  peers: SlownessSums,
+  route: SlownessSums,
+): number {
+  const routeMean = route[key] / route.total;
+  return (peers[key] + ROUTE_WEIGHT * routeMean) / (peers.total + ROUTE_WEIGHT);
+}
+
 /**
  * Compares an endpoint's sums with those of all endpoints, stratum by stratum.
  *
  * If the peers are surprising too, because the service as a whole became slow, their mean is what is
  * expected. Chernoff's bound on a sum of exponential variables gives the strength.
  */
-export function findSlowness(
-  own: ReadonlyMap<string, SlownessSums>,
-  all: ReadonlyMap<string, SlownessSums>,
-): Slowness | undefined {
+export function findSlowness(own: SlownessByStratum, all: SlownessByStratum): Slowness | undefined {
   let samples = 0;
   let surprise = 0;
   let expected = 0;
   let slowdown = 0;
-  for (const [stratum, sums] of own) {
-    const total = all.get(stratum);
-    const peers = (total?.total ?? 0) - sums.total;
-    if (total !== undefined && peers >= MINIMUM_PEER_SAMPLES) {
-      const peerSurprise = (total.surprise - sums.surprise) / peers;
-      const peerLogarithm = (total.logarithm - sums.logarithm) / peers;
+  const routes = sumByRoute(own, all);
+  for (const [stratum, sums] of own.slowness) {
+    const route = routes.get(own.routeOf.get(stratum) ?? '*');
+    const total = all.slowness.get(stratum);
+    if (route !== undefined && total !== undefined && route.total >= MINIMUM_PEER_SAMPLES) {
+      const peers = subtract(total, sums);
       samples += sums.total;
       surprise += sums.surprise;
-      expected += sums.total * Math.max(1, peerSurprise);
-      slowdown += sums.logarithm - sums.total * peerLogarithm;
+      expected += sums.total * Math.max(1, expectMean('surprise', peers, route));
+      slowdown += sums.logarithm - sums.total * expectMean('logarithm', peers, route);
     }
   }
   if (samples < MINIMUM_SAMPLES || slowdown < samples * Math.log(MINIMUM_SLOWDOWN)) {
