Keep the stall test from ejecting after the start and in a general stall

Cause: Trials ejected endpoints shortly after the start, when no long request could have ended yet, and when the whole service stalled until its requests timed out.

--- a/packages/routing/dispatch/test/detection.test.ts
+++ b/packages/routing/dispatch/test/detection.test.ts
@@ -77,3 +77,28 @@
   await cell.events.runUntil(END);
   assert.deepEqual(cell.changes, []);
 });
+
+test('ejects nobody when every endpoint stalls until its requests time out', async () => {
+  const cell = createCell(7);
+  const stalled: Fault = () => ({ kind: 'success', milliseconds: Infinity });
+  cell.events.schedule(
+    () => cell.servers.forEach((server) => cell.faults.set(server.name, stalled)),
+    FAULT_AT,
+  );
+  await cell.events.runUntil(END);
+  assert.deepEqual(cell.changes, []);
+});
+
+test('ejects nobody shortly after the start, when no long request has ended yet', async () => {
+  for (const seed of SEEDS) {
+    const cell = new VirtualCell({
+      seed,
+      endpoints: 25,
+      slots: 2,
+      drawWork: (drawn) => (drawn.random() < 0.02 ? 1000 : 20),
+    });
+    cell.generate(() => 850, 3000);
+    await cell.events.runUntil(3000);
+    assert.deepEqual(cell.changes, [], `seed ${seed}`);
+  }
+});
--- a/packages/routing/health/src/evidence-book.ts
+++ b/packages/routing/health/src/evidence-book.ts
@@ -92,7 +92,7 @@
     switch (outcome.kind) {
       case 'success':
         if (!cold) {
-          this.learn(record, attempt, outcome.milliseconds);
+          this.learn(record, attempt, outcome.milliseconds, now);
         }
         return sample(timeMarks);
       // Work that was given up early says nothing; work that was late already is slow. A timeout is
@@ -106,11 +106,16 @@
     }
   }
 
-  private learn(record: EndpointRecord, attempt: HealthAttempt, milliseconds: number): void {
+  private learn(
+    record: EndpointRecord,
+    attempt: HealthAttempt,
+    milliseconds: number,
+    now: number,
+  ): void {
     const key = Strata.routeKey(attempt.routeName, attempt.sizeClass);
     let scale = this.scales.get(key);
     if (scale === undefined) {
-      scale = new LatencyScale();
+      scale = new LatencyScale(undefined, now);
       this.scales.set(key, scale);
       if (this.scales.size > MAXIMUM_SCALES) {
         this.scales.delete(this.scales.keys().next().value ?? '');
--- a/packages/routing/health/src/latency-scale.ts
+++ b/packages/routing/health/src/latency-scale.ts
@@ -38,7 +38,11 @@
 
   private sinceMedian = 0;
 
-  constructor(private readonly maximumSamples = DEFAULT_MAXIMUM_SAMPLES) {}
+  /** `observedSince` is the time of the first observation in monotonic milliseconds. */
+  constructor(
+    private readonly maximumSamples = DEFAULT_MAXIMUM_SAMPLES,
+    readonly observedSince = 0,
+  ) {}
 
   /** Adds a service time. */
   add(milliseconds: number): void {
