Share announced drains between dispatchers and end them after a restart

Cause: a drain was known only to the dispatcher that saw it on an answer, so the next dispatcher of the cell sent new work first; and a backend server that was restarted at its old address never received work again.

--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -9,6 +9,7 @@
 import { createAdministration } from './administration.js';
 import { ControlPlane } from './control-plane.js';
 import { CrashReports } from './crash-reports.js';
+import { DrainSigns } from './drain-signs.js';
 import { READY_CONDITION } from './fleet-view.js';
 import { readFleetKeys, readKeyPair, readPeerTls } from './key-material.js';
 import { RecordsTransfer } from './records-transfer.js';
@@ -54,6 +55,8 @@
 
   private readonly crashReports: CrashReports;
 
+  private readonly drainSigns: DrainSigns;
+
   private readonly administration: administrationApi.AdministrationApi;
 
   private readonly metrics: observability.Metrics;
@@ -101,7 +104,19 @@
       logger: log.part('idempotency'),
     });
     this.crashReports = new CrashReports({ guard: this.requests.guard, members, links });
-    this.control.register({ ...this.transfer.handlers, ...this.crashReports.handlers });
+    this.drainSigns = new DrainSigns({
+      name: settings.name,
+      registry: this.requests.registry,
+      view: this.requests.view,
+      links,
+      findConfiguration: () => this.control.keeper.current,
+      logger: log.part('dispatch'),
+    });
+    this.control.register({
+      ...this.transfer.handlers,
+      ...this.crashReports.handlers,
+      ...this.drainSigns.handlers,
+    });
     this.administration = createAdministration({
       settings,
       log,
@@ -119,6 +134,7 @@
     await this.requests.listen();
     await this.administration.listen();
     this.crashReports.start();
+    this.drainSigns.start();
     this.becomeReady().catch((error: unknown) => {
       this.logger.error('daemon can not become ready', { reason: String(error) });
     });
@@ -221,6 +237,7 @@
   /** Closes every port and connection at once; a planned stop uses `stop`. */
   async close(): Promise<void> {
     this.crashReports.stop();
+    this.drainSigns.stop();
     await this.requests.close();
     await this.administration.close();
     await this.control.stop();
--- a/packages/daemon/daemon/src/fleet-view.ts
+++ b/packages/daemon/daemon/src/fleet-view.ts
@@ -14,6 +14,9 @@
 /** Daemons that are tried for a cell before the daemon dispatches itself. */
 const RANKED_DISPATCHERS = 2;
 
+/** Ranks of a cell that learn of a drain; the next dispatchers when one or two are lost at once. */
+const DRAIN_INFORMED_RANKS = 4;
+
 interface RankedCell {
   readonly cell: model.Cell;
   readonly members: readonly membership.Member[];
@@ -92,6 +95,16 @@
     return { kind: String(known?.incarnation) === incarnation ? 'unreachable' : 'lost' };
   }
 
+  /** Returns the members that may dispatch the cell of a backend server, the first ranks only. */
+  listDispatchers(server: model.BackendServer): readonly membership.Member[] {
+    for (const { cell, members } of this.rankCells(server.service)) {
+      if (cell.servers.some((candidate) => candidate.name === server.name)) {
+        return members.slice(0, DRAIN_INFORMED_RANKS);
+      }
+    }
+    return [];
+  }
+
   /** Returns the link of a member, as the request path uses it. */
   targetOf(member: membership.Member): proxy.PeerTarget {
     const link = this.options.links.linkTo({ name: member.name, peerAddress: member.peerAddress });
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -126,6 +126,16 @@
     input: zod.strictObject({ ...handover, record }),
     output: zod.strictObject({ completed: zod.boolean() }),
   },
+  /** Shares which backend servers announced that they drain, with the age of the announcement. */
+  reportDrain: {
+    input: zod.strictObject({
+      from: name,
+      drains: zod
+        .array(zod.strictObject({ server: name, ageMilliseconds: zod.number().min(0) }))
+        .max(MAXIMUM_REPORTS),
+    }),
+    output: zod.strictObject({ accepted: count }),
+  },
   /** Shares the fingerprints of requests that crashed backend servers. */
   reportCrash: {
     input: zod.strictObject({ from: name, reports: zod.array(record).max(MAXIMUM_REPORTS) }),
--- a/packages/peers/peer-link/src/router.ts
+++ b/packages/peers/peer-link/src/router.ts
@@ -49,6 +49,9 @@
   completeRecord: trpc.procedure
     .input(procedures.completeRecord.input)
     .mutation(async ({ ctx, input }) => requireHandler(ctx, 'completeRecord')(input, ctx.caller)),
+  reportDrain: trpc.procedure
+    .input(procedures.reportDrain.input)
+    .mutation(async ({ ctx, input }) => requireHandler(ctx, 'reportDrain')(input, ctx.caller)),
   reportCrash: trpc.procedure
     .input(procedures.reportCrash.input)
     .mutation(async ({ ctx, input }) => requireHandler(ctx, 'reportCrash')(input, ctx.caller)),
--- a/packages/routing/dispatch/src/cell-dispatcher.ts
+++ b/packages/routing/dispatch/src/cell-dispatcher.ts
@@ -107,6 +107,12 @@
     this.refuseStranded();
   }
 
+  /** Gives an endpoint work again after the drain that it announced has ended. */
+  clearDraining(endpointName: string): void {
+    this.pool.clearDraining(endpointName);
+    this.pump();
+  }
+
   /** Returns whether nothing waits or runs, and since when. */
   idleSince(): number | undefined {
     return this.inFlight === 0 && this.room.size === 0 ? this.usedAt : undefined;
--- a/packages/routing/dispatch/src/endpoint-pool.ts
+++ b/packages/routing/dispatch/src/endpoint-pool.ts
@@ -59,6 +59,15 @@
     }
   }
 
+  /** Ends a drain that the endpoint announced; a configured drain goes on. */
+  clearDraining(name: string): void {
+    const endpoint = this.endpoints.get(name);
+    if (endpoint?.saidDraining === true) {
+      endpoint.saidDraining = false;
+      this.health.markDraining(name, endpoint.server.draining);
+    }
+  }
+
   /** Returns all endpoints. */
   list(): readonly EndpointSlots[] {
     return this.ordered;
--- a/packages/routing/dispatch/src/registry.ts
+++ b/packages/routing/dispatch/src/registry.ts
@@ -95,6 +95,14 @@
     }
   }
 
+  /** Ends a drain that an endpoint announced. */
+  clearDraining(endpointName: string): void {
+    this.draining.delete(endpointName);
+    for (const dispatcher of this.dispatchers.values()) {
+      dispatcher.clearDraining(endpointName);
+    }
+  }
+
   /** Drops the cells that had no request for a while; returns their names. */
   dropIdle(): string[] {
     const before =
