Test logs and metrics

Cause: the package observability had no tests. Change: tests of the share of decision lines, of prefixes in both formats, of levels, and of StatsD messages.

--- /dev/null
+++ b/packages/foundation/observability/test/observability.test.ts
@@ -0,0 +1,74 @@
+import * as assert from 'node:assert/strict';
+import * as dgram from 'node:dgram';
+import { once } from 'node:events';
+import { PassThrough } from 'node:stream';
+import { test } from 'node:test';
+import { setImmediate as turn } from 'node:timers/promises';
+import * as observability from '../src/index.js';
+
+interface Captured {
+  readonly log: observability.ProcessLog;
+  readLines(): Promise<string[]>;
+}
+
+function captureLog(options: Partial<observability.LogOptions>): Captured {
+  const stream = new PassThrough();
+  const log = new observability.ProcessLog({
+    level: 'info',
+    format: 'json',
+    decisionShare: 1,
+    ...options,
+    stream,
+  });
+  return {
+    log,
+    readLines: async () => {
+      await turn();
+      const text = String(stream.read() ?? '');
+      return text.split('\n').filter((line) => line !== '');
+    },
+  };
+}
+
+test('the share of decision lines is exact, so that their cost can be planned', async () => {
+  const { log, readLines } = captureLog({ decisionShare: 0.25 });
+  const logger = log.part('dispatch');
+  for (let index = 0; index < 100; index += 1) {
+    logger.decision('slot granted', { index });
+  }
+  assert.equal((await readLines()).length, 25);
+});
+
+test('a part can be found by its prefix in both formats', async () => {
+  const json = captureLog({ fields: { daemon: 'one' } });
+  json.log.part('health').warn('endpoint ejected', { endpoint: 'a' });
+  const [line] = await json.readLines();
+  const { part, daemon, message, endpoint } = JSON.parse(line ?? '') as Record<string, string>;
+  assert.deepEqual([part, daemon, message, endpoint], ['health', 'one', 'endpoint ejected', 'a']);
+  const text = captureLog({ format: 'text' });
+  text.log.part('health').warn('endpoint ejected', { endpoint: 'a' });
+  assert.match((await text.readLines())[0] ?? '', / warn health: endpoint ejected endpoint="a"$/);
+});
+
+test('lines below the configured level and silent logs write nothing', async () => {
+  const { log, readLines } = captureLog({ level: 'warn' });
+  log.part('store').info('store read');
+  assert.deepEqual(await readLines(), []);
+});
+
+test('metrics reach a StatsD server with prefix and tags', async () => {
+  const server = dgram.createSocket('udp4');
+  server.bind(0, '127.0.0.1');
+  await once(server, 'listening');
+  const metrics = observability.createMetrics({
+    host: '127.0.0.1',
+    port: server.address().port,
+    tags: { daemon: 'one' },
+  });
+  const received = once(server, 'message') as Promise<[Buffer]>;
+  metrics.count('requests', 2, { route: 'prices' });
+  const [message] = await received;
+  metrics.close();
+  server.close();
+  assert.match(message.toString(), /^dogwoodstall\.requests:2\|c\|#.*route:prices/);
+});
