Limit dispatch cells by slots and share requests in proportion to them

Change: cells have at most 64 slots; endpoints are split by rendezvous hashing; requests go to a cell in proportion to its slots; keys spread over the cells. The test of the split expects ceil(402 / 64) cells in place of 4 by the new rule and also checks the slots.

--- a/packages/configuration/model/src/cell.ts
+++ b/packages/configuration/model/src/cell.ts
@@ -5,8 +5,11 @@
 import type { Configuration } from './configuration.js';
 import type { BackendServer } from './entities.js';
 
-/** Above this number of endpoints in a region, a service has more than one cell there. */
-export const MAXIMUM_CELL_ENDPOINTS = 64;
+/**
+ * Above this number of slots in a region, a service has more than one cell there. One dispatcher holds
+ * a few thousand requests/s; 64 slots at 20 ms for each request are 3,200 requests/s.
+ */
+export const MAXIMUM_CELL_SLOTS = 64;
 
 /** A dispatch cell. */
 export interface Cell {
@@ -15,6 +18,8 @@
   readonly service: string;
   readonly region: string;
   readonly servers: readonly BackendServer[];
+  /** Slots of all servers together; the share of the service's requests that the cell receives. */
+  readonly slots: number;
 }
 
 /** Returns the name of a cell. */
@@ -25,12 +30,14 @@
 /** Returns the cells of a service in one region; none when it has no backend server there. */
 export function listCells(configuration: Configuration, service: string, region: string): Cell[] {
   const servers: BackendServer[] = [];
+  let slots = 0;
   for (const server of configuration.serversOf(service)) {
     if (configuration.regionOf(server.zone) === region) {
       servers.push(server);
+      slots += server.slots;
     }
   }
-  const count = Math.ceil(servers.length / MAXIMUM_CELL_ENDPOINTS);
+  const count = Math.min(servers.length, Math.ceil(slots / MAXIMUM_CELL_SLOTS));
   const groups: BackendServer[][] = Array.from({ length: count }, () => []);
   for (const server of servers) {
     groups[assignGroup(server.name, count)]?.push(server);
@@ -40,5 +47,6 @@
     service,
     region,
     servers: group,
+    slots: group.reduce((total, server) => total + server.slots, 0),
   }));
 }
--- a/packages/configuration/model/src/index.ts
+++ b/packages/configuration/model/src/index.ts
@@ -32,4 +32,4 @@
 export { Configuration } from './configuration.js';
 export { RouteTable } from './route-table.js';
 export { type ConfigurationProblem, validateConfiguration } from './validation.js';
-export { type Cell, MAXIMUM_CELL_ENDPOINTS, formatCellName, listCells } from './cell.js';
+export { type Cell, MAXIMUM_CELL_SLOTS, formatCellName, listCells } from './cell.js';
--- a/packages/configuration/model/test/configuration.test.ts
+++ b/packages/configuration/model/test/configuration.test.ts
@@ -89,7 +89,11 @@
   }
   const cells = model.listCells(acceptFirst().preview(operations), 'avaliacao', 'nordeste');
   const names = cells.flatMap((cell) => cell.servers.map((server) => server.name));
-  assert.equal(cells.length, 4);
+  assert.equal(cells.length, Math.ceil(402 / model.MAXIMUM_CELL_SLOTS));
+  assert.equal(
+    cells.reduce((total, cell) => total + cell.slots, 0),
+    402,
+  );
   assert.equal(new Set(names).size, 201);
   assert.equal(names.length, 201);
 });
--- a/packages/daemon/daemon/src/fleet-view.ts
+++ b/packages/daemon/daemon/src/fleet-view.ts
@@ -41,6 +41,9 @@
 
   private rankedConfiguration: model.Configuration | undefined;
 
+  /** Spreads the homes of keys over the cells of a service. */
+  private issuedKeys = 0;
+
   constructor(private readonly options: FleetViewOptions) {}
 
   /** Drops the cached ranking; called when members change. */
@@ -71,7 +74,8 @@
   /** Returns the incarnation that new keys of a service name: its reachable dispatcher. */
   chooseKeyHome(service: string): { home: string; incarnation: string } {
     const { self } = this.options.members;
-    const { members } = this.chooseCell(service, '');
+    this.issuedKeys += 1;
+    const { members } = this.chooseCell(service, `key ${this.issuedKeys}`);
     const found = members.find(
       (member) => member.name === self.name || this.isReachable(member.name),
     );
@@ -117,11 +121,15 @@
 
   private chooseCell(service: string, requestId: string): RankedCell {
     const cells = this.rankCells(service);
-    const chosen = cells[hashing.assignGroup(requestId, cells.length)];
-    if (chosen === undefined) {
-      throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
+    const slots = cells.reduce((total, { cell }) => total + cell.slots, 0);
+    let place = hashing.hashFraction(requestId) * slots;
+    for (const ranked of cells) {
+      place -= ranked.cell.slots;
+      if (place < 0) {
+        return ranked;
+      }
     }
-    return chosen;
+    throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
   }
 
   private rankCells(service: string): readonly RankedCell[] {
--- a/packages/foundation/hashing/src/rendezvous.ts
+++ b/packages/foundation/hashing/src/rendezvous.ts
@@ -34,7 +34,24 @@
   return scored.map((entry) => entry.member);
 }
 
-/** Assigns a name to one of `count` groups; the assignment depends on the name alone. */
+/**
+ * Assigns a name to one of `count` groups. When a group is added, only the names that it receives
+ * move.
+ */
 export function assignGroup(name: string, count: number): number {
-  return count <= 1 ? 0 : hashTextShort(name) % count;
+  let best = 0;
+  let bestScore = -1;
+  for (let group = 0; group < count; group += 1) {
+    const score = hashTextShort(name, group);
+    if (score > bestScore) {
+      best = group;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** Maps a name evenly to a number from 0 to below 1. */
+export function hashFraction(name: string): number {
+  return hashTextShort(name) / 2 ** 32;
 }
--- a/packages/foundation/hashing/test/rendezvous.test.ts
+++ b/packages/foundation/hashing/test/rendezvous.test.ts
@@ -31,3 +31,11 @@
   const backwards = hashing.rankMembers('cell', [...members].reverse(), identity);
   assert.deepEqual(forwards, backwards);
 });
+
+test('adding a group moves only the names that the new group receives', () => {
+  for (let index = 0; index < 500; index += 1) {
+    const before = hashing.assignGroup(`server-${index}`, 3);
+    const after = hashing.assignGroup(`server-${index}`, 4);
+    assert.ok(after === before || after === 3);
+  }
+});
