Use another region when the own one has no usable endpoint

Cause: a service with backend servers in several regions was refused in a region whose endpoints all drained or were gone, although others worked. Change: the plan of a request names the cell of each target and ends with the dispatchers of other regions; they are tried only after proof that nothing was run, and never because of overload.

--- a/packages/daemon/daemon/src/fleet-view.ts
+++ b/packages/daemon/daemon/src/fleet-view.ts
@@ -22,6 +22,22 @@
   readonly members: readonly membership.Member[];
 }
 
+/** The cells of a service in each region. */
+type RankedRegions = readonly (readonly RankedCell[])[];
+
+/** Chooses among the cells of one region in proportion to their slots. */
+function chooseCell(service: string, cells: readonly RankedCell[], name: string): RankedCell {
+  const slots = cells.reduce((total, { cell }) => total + cell.slots, 0);
+  let place = hashing.hashFraction(name) * slots;
+  for (const ranked of cells) {
+    place -= ranked.cell.slots;
+    if (place < 0) {
+      return ranked;
+    }
+  }
+  throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
+}
+
 /** Options of `FleetView`. */
 export interface FleetViewOptions {
   readonly members: Pick<
@@ -37,7 +53,7 @@
 /** Ranks dispatchers and locates key homes. */
 export class FleetView {
   // Ranking all members for each request would cost as many hashes as there are daemons.
-  private readonly ranked = new Map<string, readonly RankedCell[]>();
+  private readonly ranked = new Map<string, RankedRegions>();
 
   private rankedConfiguration: model.Configuration | undefined;
 
@@ -57,25 +73,37 @@
     return members.isReachable(name) && members.find(name)?.state !== 'suspect';
   }
 
-  /** Returns the cell of a request and the daemons to try, this daemon last. */
+  /**
+   * Returns the daemons to try for a request: the first ranks of its cell in this region, this daemon,
+   * and the first dispatcher in each other region that has backend servers of the service.
+   */
   planDispatch(service: string, requestId: string): proxy.DispatchPlan {
-    const { cell, members } = this.chooseCell(service, requestId);
+    const [own, ...others] = this.rankRegions(service);
+    const { cell, members } = chooseCell(service, own ?? [], requestId);
     const targets: proxy.DispatchTarget[] = [];
     for (const member of members.slice(0, RANKED_DISPATCHERS)) {
       if (member.name === this.options.members.self.name) {
         break;
       }
-      targets.push({ kind: 'peer', peer: this.targetOf(member) });
+      targets.push({ kind: 'peer', cell: cell.name, peer: this.targetOf(member) });
+    }
+    targets.push({ kind: 'local', cell: cell.name });
+    for (const region of others) {
+      const other = chooseCell(service, region, requestId);
+      const member = other.members.find(({ name }) => this.isReachable(name));
+      if (member !== undefined) {
+        targets.push({ kind: 'peer', cell: other.cell.name, peer: this.targetOf(member) });
+      }
     }
-    targets.push({ kind: 'local' });
-    return { cell: cell.name, targets };
+    return targets;
   }
 
   /** Returns the incarnation that new keys of a service name: its reachable dispatcher. */
   chooseKeyHome(service: string): { home: string; incarnation: string } {
     const { self } = this.options.members;
     this.issuedKeys += 1;
-    const { members } = this.chooseCell(service, `key ${this.issuedKeys}`);
+    const [own] = this.rankRegions(service);
+    const { members } = chooseCell(service, own ?? [], `key ${this.issuedKeys}`);
     const found = members.find(
       (member) => member.name === self.name || this.isReachable(member.name),
     );
@@ -101,7 +129,7 @@
 
   /** Returns the members that may dispatch the cell of a backend server, the first ranks only. */
   listDispatchers(server: model.BackendServer): readonly membership.Member[] {
-    for (const { cell, members } of this.rankCells(server.service)) {
+    for (const { cell, members } of this.rankRegions(server.service).flat()) {
       if (cell.servers.some((candidate) => candidate.name === server.name)) {
         return members.slice(0, DRAIN_INFORMED_RANKS);
       }
@@ -119,20 +147,8 @@
     };
   }
 
-  private chooseCell(service: string, requestId: string): RankedCell {
-    const cells = this.rankCells(service);
-    const slots = cells.reduce((total, { cell }) => total + cell.slots, 0);
-    let place = hashing.hashFraction(requestId) * slots;
-    for (const ranked of cells) {
-      place -= ranked.cell.slots;
-      if (place < 0) {
-        return ranked;
-      }
-    }
-    throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
-  }
-
-  private rankCells(service: string): readonly RankedCell[] {
+  /** Returns the cells of a service by region, this daemon's region first where it has any. */
+  private rankRegions(service: string): RankedRegions {
     const configuration = this.options.findConfiguration();
     if (configuration === undefined) {
       throw new results.FailureError('NotReady');
@@ -141,24 +157,25 @@
       this.ranked.clear();
       this.rankedConfiguration = configuration;
     }
-    let cells = this.ranked.get(service);
-    if (cells === undefined) {
-      cells = this.listServingCells(configuration, service).map((cell) => this.rankCell(cell));
-      this.ranked.set(service, cells);
+    let regions = this.ranked.get(service);
+    if (regions === undefined) {
+      const names = this.listRegions(configuration, service);
+      regions = names.map((region) =>
+        model.listCells(configuration, service, region).map((cell) => this.rankCell(cell)),
+      );
+      this.ranked.set(service, regions);
     }
-    return cells;
+    return regions;
   }
 
-  // A service without backend servers in this region is dispatched in the first region that has some.
-  private listServingCells(configuration: model.Configuration, service: string): model.Cell[] {
-    const own = model.listCells(configuration, service, this.options.members.self.region);
-    if (own.length > 0) {
-      return own;
+  private listRegions(configuration: model.Configuration, service: string): string[] {
+    const { region: own } = this.options.members.self;
+    const regions = new Set<string>();
+    for (const server of configuration.serversOf(service)) {
+      regions.add(configuration.regionOf(server.zone));
     }
-    const [server] = configuration.serversOf(service);
-    return server === undefined
-      ? []
-      : model.listCells(configuration, service, configuration.regionOf(server.zone));
+    const others = [...regions].filter((region) => region !== own).sort();
+    return regions.has(own) ? [own, ...others] : others;
   }
 
   private rankCell(cell: model.Cell): RankedCell {
--- a/packages/daemon/daemon/test/fleet-view.test.ts
+++ b/packages/daemon/daemon/test/fleet-view.test.ts
@@ -65,7 +65,7 @@
 }
 
 function dispatcherOf(view: FleetView, requestId: string): string {
-  const [first] = view.planDispatch('potbeheer', requestId).targets;
+  const [first] = view.planDispatch('potbeheer', requestId);
   return first?.kind === 'peer' ? first.peer.name : 'self';
 }
 
@@ -86,7 +86,7 @@
   const counts = new Map<string, number>();
   const requests = 20_000;
   for (let index = 0; index < requests; index += 1) {
-    const { cell } = view.planDispatch('potbeheer', `request-${index}`);
+    const cell = view.planDispatch('potbeheer', `request-${index}`)[0]?.cell ?? '';
     counts.set(cell, (counts.get(cell) ?? 0) + 1);
   }
   const cells = model.listCells(createConfiguration(), 'potbeheer', 'randstad');
--- a/packages/routing/proxy/src/request-path.ts
+++ b/packages/routing/proxy/src/request-path.ts
@@ -14,13 +14,14 @@
 
 /** A daemon that may dispatch a cell. */
 export type DispatchTarget =
-  { readonly kind: 'local' } | { readonly kind: 'peer'; readonly peer: PeerTarget };
+  | { readonly kind: 'local'; readonly cell: string }
+  | { readonly kind: 'peer'; readonly cell: string; readonly peer: PeerTarget };
 
-/** The cell of a request and the daemons to try, rank 0 first and this daemon last. */
-export interface DispatchPlan {
-  readonly cell: string;
-  readonly targets: readonly DispatchTarget[];
-}
+/**
+ * The daemons to try, in this order: those of the cell in this region by rank, this daemon, and the
+ * dispatchers of cells in other regions for the case that this region has no usable endpoint.
+ */
+export type DispatchPlan = readonly DispatchTarget[];
 
 /** Where the keys of an incarnation live now. */
 export type KeyLocation =
@@ -58,6 +59,23 @@
   'DispatcherUnreachable',
 ]);
 
+/** Results that prove that a cell has no endpoint for a request. */
+const EXHAUSTED_RESULTS: ReadonlySet<string> = new Set([
+  'NoEndpoint',
+  'BackendRefused',
+  'BackendConnectTimeout',
+]);
+
+function mayTryOtherCell(exchange: Exchange, failure: FailureError): boolean {
+  return (
+    EXHAUSTED_RESULTS.has(failure.failure.kind) &&
+    exchange.unproved === undefined &&
+    exchange.body.replayable &&
+    !exchange.response.headersSent &&
+    !exchange.signal.aborted
+  );
+}
+
 function sendRecorded(exchange: Exchange, answer: idempotency.RecordedAnswer): void {
   const { response } = exchange;
   const headers = composeAnswerHeaders(exchange, {});
@@ -142,33 +160,68 @@
 
   private async dispatch(exchange: Exchange, permit: Permit): Promise<Answer> {
     const { facts } = exchange;
-    const plan = this.options.planDispatch(facts.service.name, facts.requestId);
+    const exhausted = new Set<string>();
     let last: FailureError | undefined;
-    for (const target of plan.targets) {
-      if (target.kind === 'local') {
-        return this.dispatchHere(exchange, plan.cell, permit);
-      }
-      if (!this.options.isReachable(target.peer.name)) {
+    for (const target of this.options.planDispatch(facts.service.name, facts.requestId)) {
+      if (exhausted.has(target.cell) || !this.mayUse(target)) {
         continue;
       }
-      Object.assign(exchange.decision, { dispatcher: target.peer.name });
-      if (last === undefined) {
+      if (last === undefined && target.kind === 'peer') {
         this.options.retryBudget.deposit(facts.service.name, exchange.contract.retryBudget);
       }
-      const forward = { peer: target.peer, kind: 'dispatch' as const, cell: plan.cell, permit };
-      const end = await this.options.forwarder.forward(exchange, forward);
+      const end = await this.tryTarget(exchange, target, permit);
       if (end.failure === undefined) {
         return end.answer;
       }
-      this.noteFailedForward(exchange, target.peer.name, end);
       last = exchange.unproved ?? end.failure;
-      if (!this.mayMove(exchange, end)) {
+      if (end.notRun && mayTryOtherCell(exchange, end.failure)) {
+        exhausted.add(target.cell);
+      } else if (target.kind === 'local' || !this.mayMove(exchange, end)) {
         throw last;
       }
     }
     throw last ?? new FailureError('DispatcherUnreachable');
   }
 
+  private mayUse(target: DispatchTarget): boolean {
+    return target.kind === 'local' || this.options.isReachable(target.peer.name);
+  }
+
+  private async tryTarget(
+    exchange: Exchange,
+    target: DispatchTarget,
+    permit: Permit,
+  ): Promise<ForwardEnd> {
+    if (target.kind === 'local') {
+      return this.tryHere(exchange, target.cell, permit);
+    }
+    const { cell, peer } = target;
+    Object.assign(exchange.decision, { dispatcher: peer.name });
+    const end = await this.options.forwarder.forward(exchange, {
+      peer,
+      kind: 'dispatch',
+      cell,
+      permit,
+    });
+    if (end.failure !== undefined) {
+      this.noteFailedForward(exchange, peer.name, end);
+    }
+    return end;
+  }
+
+  private async tryHere(exchange: Exchange, cell: string, permit: Permit): Promise<ForwardEnd> {
+    try {
+      const answer = await this.dispatchHere(exchange, cell, permit);
+      return { failure: undefined, statedByPeer: false, notRun: false, answer };
+    } catch (error) {
+      if (!(error instanceof FailureError)) {
+        throw error;
+      }
+      const notRun = error.execution === 'not-run';
+      return { failure: error, statedByPeer: false, notRun, answer: undefined };
+    }
+  }
+
   private noteFailedForward(exchange: Exchange, peer: string, end: ForwardEnd): void {
     if (!end.notRun && exchange.unproved === undefined) {
       Object.assign(exchange, { unproved: end.failure });
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -13,6 +13,7 @@
 import { Pool } from 'undici';
 import * as proxy from '../src/index.js';
 
+const CELL = 'shop/r/0';
 const FLEET_KEY = Buffer.alloc(32, 7);
 
 /** A daemon made of the parts of this package. */
@@ -29,10 +30,15 @@
   readonly crashes: string[];
 }
 
+/** A dispatch target; its cell is `CELL` unless a test names another one. */
+export type TestTarget =
+  | { readonly kind: 'local'; readonly cell?: string }
+  | { readonly kind: 'peer'; readonly cell?: string; readonly peer: proxy.PeerTarget };
+
 /** What the daemons of a test share. */
 export interface TestFleet {
   backends: string[];
-  plan: (asking: string) => proxy.DispatchTarget[];
+  plan: (asking: string) => TestTarget[];
   locate: (asking: string, home: string) => proxy.KeyLocation;
   homeName: string;
   refusedFingerprints: Set<string>;
@@ -138,7 +144,7 @@
   });
   const path = new proxy.RequestPath({
     daemonName: name,
-    planDispatch: () => ({ cell: 'shop/r/0', targets: fleet.plan(name) }),
+    planDispatch: () => fleet.plan(name).map((target) => ({ cell: CELL, ...target })),
     isReachable: () => true,
     locateKeyHome: (homeName) => fleet.locate(name, homeName),
     keyIssuer,
--- /dev/null
+++ b/packages/routing/proxy/test/other-region.test.ts
@@ -0,0 +1,58 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as net from 'node:net';
+import { test, type TestContext } from 'node:test';
+import {
+  call,
+  createFleet,
+  startBackend,
+  startDaemon,
+  startRawBackend,
+  type TestDaemon,
+} from './fixture.js';
+
+async function findClosedAddress(): Promise<string> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return `127.0.0.1:${port}`;
+}
+
+/** A daemon whose region has the given endpoints only, beside a region that works. */
+async function startBesideWorkingRegion(
+  context: TestContext,
+  ownEndpoints: string[],
+): Promise<{ own: TestDaemon; executions: () => number }> {
+  const backend = await startBackend(context, (_request, response) => response.end('other'));
+  const other = await startDaemon(context, createFleet([backend.address]), 'daemon-b');
+  const fleet = createFleet(ownEndpoints, {
+    plan: () => [
+      { kind: 'local', cell: 'shop/own/0' },
+      { kind: 'peer', cell: 'shop/other/0', peer: other.peer },
+    ],
+  });
+  const own = await startDaemon(context, fleet);
+  return { own, executions: () => backend.requests.length };
+}
+
+test('a region whose endpoints all refuse connections uses another region', async (context) => {
+  const { own } = await startBesideWorkingRegion(context, [await findClosedAddress()]);
+  const answer = await call(own.port);
+  assert.equal(answer.body, 'other');
+  assert.equal(answer.headers['dogwoodstall-result'], '0');
+});
+
+test('a non-idempotent request that may have run does not move to another region', async (context) => {
+  const resetting = await startRawBackend(context, (socket) => {
+    socket.once('data', () => socket.resetAndDestroy());
+  });
+  const { own, executions } = await startBesideWorkingRegion(context, [resetting]);
+  const post = { path: '/write', method: 'POST', body: 'pay 5' };
+  const { headers } = await call(own.port, post);
+  const key = { 'idempotency-key': headers['idempotency-key'] as string };
+  const answer = await call(own.port, { ...post, headers: key });
+  assert.equal(answer.headers['dogwoodstall-execution'], 'not-known');
+  assert.equal(executions(), 0);
+});
