Run the worked examples with their generated configuration

Change: the answers of examples/NAME become the topology and the first change of a local fleet; the generated addresses are replaced by those of the stand-ins. The check sends requests to each route in turn, because a mixed load of a few requests could miss one. npm start prints a curl command for each route.

--- a/packages/testing/measure/src/check.ts
+++ b/packages/testing/measure/src/check.ts
@@ -1,5 +1,5 @@
 /**
- * A handful of requests to a running fleet, to see that it serves.
+ * A handful of requests to each route of a running fleet, to see that it serves.
  */
 import * as load from '@dogwoodstall/load';
 import * as standIns from '@dogwoodstall/stand-ins';
@@ -7,7 +7,7 @@
 import type { LocalFleet } from './fleet/local-fleet.js';
 
 const CHECK_RATE = 20;
-const CHECK_MILLISECONDS = 1000;
+const CHECK_MILLISECONDS_PER_ROUTE = 300;
 const CHECK_BODY_BYTES = 1000;
 
 /** Returns a request class for each route of the fleet's topology. */
@@ -35,22 +35,25 @@
   fleet: LocalFleet,
   seed: number,
 ): Promise<{ passed: boolean; report: string }> {
-  const classes = createRouteClasses(fleet);
-  const result = await load.runLoad({
-    targets: [fleet.callerAddress],
-    classes,
-    arrivals: 'constant',
-    profile: load.createFlatProfile(CHECK_RATE),
-    durationMilliseconds: CHECK_MILLISECONDS,
-    seed,
-    createVerifier: standIns.createVerifier,
-  });
+  const reports: string[] = [];
+  let passed = true;
+  // A mixed load of a few requests could miss a route.
+  for (const requestClass of createRouteClasses(fleet)) {
+    const result = await load.runLoad({
+      targets: [fleet.callerAddress],
+      classes: [requestClass],
+      arrivals: 'constant',
+      profile: load.createFlatProfile(CHECK_RATE),
+      durationMilliseconds: CHECK_MILLISECONDS_PER_ROUTE,
+      seed,
+      createVerifier: standIns.createVerifier,
+    });
+    const { total } = result.book;
+    const answered = total.count('ok') + total.count('late');
+    passed = passed && total.requests > 0 && answered === total.requests;
+    reports.push(load.formatTextReport(`check of route ${requestClass.name}`, result));
+  }
   const { keys } = await fleet.readExecutions();
   const repeated = Object.values(keys).filter((executions) => executions.started > 1);
-  const { total } = result.book;
-  const answered = total.count('ok') + total.count('late');
-  return {
-    passed: total.requests > 0 && answered === total.requests && repeated.length === 0,
-    report: load.formatTextReport('check', result),
-  };
+  return { passed: passed && repeated.length === 0, report: reports.join('\n') };
 }
--- a/packages/testing/measure/src/example.ts
+++ b/packages/testing/measure/src/example.ts
@@ -1,34 +1,124 @@
 /**
- * Worked examples: the TOML files of `examples/NAME`.
+ * Worked examples: `examples/NAME/questionnaire.toml` as a local fleet whose configuration is the one
+ * that the program generates from the answers.
  */
 import * as fileSystem from 'node:fs/promises';
-import * as path from 'node:path';
+import * as model from '@dogwoodstall/model';
+import * as questionnaire from '@dogwoodstall/questionnaire';
 import * as results from '@dogwoodstall/results';
-import * as toml from 'smol-toml';
+import { callerTokenOf, digestToken, type PlacedServer } from './fleet/first-change.js';
+import type { ServiceDescription, Topology } from './fleet/topology.js';
 
 const examplesDirectory = new URL('../../../../../examples/', import.meta.url);
+const DAEMONS_PER_ZONE = 1;
 
-/** The parsed files of an example by file name without extension. */
-export type ExampleFiles = ReadonlyMap<string, toml.TomlTable>;
+/** What a local fleet needs to run an example. */
+export interface Example {
+  readonly topology: Topology;
+  /** Returns the generated configuration with the addresses of the stand-ins. */
+  readonly createFirstChange: (servers: readonly PlacedServer[]) => model.Change;
+  /** What the answers allow but a team should look at. */
+  readonly warnings: readonly string[];
+}
 
-/** Reads every TOML file of an example; throws `MeasurementUnknown` or `SettingsSyntax`. */
-export async function readExampleFiles(name: string): Promise<ExampleFiles> {
-  const directory = new URL(`${encodeURIComponent(name)}/`, examplesDirectory);
-  let fileNames: string[];
+async function readAnswersText(name: string): Promise<string> {
+  const file = new URL(`${encodeURIComponent(name)}/questionnaire.toml`, examplesDirectory);
   try {
-    fileNames = (await fileSystem.readdir(directory)).filter((file) => file.endsWith('.toml'));
+    return await fileSystem.readFile(file, 'utf8');
   } catch (cause) {
     throw new results.FailureError('MeasurementUnknown', `no example "${name}"`, { cause });
   }
-  const files = new Map<string, toml.TomlTable>();
-  for (const fileName of fileNames.sort()) {
-    const text = await fileSystem.readFile(new URL(fileName, directory), 'utf8');
-    try {
-      files.set(path.basename(fileName, '.toml'), toml.parse(text));
-    } catch (cause) {
-      const reason = cause instanceof Error ? cause.message : String(cause);
-      throw new results.FailureError('SettingsSyntax', `${fileName}: ${reason}`, { cause });
+}
+
+// The stand-ins of one service run in one process and have the same shape.
+function describeServers(
+  service: questionnaire.ServiceAnswers,
+): Pick<ServiceDescription, 'serverCount' | 'slots' | 'connectionLimit'> {
+  const [first] = service.serverGroups;
+  const slots = first?.slots ?? 1;
+  const connectionLimit = first?.connections ?? 1;
+  let serverCount = 0;
+  for (const group of service.serverGroups) {
+    if (group.slots !== slots || group.connections !== connectionLimit) {
+      const message = `service "${service.name}": the server groups of an example have the same slots and connections`;
+      throw new results.FailureError('QuestionnaireInvalid', message);
+    }
+    serverCount += group.addresses.length;
+  }
+  return { serverCount, slots, connectionLimit };
+}
+
+function describeService(
+  answers: questionnaire.Answers,
+  operations: readonly model.Operation[],
+  service: questionnaire.ServiceAnswers,
+): ServiceDescription {
+  const routes: model.Route[] = [];
+  let contract: model.Contract | undefined;
+  for (const operation of operations) {
+    if (operation.action === 'put' && operation.kind === 'route') {
+      if (operation.entity.service === service.name) {
+        routes.push(operation.entity);
+      }
+    } else if (operation.action === 'put' && operation.kind === 'service') {
+      contract = operation.entity.name === service.name ? operation.entity.contract : contract;
     }
   }
-  return files;
+  return {
+    name: service.name,
+    organisation: answers.organisation.name,
+    ...(contract !== undefined && { contract }),
+    routes,
+    ...describeServers(service),
+    workMilliseconds: service.requests.typicalMilliseconds,
+  };
+}
+
+function replaceOperation(
+  operation: model.Operation,
+  addresses: ReadonlyMap<string, string>,
+): model.Operation {
+  if (operation.action !== 'put') {
+    return operation;
+  }
+  if (operation.kind === 'organisation') {
+    const { entity } = operation;
+    const digest = digestToken(callerTokenOf(entity.name));
+    const callerTokenDigests = [...entity.callerTokenDigests, digest];
+    return { ...operation, entity: { ...entity, callerTokenDigests } };
+  }
+  if (operation.kind === 'backendServer') {
+    const address = addresses.get(operation.entity.name) ?? operation.entity.address;
+    return { ...operation, entity: { ...operation.entity, address } };
+  }
+  return operation;
+}
+
+/** Reads an example; throws `MeasurementUnknown`, `SettingsSyntax` or `QuestionnaireInvalid`. */
+export async function readExample(name: string): Promise<Example> {
+  const text = await readAnswersText(name);
+  const answers = questionnaire.parseAnswers(text, `examples/${name}/questionnaire.toml`);
+  const plan = questionnaire.generatePlan(answers);
+  return {
+    warnings: plan.warnings,
+    topology: {
+      zones: answers.zones,
+      daemonsPerZone: DAEMONS_PER_ZONE,
+      services: answers.services.map((service) =>
+        describeService(answers, plan.operations, service),
+      ),
+    },
+    createFirstChange: (servers) => {
+      const addresses = new Map(servers.map((server) => [server.name, server.address]));
+      return model.changeSchema.parse({
+        id: `example-${name}`,
+        baseRevision: 0,
+        revision: 1,
+        author: 'local fleet',
+        reason: `generated from examples/${name}/questionnaire.toml`,
+        operations: plan.operations.map((operation) => replaceOperation(operation, addresses)),
+        acceptedAtEpochMilliseconds: Date.now(),
+      });
+    },
+  };
 }
--- a/packages/testing/measure/src/fleet/control-client.ts
+++ b/packages/testing/measure/src/fleet/control-client.ts
@@ -6,7 +6,7 @@
 
 /** The control address of one stand-in process. */
 export class ControlClient {
-  private readonly address: string;
+  readonly address: string;
 
   constructor(address: string) {
     this.address = address;
--- a/packages/testing/measure/src/fleet/local-fleet.ts
+++ b/packages/testing/measure/src/fleet/local-fleet.ts
@@ -6,6 +6,7 @@
 import * as fileSystem from 'node:fs/promises';
 import * as path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import type * as model from '@dogwoodstall/model';
 import * as results from '@dogwoodstall/results';
 import type * as settings from '@dogwoodstall/settings';
 import * as standIns from '@dogwoodstall/stand-ins';
@@ -32,6 +33,8 @@
 export interface LocalFleetOptions {
   readonly topology: Topology;
   readonly seed: number;
+  /** Creates the change of revision 1; without it, the topology does. */
+  readonly createFirstChange?: (servers: readonly PlacedServer[]) => model.Change;
   /** Arguments of Node.js that start a daemon; the program of the package `command-line` without it. */
   readonly daemonCommand?: readonly string[];
   /** Settings of every daemon that replace those of the fleet, for example `limits` or `log`. */
@@ -192,7 +195,9 @@
         servers.push({ ...server, service: service.name, address });
       }
     }
-    await writeFirstChange(this.storeProcess.address, createFirstChange(topology, servers));
+    const change =
+      this.options.createFirstChange?.(servers) ?? createFirstChange(topology, servers);
+    await writeFirstChange(this.storeProcess.address, change);
   }
 
   /** Returns the address to use for a target: a new link of the proxy, or the target itself. */
--- a/packages/testing/measure/src/index.ts
+++ b/packages/testing/measure/src/index.ts
@@ -2,7 +2,8 @@
  * Measurements, the local example fleet and reports.
  */
 export { checkFleet, createRouteClasses } from './check.js';
-export { type ExampleFiles, readExampleFiles } from './example.js';
+export { formatCurlCommand } from './curl-command.js';
+export { type Example, readExample } from './example.js';
 export { ControlClient } from './fleet/control-client.js';
 export { DaemonProcess } from './fleet/daemon-process.js';
 export { callerTokenOf, createFirstChange, digestToken } from './fleet/first-change.js';
--- a/packages/testing/measure/src/start.ts
+++ b/packages/testing/measure/src/start.ts
@@ -5,36 +5,39 @@
 import * as commands from 'cmd-ts';
 import * as results from '@dogwoodstall/results';
 import { checkFleet } from './check.js';
-import { readExampleFiles } from './example.js';
-import { callerTokenOf } from './fleet/first-change.js';
-import { LocalFleet, OPERATOR_TOKEN } from './fleet/local-fleet.js';
-import { createExampleTopology, type Topology } from './fleet/topology.js';
+import { formatCurlCommand } from './curl-command.js';
+import { readExample } from './example.js';
+import { LocalFleet, OPERATOR_TOKEN, type LocalFleetOptions } from './fleet/local-fleet.js';
+import { createExampleTopology } from './fleet/topology.js';
 
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
 
-async function chooseTopology(example: string | undefined): Promise<Topology> {
+async function readStartOptions(
+  example: string | undefined,
+): Promise<Pick<LocalFleetOptions, 'topology' | 'createFirstChange'>> {
   if (example === undefined) {
-    return createExampleTopology();
+    return { topology: createExampleTopology() };
   }
-  const files = await readExampleFiles(example);
-  throw new results.FailureError(
-    'QuestionnaireInvalid',
-    `the answers of example "${example}" (${[...files.keys()].join(', ')}) can not be converted yet`,
-  );
+  const { topology, createFirstChange, warnings } = await readExample(example);
+  warnings.forEach((warning) => print(`warning: ${warning}`));
+  return { topology, createFirstChange };
 }
 
 function printAddresses(fleet: LocalFleet): void {
   print(`callers: http://${fleet.callerAddress}`);
   for (const daemon of fleet.daemons) {
     print(`administration API of ${daemon.name}: http://${daemon.administrationAddress}`);
+    print(`settings and process id of ${daemon.name}: ${daemon.settingsFile} ${daemon.processId}`);
   }
   print(`operator token: ${OPERATOR_TOKEN}`);
+  print(`control address of the store stand-in: http://${fleet.store.control.address}`);
   for (const service of fleet.topology.services) {
-    const hosts = new Set(service.routes.map((route) => route.host));
-    const token = callerTokenOf(service.organisation);
-    print(`service ${service.name}: Host ${[...hosts].join(', ')}, organisation token ${token}`);
+    print(`service ${service.name}, requests for each of its routes:`);
+    for (const route of service.routes) {
+      print(`  ${formatCurlCommand(fleet.callerAddress, service, route)}`);
+    }
   }
 }
 
@@ -43,8 +46,8 @@
   example: string | undefined;
   seed: number;
 }): Promise<void> {
-  const topology = await chooseTopology(options.example);
-  const fleet = await LocalFleet.start({ topology, seed: options.seed });
+  const startOptions = await readStartOptions(options.example);
+  const fleet = await LocalFleet.start({ ...startOptions, seed: options.seed });
   try {
     printAddresses(fleet);
     if (!options.check) {
