Use the present fields of a hand-over in the test of a peer link

Change: the test sends origin, epoch and recordCount.

Measured: tsc builds; the seven tests of peer-link pass.

--- a/packages/peers/peer-link/test/peer-link.test.ts
+++ b/packages/peers/peer-link/test/peer-link.test.ts
@@ -159,7 +159,7 @@
     await assert.rejects(pair.link().call('pushChange', push, { milliseconds: 50 }), (error) =>
       results.isFailure(error, 'PeerTimeout'),
     );
-    const activate = { from: 'daemon-a', incarnation: 1, records: 0 };
+    const activate = { origin: 'daemon-a', epoch: 1, recordCount: 0 };
     await assert.rejects(pair.link().call('activateRecords', activate), (error) =>
       results.isFailure(error, 'NotReady'),
     );
