--- a/packages/administration/administration-api/src/handlers.ts
+++ b/packages/administration/administration-api/src/handlers.ts
@@ -158,8 +158,12 @@
     return this.options.daemonStatus();
   }
 
-  /** `GET /v1/explain/{requestId}`; an organisation sees requests to its own services only. */
+  /**
+   * `GET /v1/explain/{requestId}`; an organisation sees requests to its own services only. `askNext`
+   * names the daemons to which this one sent the request and which keep the rest of the explanation.
+   */
   async explain({ principal, segments }: Call): Promise<unknown> {
+    const { daemonName } = this.options;
     const requestId = segments[0] ?? '';
     const explanation = await this.options.explain(requestId);
     if (principal.kind === 'organisation') {
@@ -170,9 +174,16 @@
       }
     }
     if (explanation === undefined) {
-      const message = `no decision about request "${requestId}" is kept in this daemon`;
+      const message = `daemon "${daemonName}" keeps no decision about request "${requestId}"; ask the other daemons`;
       throw new results.FailureError('ConfigurationNotFound', message);
     }
-    return explanation;
+    const dispatchers = explanation.decisions.map(({ dispatcher }) => dispatcher);
+    return {
+      ...explanation,
+      daemon: daemonName,
+      askNext: [...new Set(dispatchers)].filter(
+        (name) => typeof name === 'string' && name !== daemonName,
+      ),
+    };
   }
 }
--- a/packages/administration/administration-api/src/options.ts
+++ b/packages/administration/administration-api/src/options.ts
@@ -51,6 +51,8 @@
   /** SHA-256 digests in hexadecimal of the operators' tokens. */
   readonly operatorTokenDigests: readonly string[];
   readonly log: observability.PartLogger;
+  /** Name of the daemon, which explanations carry. */
+  readonly daemonName: string;
   /** The configuration in force in this daemon; undefined before the first one is known. */
   readonly currentConfiguration: () => model.Configuration | undefined;
   /**
--- a/packages/administration/administration-api/src/submission.ts
+++ b/packages/administration/administration-api/src/submission.ts
@@ -63,6 +63,19 @@
   readonly changes: readonly model.Change[];
 }
 
+// The reads of a submission come before its write. Another result than that of a read says so.
+async function readBeforeWrite<Value>(reading: Promise<Value>): Promise<Value> {
+  try {
+    return await reading;
+  } catch (error) {
+    if (results.isFailure(error, 'StoreUnavailable') || results.isFailure(error, 'StoreTimeout')) {
+      const message = 'the store can not be reached; this submission changed nothing';
+      throw new results.FailureError('ConfigurationUnavailable', message, { cause: error });
+    }
+    throw error;
+  }
+}
+
 /** Commits changes on behalf of principals. */
 export class Submission {
   constructor(private readonly options: SubmissionOptions) {}
@@ -112,7 +125,7 @@
   /** Restores the content of an older revision as a new one, within the authority of a principal. */
   async rollBack(principal: Principal, request: RollbackRequest): Promise<Acceptance> {
     const { revision, ...draft } = request;
-    const target = await this.options.readRevision(revision);
+    const target = await readBeforeWrite(this.options.readRevision(revision));
     if (target === undefined) {
       throw new results.FailureError('ConfigurationNotFound', `revision ${revision} is not kept`);
     }
@@ -169,7 +182,7 @@
     const changes: model.Change[] = [];
     for (;;) {
       const after = from + changes.length;
-      const page = await this.options.readChanges(after, CHANGES_PER_READ);
+      const page = await readBeforeWrite(this.options.readChanges(after, CHANGES_PER_READ));
       changes.push(...page);
       if (page.length === 0) {
         break;
@@ -198,7 +211,7 @@
       return;
     }
     const references = concerned.filter((reference) => touched.has(formatReference(reference)));
-    const base = await this.options.readRevision(draft.baseRevision);
+    const base = await readBeforeWrite(this.options.readRevision(draft.baseRevision));
     const difference =
       base === undefined
         ? references.map(({ kind, name }) => ({
--- a/packages/administration/administration-api/test/fixture.ts
+++ b/packages/administration/administration-api/test/fixture.ts
@@ -48,6 +48,7 @@
       host: '127.0.0.1',
       port: 0,
       operatorTokenDigests: [administration.digestToken(tokens.operator)],
+      daemonName: 'daemon-1',
       log: observability.createSilentLog().part('administration'),
       currentConfiguration: () => log.lagging ?? log.current,
       commit: async (draft) => log.commit(draft),
@@ -61,7 +62,9 @@
       }),
       daemonStatus: () => ({ endpoints: [] }),
       explain: (requestId) =>
-        requestId === 'known' ? { requestId, service: 'shop-web', decisions: [] } : undefined,
+        requestId === 'known'
+          ? { requestId, service: 'shop-web', decisions: [{ dispatcher: 'daemon-2' }] }
+          : undefined,
       ...changed,
     });
   }
--- a/packages/administration/administration-api/test/submission.test.ts
+++ b/packages/administration/administration-api/test/submission.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import * as results from '@dogwoodstall/results';
 import { createRoute, tokens } from './first-configuration.js';
 import { Fixture } from './fixture.js';
 
@@ -140,3 +141,26 @@
   assert.equal(body.error?.name, 'ConfigurationInvalid');
   assert.match(body.error.message, /^operations\.0\.entity\.region: .*string/);
 });
+
+test('a submission while the store is away is told that it changed nothing, also when the read timed out', async () => {
+  for (const kind of ['StoreUnavailable', 'StoreTimeout'] as const) {
+    const away = new Fixture({
+      readChanges: async () => {
+        throw new results.FailureError(kind);
+      },
+    });
+    await away.start();
+    const answer = await away.submit(tokens.operator, [putRoute('away', 'away.example')]);
+    await away.stop();
+    assert.equal(answer.body.error?.name, 'ConfigurationUnavailable');
+    assert.equal(away.log.changes.length, 1);
+  }
+});
+
+test('an explanation names its daemon and the dispatcher to ask next', async () => {
+  const { body } = await fixture.call(tokens.operator, 'GET', '/v1/explain/known');
+  assert.equal(body.daemon, 'daemon-1');
+  assert.deepEqual(body.askNext, ['daemon-2']);
+  const unknown = await fixture.call(tokens.operator, 'GET', '/v1/explain/unknown');
+  assert.match(unknown.body.error?.message ?? '', /daemon "daemon-1" keeps no decision/);
+});
--- a/packages/daemon/command-line/src/administration-answers.ts
+++ b/packages/daemon/command-line/src/administration-answers.ts
@@ -40,6 +40,16 @@
   readonly lastRevision: number;
 }
 
+/** The decisions about one request that one daemon keeps. */
+export interface Explanation {
+  readonly requestId: string;
+  readonly service: string;
+  readonly daemon: string;
+  readonly decisions: readonly Readonly<Record<string, unknown>>[];
+  /** Daemons that the request was sent to and that keep further decisions. */
+  readonly askNext: readonly string[];
+}
+
 /** The accepted revision and where it is in force; members only for operators. */
 export interface FleetStatus {
   readonly acceptedRevision: number;
--- a/packages/daemon/command-line/src/administration-client.ts
+++ b/packages/daemon/command-line/src/administration-client.ts
@@ -8,6 +8,7 @@
 import type {
   Acceptance,
   EntityPage,
+  Explanation,
   FleetStatus,
   HistoryPage,
   Preview,
@@ -42,6 +43,11 @@
   );
 }
 
+// While the store is away, a repeated submission does not learn what became of the first one.
+function isStoreAway(error: unknown): boolean {
+  return results.isFailure(error, 'ConfigurationUnavailable');
+}
+
 /** Calls the administration API of one daemon. */
 export class AdministrationClient {
   private readonly agent: undici.Agent;
@@ -110,8 +116,8 @@
     return this.call('GET', '/v1/daemon');
   }
 
-  /** Returns the decisions about a request. */
-  async explain(requestId: string): Promise<Record<string, unknown>> {
+  /** Returns the decisions about a request that this daemon keeps. */
+  async explain(requestId: string): Promise<Explanation> {
     return this.call('GET', `/v1/explain/${encodeURIComponent(requestId)}`);
   }
 
@@ -119,16 +125,21 @@
     path: string,
     body: Pick<model.ChangeDraft, 'id' | 'baseRevision'>,
   ): Promise<Acceptance> {
+    let uncertain = false;
     for (let attempt = 1; ; attempt += 1) {
       try {
         return await this.call<Acceptance>('POST', path, body);
       } catch (error) {
-        if (!isUncertain(error)) {
+        uncertain ||= isUncertain(error);
+        if (!uncertain || !(isUncertain(error) || isStoreAway(error))) {
           throw error;
         }
         if (attempt === SUBMIT_ATTEMPTS) {
+          const kind = isUncertain(error)
+            ? results.toFailure(error).kind
+            : 'ConfigurationOutcomeUnknown';
           const message = `${results.toFailure(error).message}; repeat the command with --id ${body.id} --base ${body.baseRevision} to learn the outcome`;
-          throw new results.FailureError(results.toFailure(error).kind, message, { cause: error });
+          throw new results.FailureError(kind, message, { cause: error });
         }
       }
       await delay(RETRY_MILLISECONDS);
--- a/packages/daemon/command-line/src/commands/configuration-read.ts
+++ b/packages/daemon/command-line/src/commands/configuration-read.ts
@@ -81,7 +81,7 @@
 export function printFleetStatus(status: FleetStatus): void {
   printLine(`accepted revision ${status.acceptedRevision}`);
   if (status.storeKnowledgeAgeMilliseconds !== undefined) {
-    printLine(`confirmed by the store ${status.storeKnowledgeAgeMilliseconds} ms ago`);
+    printLine(`confirmed by the store ${Math.round(status.storeKnowledgeAgeMilliseconds)} ms ago`);
   }
   const rows = status.zones.map(({ zone, revisionInForce, members, lagging }) => [
     zone,
--- /dev/null
+++ b/packages/daemon/command-line/src/commands/explain.ts
@@ -0,0 +1,94 @@
+/**
+ * `dogwoodstall explain`: the decisions about one request, from every daemon that is asked.
+ */
+import * as cmd from 'cmd-ts';
+import * as results from '@dogwoodstall/results';
+import type { Explanation } from '../administration-answers.js';
+import {
+  addressType,
+  connectionOptions,
+  jsonFlag,
+  withClient,
+  type ConnectionValues,
+} from '../options.js';
+import { formatFailure, printData, printLine } from '../output.js';
+
+/** What the asked daemons know together. */
+interface CollectedExplanation {
+  readonly explanations: readonly Explanation[];
+  readonly failures: readonly { readonly address: string; readonly error: unknown }[];
+  /** Daemons that keep further decisions and were not asked. */
+  readonly askNext: readonly string[];
+}
+
+async function collectExplanations(
+  connection: ConnectionValues,
+  also: readonly string[],
+  requestId: string,
+): Promise<CollectedExplanation> {
+  const explanations: Explanation[] = [];
+  const failures: { address: string; error: unknown }[] = [];
+  for (const address of [connection.address, ...also]) {
+    try {
+      const asked = { ...connection, address };
+      explanations.push(await withClient(asked, (client) => client.explain(requestId)));
+    } catch (error) {
+      failures.push({ address, error });
+    }
+  }
+  const answered = new Set(explanations.map(({ daemon }) => daemon));
+  const named = explanations.flatMap(({ askNext }) => askNext);
+  const askNext = [...new Set(named)].filter((name) => !answered.has(name));
+  return { explanations, failures, askNext };
+}
+
+function printExplanation({ explanations, askNext }: CollectedExplanation): void {
+  printLine(`requestId: ${explanations[0]?.requestId}`);
+  printLine(`service: ${explanations[0]?.service}`);
+  for (const { daemon, decisions } of explanations) {
+    printLine(`decisions of daemon ${daemon}: ${decisions.length}`);
+    for (const decision of decisions) {
+      printLine(`  ${JSON.stringify(decision)}`);
+    }
+  }
+  for (const name of askNext) {
+    printLine(`further decisions are kept by daemon ${name}; add --also with its address`);
+  }
+}
+
+/** Prints the decisions about one request. */
+export const explainCommand = cmd.command({
+  name: 'explain',
+  description: 'Print the decisions that daemons made about a request',
+  args: {
+    requestId: cmd.positional({
+      displayName: 'REQUEST-ID',
+      description: 'the header Request-Id of the answer',
+    }),
+    also: cmd.multioption({
+      long: 'also',
+      type: cmd.array(addressType),
+      description: 'administration API of a further daemon that is asked; may be repeated',
+    }),
+    json: jsonFlag,
+    ...connectionOptions,
+  },
+  handler: async ({ requestId, also, json, ...connection }) => {
+    const collected = await collectExplanations(connection, also, requestId);
+    const { explanations, failures, askNext } = collected;
+    if (explanations.length === 0) {
+      throw failures[0]?.error;
+    }
+    for (const { address, error } of failures) {
+      if (!results.isFailure(error, 'ConfigurationNotFound')) {
+        const text = formatFailure(results.toFailure(error));
+        process.stderr.write(`${address}: ${text}\n`);
+      }
+    }
+    if (json) {
+      printData({ explanations, askNext });
+    } else {
+      printExplanation(collected);
+    }
+  },
+});
--- a/packages/daemon/command-line/src/commands/status.ts
+++ b/packages/daemon/command-line/src/commands/status.ts
@@ -1,5 +1,5 @@
 /**
- * `dogwoodstall status` and `dogwoodstall explain`.
+ * `dogwoodstall status`.
  */
 import * as cmd from 'cmd-ts';
 import { connectionOptions, jsonFlag, withClient } from '../options.js';
@@ -36,28 +36,3 @@
       }
     }),
 });
-
-/** Prints the decisions about one request. */
-export const explainCommand = cmd.command({
-  name: 'explain',
-  description: 'Print the decisions that the daemon made about a request',
-  args: {
-    requestId: cmd.positional({
-      displayName: 'REQUEST-ID',
-      description: 'the header Request-Id of the answer',
-    }),
-    json: jsonFlag,
-    ...connectionOptions,
-  },
-  handler: async ({ requestId, json, ...connection }) =>
-    withClient(connection, async (client) => {
-      const explanation = await client.explain(requestId);
-      if (json) {
-        printData(explanation);
-        return;
-      }
-      for (const [name, value] of Object.entries(explanation)) {
-        printPart(name, value);
-      }
-    }),
-});
--- a/packages/daemon/command-line/src/options.ts
+++ b/packages/daemon/command-line/src/options.ts
@@ -16,7 +16,8 @@
   defaultValue: () => false,
 });
 
-const addressType = cmd.extendType(cmd.string, {
+/** An address of the administration API. */
+export const addressType = cmd.extendType(cmd.string, {
   displayName: 'URL',
   from: async (text) => {
     if (!/^https?:\/\/[^/]+\/?$/.test(text)) {
--- a/packages/daemon/command-line/src/program.ts
+++ b/packages/daemon/command-line/src/program.ts
@@ -6,10 +6,11 @@
 import { AdministrationError } from './administration-error.js';
 import { configurationCommands } from './commands/configuration.js';
 import { checkSettingsCommand, daemonCommand } from './commands/daemon.js';
+import { explainCommand } from './commands/explain.js';
 import { planCommand } from './commands/plan.js';
 import { fleetKeyCommands, tokenCommands } from './commands/secrets.js';
 import { serviceCommands } from './commands/service.js';
-import { explainCommand, statusCommand } from './commands/status.js';
+import { statusCommand } from './commands/status.js';
 import { formatDifference } from './difference-text.js';
 import { formatFailure } from './output.js';
 
--- a/packages/daemon/command-line/test/program.test.ts
+++ b/packages/daemon/command-line/test/program.test.ts
@@ -5,7 +5,7 @@
 import * as path from 'node:path';
 import { after, before, test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import { runBuiltProgram, StubServer } from './stub-server.js';
+import { runBuiltProgram, runWithClosedOutput, StubServer } from './stub-server.js';
 
 const server = new StubServer();
 const answers = fileURLToPath(
@@ -152,3 +152,47 @@
   const key = await runBuiltProgram(['fleet-key', 'new']);
   assert.match(key.output, /^[0-9a-f]{64}\n$/);
 });
+
+test('an unclear outcome stays unclear, with id and base, when the store is away at the repetition', async () => {
+  const file = await writeTemporary('change.toml', zoneChange);
+  const away = { code: 6005, name: 'ConfigurationUnavailable', message: 'changed nothing' };
+  server.expect(
+    'lost',
+    { status: 503, body: { error: away } },
+    { status: 503, body: { error: away } },
+  );
+  const words = ['configuration', 'apply', file, '--base', '7', '--id', 'my-change-id'];
+  const { code, errors } = await runBuiltProgram(words, address);
+  assert.equal(code, 1);
+  assert.match(errors, /result 6006 ConfigurationOutcomeUnknown/);
+  assert.match(errors, /--id my-change-id --base 7/);
+});
+
+test('explain asks every given daemon and names the one that keeps the rest', async () => {
+  const missing = { code: 6009, name: 'ConfigurationNotFound', message: 'no decision' };
+  const entry = {
+    requestId: 'r-1',
+    service: 's',
+    daemon: 'd-1',
+    decisions: [{}],
+    askNext: ['d-2'],
+  };
+  const dispatcher = { ...entry, daemon: 'd-2', askNext: [] };
+  server.expect(
+    { status: 404, body: { error: missing } },
+    { status: 200, body: entry },
+    { status: 200, body: dispatcher },
+    { status: 200, body: entry },
+  );
+  const words = ['explain', 'r-1', '--also', address, '--also', address];
+  const all = await runBuiltProgram(words, address);
+  assert.equal(all.code, 0, all.errors);
+  assert.match(all.output, /decisions of daemon d-1: 1[^]*decisions of daemon d-2: 1/);
+  assert.doesNotMatch(all.output, /further decisions/);
+  const one = await runBuiltProgram(['explain', 'r-1'], address);
+  assert.match(one.output, /further decisions are kept by daemon d-2/);
+});
+
+test('a reader that ends first, such as head, causes no error', async () => {
+  assert.deepEqual(await runWithClosedOutput(['plan', answers]), { code: 0, errors: '' });
+});
--- a/packages/daemon/command-line/test/stub-server.ts
+++ b/packages/daemon/command-line/test/stub-server.ts
@@ -35,6 +35,18 @@
   return { code, output, errors };
 }
 
+/** Runs the built program with a standard output that nobody reads. */
+export async function runWithClosedOutput(
+  programArguments: readonly string[],
+): Promise<Omit<ProgramOutcome, 'output'>> {
+  const child = spawn(process.execPath, [program, ...programArguments], { stdio: 'pipe' });
+  child.stdout.destroy();
+  const closed = once(child, 'close');
+  const errors = await text(child.stderr);
+  const [code] = (await closed) as [number];
+  return { code, errors };
+}
+
 /** One answer; `lost` closes the connection instead. */
 export type StubAnswer = { readonly status: number; readonly body: unknown } | 'lost';
 
--- a/packages/daemon/daemon/src/administration.ts
+++ b/packages/daemon/daemon/src/administration.ts
@@ -111,6 +111,7 @@
     readCredentials: administrationTls && (() => readKeyPair(administrationTls)),
     operatorTokenDigests: administration.operatorTokenDigests,
     log: logger,
+    daemonName: options.settings.name,
     currentConfiguration: () => control.keeper.current,
     commit: (draft) => commitDraft(control, draft),
     publish: (change) => {
--- a/packages/daemon/daemon/src/key-material.ts
+++ b/packages/daemon/daemon/src/key-material.ts
@@ -2,6 +2,7 @@
  * Reads certificates, private keys and fleet keys from the files that the settings name.
  */
 import * as fs from 'node:fs/promises';
+import * as tls from 'node:tls';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import type * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
@@ -20,10 +21,22 @@
   }
 }
 
+// Checked before any port uses them, so that a reload takes all files or none.
+function checkKeyPair(files: KeyPairFiles, options: tls.SecureContextOptions): void {
+  try {
+    tls.createSecureContext(options);
+  } catch (error) {
+    const message = `${files.certificateFile} and ${files.keyFile} are no certificate with its key`;
+    throw new results.FailureError('KeyFileInvalid', message, { cause: error });
+  }
+}
+
 /** Reads a certificate and its private key; throws `KeyFileInvalid`. */
 export async function readKeyPair(files: KeyPairFiles): Promise<proxy.TlsMaterial> {
   const certificate = await readKeyFile(files.certificateFile);
-  return { certificate, key: await readKeyFile(files.keyFile) };
+  const key = await readKeyFile(files.keyFile);
+  checkKeyPair(files, { cert: certificate, key });
+  return { certificate, key };
 }
 
 /** Reads the material of the links between daemons; throws `KeyFileInvalid`. */
@@ -31,6 +44,7 @@
   const certificate = await readKeyFile(files.certificateFile);
   const key = await readKeyFile(files.keyFile);
   const authorities = await Promise.all(files.authorityFiles.map(readKeyFile));
+  checkKeyPair(files, { cert: certificate, key, ca: authorities });
   return { certificate, key, authorities };
 }
 
