Log ejections and member changes whatever the share of logged decisions

Cause: log.decisionShare below 1, which the decisions about requests need at high rates, also dropped the lines about ejections and lost members.

Change: both are ordinary info lines; decisionShare applies to routing and placement of requests.

--- a/packages/daemon/daemon/src/request-plane.ts
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -126,7 +126,8 @@
         dispatchLog.decision(message, { ...decision });
       },
       logHealth: (change) => {
-        healthLog.decision(`endpoint ${change.kind}`, { ...change });
+        // Rare and needed to explain an incident, so that `decisionShare` does not thin them out.
+        healthLog.info(`endpoint ${change.kind}`, { ...change });
         this.options.metrics.count('health.changes', 1, { kind: change.kind });
       },
     });
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -292,7 +292,7 @@
     const { name, state } = member;
     if (state !== previous?.state || member.incarnation !== previous.incarnation) {
       const from = previous?.state ?? 'unknown';
-      this.options.logger?.decision('member changed state', { member: name, from, to: state });
+      this.options.logger?.info('member changed state', { member: name, from, to: state });
     }
     if (state !== 'suspect') {
       this.suspicions.cancel(name);
--- a/packages/testing/measure/test/operators.test.ts
+++ b/packages/testing/measure/test/operators.test.ts
@@ -124,6 +124,32 @@
   }
 });
 
+test('ejections and lost members are logged although no share of the decisions is', async () => {
+  const [server = ''] = fleet.backends('avaliacao').servers.map(({ name }) => name);
+  const { control } = fleet.backends('avaliacao');
+  await control.post('/faults', { servers: [server], faults: { failShare: 1 } });
+  const allOutput = (): string => fleet.daemons.map(({ output }) => output).join('\n');
+  const address = fleet.daemons[0]?.callerAddress;
+  while (!allOutput().includes(`health: endpoint ejected`)) {
+    const headers = { host: HOST };
+    const requests = Array.from({ length: 6 }, async () => {
+      const answer = await undici.request(`http://${address}/prices/1?work=1`, { headers });
+      await answer.body.dump();
+    });
+    await Promise.all(requests);
+  }
+  assert.match(allOutput(), new RegExp(`endpoint ejected .*endpointName="${server}"`));
+  assert.doesNotMatch(allOutput(), /request routed/);
+  await control.post('/faults', { servers: [server], faults: { failShare: 0 } });
+  const [first, , last] = fleet.daemons;
+  await last?.kill();
+  while (!/member changed state .*to="failed"/.test(first?.output ?? '')) {
+    await sleep(POLL_MILLISECONDS);
+  }
+  await last?.start();
+  await last?.waitUntilReady();
+});
+
 test('SIGHUP takes a second fleet key, and an invalid certificate leaves everything in use', async () => {
   const daemon = fleet.daemons[0];
   assert.ok(daemon?.processId !== undefined);
