--- a/packages/daemon/daemon/src/fleet-view.ts
+++ b/packages/daemon/daemon/src/fleet-view.ts
@@ -14,6 +14,9 @@
 /** Daemons that are tried for a cell before the daemon dispatches itself. */
 const RANKED_DISPATCHERS = 2;
 
+/** Ranks of a cell that learn of a drain; the next dispatchers when one or two are lost at once. */
+const DRAIN_INFORMED_RANKS = 4;
+
 interface RankedCell {
   readonly cell: model.Cell;
   readonly members: readonly membership.Member[];
@@ -38,6 +41,9 @@
 
   private rankedConfiguration: model.Configuration | undefined;
 
+  /** Spreads the homes of keys over the cells of a service. */
+  private issuedKeys = 0;
+
   constructor(private readonly options: FleetViewOptions) {}
 
   /** Drops the cached ranking; called when members change. */
@@ -68,7 +74,8 @@
   /** Returns the incarnation that new keys of a service name: its reachable dispatcher. */
   chooseKeyHome(service: string): { home: string; incarnation: string } {
     const { self } = this.options.members;
-    const { members } = this.chooseCell(service, '');
+    this.issuedKeys += 1;
+    const { members } = this.chooseCell(service, `key ${this.issuedKeys}`);
     const found = members.find(
       (member) => member.name === self.name || this.isReachable(member.name),
     );
@@ -92,6 +99,16 @@
     return { kind: String(known?.incarnation) === incarnation ? 'unreachable' : 'lost' };
   }
 
+  /** Returns the members that may dispatch the cell of a backend server, the first ranks only. */
+  listDispatchers(server: model.BackendServer): readonly membership.Member[] {
+    for (const { cell, members } of this.rankCells(server.service)) {
+      if (cell.servers.some((candidate) => candidate.name === server.name)) {
+        return members.slice(0, DRAIN_INFORMED_RANKS);
+      }
+    }
+    return [];
+  }
+
   /** Returns the link of a member, as the request path uses it. */
   targetOf(member: membership.Member): proxy.PeerTarget {
     const link = this.options.links.linkTo({ name: member.name, peerAddress: member.peerAddress });
@@ -104,11 +121,15 @@
 
   private chooseCell(service: string, requestId: string): RankedCell {
     const cells = this.rankCells(service);
-    const chosen = cells[hashing.assignGroup(requestId, cells.length)];
-    if (chosen === undefined) {
-      throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
+    const slots = cells.reduce((total, { cell }) => total + cell.slots, 0);
+    let place = hashing.hashFraction(requestId) * slots;
+    for (const ranked of cells) {
+      place -= ranked.cell.slots;
+      if (place < 0) {
+        return ranked;
+      }
     }
-    return chosen;
+    throw new results.FailureError('NoEndpoint', `service ${service} has no backend server`);
   }
 
   private rankCells(service: string): readonly RankedCell[] {
