Add randomised runs that check the seven invariants from outside

Cause: The invariants were asserted inside the program only, and nothing showed that they hold under the faults of the failure model.

Figures of overhead and drain are named in camelCase with whole words.

--- a/packages/testing/load/src/attempt.ts
+++ b/packages/testing/load/src/attempt.ts
@@ -106,7 +106,8 @@
   }
   const finding = await checkAnswer(attempt, answer, body);
   if (finding !== 'complete') {
-    return { ...head, kind: finding, failureCode: undefined };
+    const kind = finding === 'cut' ? 'truncated' : finding;
+    return { ...head, kind, failureCode: undefined };
   }
   const kind = performance.now() <= attempt.deadlineAt ? 'ok' : 'late';
   return { ...head, kind, failureCode: undefined };
--- a/packages/testing/load/src/index.ts
+++ b/packages/testing/load/src/index.ts
@@ -13,6 +13,7 @@
 export { type AnswerVerifier, type VerifierFactory } from './attempt.js';
 export { type LoadOptions, type LoadResult, runLoad } from './load.js';
 export {
+  type AttemptObservation,
   type AttemptResult,
   type KeyRecord,
   type KeyStatement,
--- a/packages/testing/load/src/load.ts
+++ b/packages/testing/load/src/load.ts
@@ -6,7 +6,7 @@
 import { generateArrivals, type RateProfile } from './arrivals.js';
 import { runAttempt, type VerifierFactory } from './attempt.js';
 import { runKeyFlow, type KeyFlowResult } from './key-flow.js';
-import type { AttemptResult, KeyRecord, RequestOutcome } from './outcome.js';
+import type { AttemptObservation, AttemptResult, KeyRecord, RequestOutcome } from './outcome.js';
 import { ClassPicker, type RequestClass } from './request-class.js';
 import { SummaryBook } from './summary-book.js';
 import { TargetConnections, createRoundRobin, type TargetChooser } from './target.js';
@@ -38,6 +38,12 @@
   readonly maximumResends?: number;
   /** Share of the keyed requests that are sent twice at the same time. */
   readonly sendTwiceShare?: number;
+  /** Longest delay before a key is sent again; each is drawn between 0 and this. */
+  readonly longestResendDelayMilliseconds?: number;
+  /** Share of the keyed requests that are sent once more after their answer. */
+  readonly resendAnsweredShare?: number;
+  /** Called with each HTTP exchange. */
+  readonly onAttempt?: (attempt: AttemptObservation) => void;
   /** Called with each outcome. */
   readonly onOutcome?: (outcome: RequestOutcome) => void;
   /** Ends the arrivals early; started requests are completed. */
@@ -158,6 +164,9 @@
       send,
       maximumResends: this.options.maximumResends ?? DEFAULT_RESENDS,
       sendTwice: this.picker.draw() < (this.options.sendTwiceShare ?? 0),
+      resendAnswered: this.picker.draw() < (this.options.resendAnsweredShare ?? 0),
+      drawResendDelay: () =>
+        this.picker.draw() * (this.options.longestResendDelayMilliseconds ?? 0),
       now: () => this.now(),
     });
   }
@@ -171,6 +180,7 @@
     const index = this.choose(this.targets, () => this.picker.draw());
     const target = this.targets[index] as TargetConnections;
     target.outstanding += 1;
+    const startedAt = this.now();
     const result = await runAttempt({
       dispatcher: target.pool,
       origin: `http://${target.address}`,
@@ -181,6 +191,14 @@
       deadlineAt,
     });
     target.outstanding -= 1;
+    this.options.onAttempt?.({
+      ...result,
+      className: requestClass.name,
+      target: target.address,
+      sentKey: idempotencyKey,
+      startedAt,
+      endedAt: this.now(),
+    });
     return result;
   }
 }
--- a/packages/testing/load/src/outcome.ts
+++ b/packages/testing/load/src/outcome.ts
@@ -10,8 +10,10 @@
   | 'late'
   /** Explicit failure; `failureCode` has its number. */
   | 'failure'
-  /** The answer ended in its middle. */
+  /** The connection broke in the middle of the answer, so that the caller knows that it is cut. */
   | 'cut'
+  /** The answer ended as a complete one does, but a part of it was missing. */
+  | 'truncated'
   /** The answer belongs to another request, or the upload arrived changed. */
   | 'foreign'
   /** The connection was refused or broke before the answer began. */
@@ -44,11 +46,25 @@
   readonly attempts: number;
 }
 
+/** One HTTP exchange of a load, as its caller and its target know it. */
+export interface AttemptObservation extends AttemptResult {
+  readonly className: string;
+  /** The target that the exchange was sent to. */
+  readonly target: string;
+  /** Key that the exchange was sent with. */
+  readonly sentKey: string | undefined;
+  /** Milliseconds after the start of the load. */
+  readonly startedAt: number;
+  readonly endedAt: number;
+}
+
 /** One thing that a caller was told about a key. */
 export interface KeyStatement {
   readonly kind: OutcomeKind;
   readonly told: ToldExecution;
   readonly failureCode: string | undefined;
+  /** Id of the exchange; executions of exactly this attempt carry it. */
+  readonly requestId: string | undefined;
   readonly atMilliseconds: number;
 }
 
--- a/packages/testing/load/src/report/text-report.ts
+++ b/packages/testing/load/src/report/text-report.ts
@@ -11,6 +11,7 @@
   'late',
   'failure',
   'cut',
+  'truncated',
   'foreign',
   'no-answer',
   'gave-up',
--- a/packages/testing/measure/src/fleet/daemon-process.ts
+++ b/packages/testing/measure/src/fleet/daemon-process.ts
@@ -19,6 +19,8 @@
   readonly settingsFile: string;
   /** Arguments of Node.js; `daemon --settings FILE` is appended. */
   readonly command: readonly string[];
+  /** Receives each line of the daemon's log. */
+  readonly onLine?: (line: string) => void;
 }
 
 /** One daemon. */
@@ -55,6 +57,11 @@
     return this.process?.output ?? '';
   }
 
+  /** How the last process ended; undefined while it runs. */
+  get ending(): ProcessEnd | undefined {
+    return this.process?.ending;
+  }
+
   get processId(): number | undefined {
     return this.process?.processId;
   }
@@ -63,12 +70,11 @@
   async start(): Promise<void> {
     const { settings: input, settingsFile, command } = this.options;
     await fileSystem.writeFile(settingsFile, toml.stringify(input));
-    this.process = new ManagedProcess(this.name, [
-      ...command,
-      'daemon',
-      '--settings',
-      settingsFile,
-    ]);
+    this.process = new ManagedProcess(
+      this.name,
+      [...command, 'daemon', '--settings', settingsFile],
+      this.options.onLine,
+    );
   }
 
   /** Waits until the readiness check answers 200; throws `ProcessStartFailed`. */
--- a/packages/testing/measure/src/fleet/local-fleet.ts
+++ b/packages/testing/measure/src/fleet/local-fleet.ts
@@ -36,6 +36,8 @@
   readonly daemonCommand?: readonly string[];
   /** Settings of every daemon that replace those of the fleet, for example `limits` or `log`. */
   readonly settings?: Partial<settings.SettingsInput>;
+  /** Receives each line of every daemon's log. */
+  readonly onDaemonLine?: (daemon: string, line: string) => void;
 }
 
 /** Executions that the backend servers counted. */
@@ -55,7 +57,8 @@
   readonly peerAddress: string;
 }
 
-const daemonProgram = new URL(
+/** The program of the package `command-line`. */
+export const daemonProgram = new URL(
   '../../../../../daemon/command-line/dist/src/bin.js',
   import.meta.url,
 );
@@ -240,6 +243,7 @@
           settings: await this.createSettings(place, certificate, keyFile),
           settingsFile: path.join(this.directory, `${place.name}.toml`),
           command: this.options.daemonCommand ?? [fileURLToPath(daemonProgram)],
+          onLine: (line) => this.options.onDaemonLine?.(place.name, line),
         }),
       );
     }
--- a/packages/testing/measure/src/fleet/managed-process.ts
+++ b/packages/testing/measure/src/fleet/managed-process.ts
@@ -78,7 +78,11 @@
 
   private end: ProcessEnd | undefined;
 
-  constructor(name: string, commandArguments: readonly string[]) {
+  constructor(
+    name: string,
+    commandArguments: readonly string[],
+    private readonly onLine?: (line: string) => void,
+  ) {
     installExitHandlers();
     this.name = name;
     this.child = spawn(process.execPath, [...commandArguments], { stdio: 'pipe' });
@@ -158,6 +162,7 @@
         this.lines.shift();
       }
       onLine(line);
+      this.onLine?.(line);
     });
   }
 }
--- a/packages/testing/measure/src/measure.ts
+++ b/packages/testing/measure/src/measure.ts
@@ -11,7 +11,21 @@
   process.stdout.write(`${text}\n`);
 }
 
-async function runNamed(name: string, seed: number, durationSeconds: number): Promise<void> {
+function fail(reason: string): void {
+  process.stderr.write(`${reason}\n`);
+  process.exitCode = 1;
+}
+
+interface RunOptions {
+  readonly name: string;
+  readonly seed: number;
+  readonly duration: number | undefined;
+  readonly broken: string | undefined;
+  readonly shrink: boolean;
+}
+
+async function runNamed(options: RunOptions): Promise<void> {
+  const { name, seed, duration, broken, shrink } = options;
   const measurements = await loadMeasurements();
   if (name === 'list') {
     measurements.forEach((listed) => print(`${listed.name}: ${listed.summary}`));
@@ -21,9 +35,17 @@
   if (chosen === undefined) {
     throw new results.FailureError('MeasurementUnknown', `no measurement "${name}"; try "list"`);
   }
+  const durationSeconds = duration ?? chosen.defaultSeconds ?? DEFAULT_DURATION_SECONDS;
   print(`measurement ${name}, seed ${seed}, ${durationSeconds} s`);
   const durationMilliseconds = durationSeconds * 1000;
-  const figures = await chosen.run({ seed, durationMilliseconds, print });
+  const figures = await chosen.run({
+    seed,
+    durationMilliseconds,
+    print,
+    fail,
+    broken,
+    shrink,
+  });
   print(JSON.stringify({ name, seed, figures }));
 }
 
@@ -36,11 +58,19 @@
     duration: commands.option({
       long: 'duration',
       description: 'seconds',
-      type: commands.number,
-      defaultValue: () => DEFAULT_DURATION_SECONDS,
+      type: commands.optional(commands.number),
+    }),
+    broken: commands.option({
+      long: 'break',
+      description: 'broken variant that the run must catch',
+      type: commands.optional(commands.string),
+    }),
+    shrink: commands.flag({
+      long: 'shrink',
+      description: 'look for a shorter fault schedule after a violation',
     }),
   },
-  handler: async ({ name, seed, duration }) => runNamed(name, seed, duration),
+  handler: runNamed,
 });
 
 try {
--- a/packages/testing/measure/src/measurement.ts
+++ b/packages/testing/measure/src/measurement.ts
@@ -11,9 +11,15 @@
   readonly durationMilliseconds: number;
   /** Prints progress or a report. */
   readonly print: (text: string) => void;
+  /** Makes the program end with a failure after the figures are printed. */
+  readonly fail: (reason: string) => void;
+  /** Name of a deliberately broken variant that the run must catch. */
+  readonly broken?: string | undefined;
+  /** Whether a failed run looks for a shorter fault schedule that fails as well. */
+  readonly shrink?: boolean;
 }
 
-/** Figures by name; each name ends with its unit. */
+/** Figures by name, in camelCase with whole words and the unit, such as `p99Milliseconds`. */
 export type Figures = Readonly<Record<string, number>>;
 
 /** One named measurement. */
@@ -21,6 +27,8 @@
   readonly name: string;
   /** One sentence for `list`. */
   readonly summary: string;
+  /** Duration without the option; 30 s when it is left out. */
+  readonly defaultSeconds?: number;
   run(context: MeasurementContext): Promise<Figures>;
 }
 
--- a/packages/testing/measure/src/measurements/drain.ts
+++ b/packages/testing/measure/src/measurements/drain.ts
@@ -125,18 +125,21 @@
   const failedExits = replacements.filter(({ exitCode }) => exitCode !== 0);
   const stops = replacements.map(({ stopMilliseconds }) => stopMilliseconds);
   const figures: Figures = {
-    replaced_daemons: replacements.length,
-    failed_exits_daemons: failedExits.length,
-    longest_stop_ms: roundFigure(Math.max(0, ...stops)),
+    replacedDaemons: replacements.length,
+    failedExits: failedExits.length,
+    longestStopMilliseconds: roundFigure(Math.max(0, ...stops)),
     requests: total.requests,
-    cut_requests: total.count('cut') + total.count('foreign'),
-    unanswered_requests: total.count('no-answer') + total.count('gave-up'),
-    failed_requests: total.count('failure'),
-    upload_requests: uploads?.requests ?? 0,
-    complete_upload_requests: (uploads?.count('ok') ?? 0) + (uploads?.count('late') ?? 0),
-    repeated_executions_keys: await countRepeatedExecutions(fleet),
+    cutRequests: total.count('cut') + total.count('truncated') + total.count('foreign'),
+    unansweredRequests: total.count('no-answer') + total.count('gave-up'),
+    failedRequests: total.count('failure'),
+    uploads: uploads?.requests ?? 0,
+    completeUploads: (uploads?.count('ok') ?? 0) + (uploads?.count('late') ?? 0),
+    repeatedKeys: await countRepeatedExecutions(fleet),
   };
-  const named = Object.entries(figures).map(([name, value]) => [`${prefix}_${name}`, value]);
+  const named = Object.entries(figures).map(([name, value]) => {
+    const capitalised = `${name.charAt(0).toUpperCase()}${name.slice(1)}`;
+    return [`${prefix}${capitalised}`, value];
+  });
   return Object.fromEntries(named) as Figures;
 }
 
--- a/packages/testing/measure/src/measurements/overhead.ts
+++ b/packages/testing/measure/src/measurements/overhead.ts
@@ -114,12 +114,12 @@
     const summary = await runPhase({ ...phase, targets });
     const { latency } = summary;
     direct ??= latency;
-    figures[`${rateName}_${name}_p50_ms`] = roundFigure(latency.p50);
-    figures[`${rateName}_${name}_p99_ms`] = roundFigure(latency.p99);
-    figures[`${rateName}_${name}_not_ok_requests`] = summary.requests - summary.count('ok');
+    figures[`${name}${rateName}P50Milliseconds`] = roundFigure(latency.p50);
+    figures[`${name}${rateName}P99Milliseconds`] = roundFigure(latency.p99);
+    figures[`${name}${rateName}RequestsNotOk`] = summary.requests - summary.count('ok');
     if (latency !== direct) {
-      figures[`${rateName}_${name}_added_p50_ms`] = roundFigure(latency.p50 - direct.p50);
-      figures[`${rateName}_${name}_added_p99_ms`] = roundFigure(latency.p99 - direct.p99);
+      figures[`${name}${rateName}AddedP50Milliseconds`] = roundFigure(latency.p50 - direct.p50);
+      figures[`${name}${rateName}AddedP99Milliseconds`] = roundFigure(latency.p99 - direct.p99);
     }
   }
   return figures;
@@ -131,18 +131,18 @@
   const direct = fleet.backends('echo').servers.map((server) => server.address);
   const paths = {
     direct,
-    one_daemon: ranked.slice(0, 1).map((daemon) => daemon.callerAddress),
-    two_hops: ranked.slice(1, 2).map((daemon) => daemon.callerAddress),
+    oneDaemon: ranked.slice(0, 1).map((daemon) => daemon.callerAddress),
+    twoHops: ranked.slice(1, 2).map((daemon) => daemon.callerAddress),
   };
   const { seed, print } = context;
   const durationMilliseconds = (context.durationMilliseconds * PHASE_SHARE) / PHASES;
   const low = { seed, durationMilliseconds, requestsPerSecond: LOW_RATE };
-  const lowFigures = await compare(paths, 'at_200_per_s', low);
-  const held = await findHeldRate(paths.one_daemon, seed);
+  const lowFigures = await compare(paths, 'At200RequestsPerSecond', low);
+  const held = await findHeldRate(paths.oneDaemon, seed);
   print(`one daemon holds ${held} requests/s`);
   const high = { seed, durationMilliseconds, requestsPerSecond: Math.max(1, held) };
-  const highFigures = await compare(paths, 'at_held_rate', high);
-  return { ...lowFigures, one_daemon_held_requests_per_s: held, ...highFigures };
+  const highFigures = await compare(paths, 'AtHeldRate', high);
+  return { ...lowFigures, oneDaemonHeldRequestsPerSecond: held, ...highFigures };
 }
 
 export const measurement: Measurement = {
--- /dev/null
+++ b/packages/testing/measure/src/proof/daemon-watch.ts
@@ -0,0 +1,169 @@
+/**
+ * Follows every daemon during a run: its log, its end, its revision and its cells.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type * as dispatch from '@dogwoodstall/dispatch';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { callAdministration } from './administration.js';
+import type { InvariantBook, InvariantName } from './invariant-book.js';
+import type { AcceptedChange } from './operators.js';
+
+const POLL_MILLISECONDS = 300;
+const IN_FORCE_MILLISECONDS = 7000;
+const FLOOR_SHARE = 0.5;
+
+const rowByResult: Readonly<Record<string, InvariantName>> = {
+  FloorViolated: 'floor',
+  AnswerMixedUp: 'answers',
+  ExecutedAfterNotRun: 'not-run',
+  ExecutedTwice: 'at-most-once',
+  WorkAfterDrain: 'drain',
+  RequestCutByStop: 'planned-stop',
+  RevisionReverted: 'configuration',
+};
+
+/** The parts of a daemon's status that are checked. */
+interface DaemonStatus {
+  readonly incarnation: number;
+  readonly revision?: number;
+  readonly cells: readonly dispatch.CellSnapshot[];
+}
+
+/** Options of `DaemonWatch`. */
+export interface DaemonWatchOptions {
+  readonly daemons: readonly DaemonProcess[];
+  readonly book: InvariantBook;
+  /** Daemons whose process the run itself has ended. */
+  readonly endedOnPurpose: ReadonlySet<string>;
+  readonly accepted: readonly AcceptedChange[];
+  /** Monotonic time since when no fault separates daemons; undefined while one does. */
+  readonly quietSince: () => number | undefined;
+}
+
+/** Takes a line of a daemon's log; violations that the daemon found itself are counted. */
+export function checkLogLine(book: InvariantBook, daemon: string, line: string): void {
+  if (line.includes('request failed unexpectedly')) {
+    book.report('process', `${daemon}: ${line}`);
+  }
+  if (line.includes(' invariant: invariant violated')) {
+    const name = /kind="(\w+)"/.exec(line)?.[1] ?? '';
+    book.report(rowByResult[name] ?? 'process', `logged by ${daemon}: ${line}`);
+  }
+}
+
+/** Returns the slots of a cell that ejection leaves in use, and those that the floor requires. */
+export function measureCell(cell: dispatch.CellSnapshot): { usable: number; required: number } {
+  const counted = cell.endpoints.filter((endpoint) => !endpoint.draining);
+  const usable = counted.filter(({ health }) => health?.condition !== 'ejected');
+  const sum = (endpoints: readonly dispatch.EndpointSnapshot[]): number =>
+    endpoints.reduce((slots, endpoint) => slots + endpoint.slots, 0);
+  return { usable: sum(usable), required: sum(counted) * FLOOR_SHARE };
+}
+
+/** Polls daemons. */
+export class DaemonWatch {
+  private readonly revisions = new Map<string, number>();
+
+  private readonly incarnations = new Map<string, number>();
+
+  private readonly reportedEnds = new Set<string>();
+
+  private stopped = false;
+
+  private loops: Promise<void>[] = [];
+
+  constructor(private readonly options: DaemonWatchOptions) {}
+
+  start(): void {
+    this.loops = this.options.daemons.map((daemon) => this.follow(daemon));
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await Promise.all(this.loops);
+  }
+
+  /** Returns the last revision that a daemon reported. */
+  revisionOf(daemon: string): number {
+    return this.revisions.get(daemon) ?? 0;
+  }
+
+  /** Polls one daemon once. */
+  async poll(daemon: DaemonProcess): Promise<void> {
+    this.checkEnd(daemon);
+    const askedAt = performance.now();
+    const answer = await callAdministration(daemon, 'GET', '/v1/daemon');
+    if (answer?.status === 200) {
+      const status = answer.body as DaemonStatus;
+      this.checkRevision(daemon.name, status, askedAt);
+      this.checkFloors(daemon.name, status);
+    }
+  }
+
+  private async follow(daemon: DaemonProcess): Promise<void> {
+    while (!this.stopped) {
+      await this.poll(daemon);
+      await sleep(POLL_MILLISECONDS);
+    }
+  }
+
+  private checkEnd(daemon: DaemonProcess): void {
+    const { book, endedOnPurpose } = this.options;
+    const ended = daemon.ending !== undefined && !endedOnPurpose.has(daemon.name);
+    if (!ended) {
+      this.reportedEnds.delete(daemon.name);
+    }
+    if (!this.reportedEnds.has(daemon.name)) {
+      const tail = daemon.output.slice(-600);
+      book.check('process', !ended, () => `${daemon.name} ended by itself: ${tail}`);
+    }
+    if (ended) {
+      this.reportedEnds.add(daemon.name);
+    }
+  }
+
+  private checkRevision(daemon: string, status: DaemonStatus, askedAt: number): void {
+    const { book } = this.options;
+    const revision = status.revision ?? 0;
+    const previous = this.revisions.get(daemon) ?? 0;
+    // A fresh process begins without a configuration; its first one may not be the newest.
+    if (this.incarnations.get(daemon) === status.incarnation) {
+      book.check(
+        'configuration',
+        revision >= previous,
+        () => `${daemon} went from revision ${previous} back to ${revision}`,
+      );
+    }
+    this.incarnations.set(daemon, status.incarnation);
+    this.revisions.set(daemon, revision);
+    const required = this.requiredRevision(askedAt);
+    if (required !== undefined) {
+      book.check(
+        'configuration',
+        revision >= required,
+        () => `${daemon} has revision ${revision}, revision ${required} was accepted 7 s before`,
+      );
+    }
+  }
+
+  private requiredRevision(at: number): number | undefined {
+    const { accepted, quietSince } = this.options;
+    const quiet = quietSince();
+    if (quiet === undefined || at - quiet < IN_FORCE_MILLISECONDS) {
+      return undefined;
+    }
+    const due = accepted.filter((change) => change.acceptedAt + IN_FORCE_MILLISECONDS <= at);
+    return due.length === 0 ? undefined : Math.max(...due.map(({ revision }) => revision));
+  }
+
+  private checkFloors(daemon: string, status: DaemonStatus): void {
+    for (const cell of status.cells) {
+      const { usable, required } = measureCell(cell);
+      this.options.book.check(
+        'floor',
+        usable >= required,
+        () => `${daemon} uses ${usable} slots of ${cell.name}, the floor is ${required}`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/proof/fault-runner.ts
@@ -0,0 +1,196 @@
+/**
+ * Carries out a fault schedule on a running fleet and records when each fault was in force.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import * as results from '@dogwoodstall/results';
+import type * as standIns from '@dogwoodstall/stand-ins';
+import type { ControlClient } from '../fleet/control-client.js';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import type { FaultKind, FaultSchedule, ScheduledFault } from './schedule.js';
+
+/** One fault with the time during which it was in force, in monotonic milliseconds. */
+export interface FaultWindow extends ScheduledFault {
+  readonly startedAt: number;
+  /** Infinite while it lasts. */
+  endedAt: number;
+}
+
+/** Options of `FaultRunner`. */
+export interface FaultRunnerOptions {
+  readonly fleet: LocalFleet;
+  /** Sends a request that crashes the server that runs it, again and again for a time. */
+  readonly sendCrashing: (durationMilliseconds: number) => Promise<void>;
+  /** Receives the exit code of each planned stop. */
+  readonly onPlannedStop: (daemon: string, code: number | null) => void;
+}
+
+const SLOW_FACTOR = 20;
+const FAIL_SHARE = 0.7;
+const FLAP_PERIOD_MILLISECONDS = 600;
+const DELAY_MILLISECONDS = 150;
+const STORE_DELAY_MILLISECONDS = 800;
+const LOST_ANSWERS = 3;
+const CUTS = 4;
+
+type Steps = (target: string, durationMilliseconds: number) => Promise<void>;
+
+/** Runs faults. */
+export class FaultRunner {
+  readonly windows: FaultWindow[] = [];
+
+  /** Daemons that the run itself ends, so that their end is no finding. */
+  readonly endedOnPurpose = new Set<string>();
+
+  private readonly steps: Readonly<Record<FaultKind, Steps>>;
+
+  constructor(private readonly options: FaultRunnerOptions) {
+    const server = (faults: Partial<standIns.BackendFaults>): Steps => this.serverFault(faults);
+    const link = (kind: 'backend' | 'peer', faults: Partial<standIns.LinkFaults>): Steps =>
+      this.linkFault(kind, faults);
+    const store = (faults: Partial<standIns.StoreFaults>): Steps => this.storeFault(faults);
+    const delays = {
+      delayForwardMilliseconds: DELAY_MILLISECONDS,
+      delayBackwardMilliseconds: DELAY_MILLISECONDS,
+    };
+    this.steps = {
+      'gray-errors': server({ failShare: FAIL_SHARE }),
+      'gray-slow': server({ slowFactor: SLOW_FACTOR }),
+      'gray-stall': server({ stalled: true }),
+      flapping: server({ failShare: 1, flapPeriodMilliseconds: FLAP_PERIOD_MILLISECONDS }),
+      'backend-crash': this.crashServer,
+      'backend-refuse': link('backend', { refuse: true }),
+      'backend-cut': this.cutLinks('backend'),
+      'backend-delay': link('backend', delays),
+      'backend-lose-requests': link('backend', { dropForward: true }),
+      'backend-lose-answers': link('backend', { dropBackward: true }),
+      drain: this.drainServer,
+      'crashing-request': (_target, duration) => options.sendCrashing(duration),
+      'daemon-kill': this.killDaemon,
+      'daemon-pause': this.pauseDaemon,
+      'planned-stop': this.stopDaemon,
+      'peer-lose-requests': link('peer', { dropForward: true }),
+      'peer-lose-answers': link('peer', { dropBackward: true }),
+      'peer-cut': this.cutLinks('peer'),
+      'peer-delay': link('peer', delays),
+      'store-away': store({ outage: 'reset' }),
+      'store-silent': store({ outage: 'silent' }),
+      'store-slow': store({ delayMilliseconds: STORE_DELAY_MILLISECONDS }),
+      'store-lost-answers': store({ lostWriteAnswersNext: LOST_ANSWERS }),
+    };
+  }
+
+  /** Runs a schedule to its end; `startedAt` is the monotonic time of its zero. */
+  async run(schedule: FaultSchedule, startedAt: number): Promise<void> {
+    await Promise.all(
+      schedule.map(async (fault) => {
+        await sleep(Math.max(0, startedAt + fault.at - performance.now()));
+        await this.runFault(fault);
+      }),
+    );
+  }
+
+  /** Runs one fault now. */
+  async runFault(fault: ScheduledFault): Promise<void> {
+    const window: FaultWindow = { ...fault, startedAt: performance.now(), endedAt: Infinity };
+    this.windows.push(window);
+    await this.steps[fault.fault](fault.target, fault.durationMilliseconds);
+    window.endedAt = performance.now();
+  }
+
+  private findDaemon(name: string): DaemonProcess {
+    const daemon = this.options.fleet.daemons.find((candidate) => candidate.name === name);
+    if (daemon === undefined) {
+      throw new results.FailureError('InternalError', `no daemon "${name}" in this fleet`);
+    }
+    return daemon;
+  }
+
+  private backendsOf(server: string): ControlClient {
+    const { fleet } = this.options;
+    const service = fleet.topology.services.find(({ name }) => server.startsWith(`${name}-`));
+    return fleet.backends(service?.name ?? '').control;
+  }
+
+  private serverFault(faults: Partial<standIns.BackendFaults>): Steps {
+    return async (target, duration) => {
+      const control = this.backendsOf(target);
+      await control.post('/faults', { servers: [target], faults });
+      await sleep(duration);
+      await control.post('/faults/clear', { servers: [target] });
+    };
+  }
+
+  private linkFault(kind: 'backend' | 'peer', faults: Partial<standIns.LinkFaults>): Steps {
+    return async (target, duration) => {
+      const links = [`${kind}:${target}`];
+      const { fleet } = this.options;
+      await fleet.setLinkFaults(links, faults);
+      await sleep(duration);
+      const none = { dropForward: false, dropBackward: false, refuse: false };
+      const delays = { delayForwardMilliseconds: 0, delayBackwardMilliseconds: 0 };
+      await fleet.setLinkFaults(links, { ...none, ...delays });
+    };
+  }
+
+  private cutLinks(kind: 'backend' | 'peer'): Steps {
+    return async (target, duration) => {
+      for (let cut = 0; cut < CUTS; cut += 1) {
+        await this.options.fleet.proxy.control.post('/cut', { links: [`${kind}:${target}`] });
+        await sleep(duration / CUTS);
+      }
+    };
+  }
+
+  private storeFault(faults: Partial<standIns.StoreFaults>): Steps {
+    return async (_target, duration) => {
+      const { control } = this.options.fleet.store;
+      await control.post('/faults', faults);
+      await sleep(duration);
+      const none = { outage: 'none', delayMilliseconds: 0, lostWriteAnswersNext: 0 };
+      await control.post('/faults', none);
+    };
+  }
+
+  private readonly crashServer: Steps = async (target, duration) => {
+    const call = { servers: [target], refusalMilliseconds: duration };
+    await this.backendsOf(target).post('/crash', call);
+    await sleep(duration);
+  };
+
+  private readonly drainServer: Steps = async (target, duration) => {
+    const control = this.backendsOf(target);
+    await control.post('/drain', { servers: [target] });
+    await sleep(duration);
+    await control.post('/drain', { servers: [target], draining: false });
+  };
+
+  private readonly killDaemon: Steps = async (target, duration) => {
+    const daemon = this.findDaemon(target);
+    this.endedOnPurpose.add(target);
+    await daemon.kill();
+    await sleep(duration);
+    await this.replace(daemon);
+  };
+
+  private readonly pauseDaemon: Steps = async (target, duration) => {
+    const daemon = this.findDaemon(target);
+    daemon.pause();
+    await sleep(duration);
+    daemon.resume();
+  };
+
+  private readonly stopDaemon: Steps = async (target) => {
+    const daemon = this.findDaemon(target);
+    this.endedOnPurpose.add(target);
+    const end = await daemon.stop();
+    this.options.onPlannedStop(target, end?.code ?? null);
+    await this.replace(daemon);
+  };
+
+  private async replace(daemon: DaemonProcess): Promise<void> {
+    await daemon.start();
+    await daemon.waitUntilReady();
+    this.endedOnPurpose.delete(daemon.name);
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/proof/operators.ts
@@ -0,0 +1,109 @@
+/**
+ * Two operators who change the same entities at the same time through different daemons.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { callAdministration, type AdministrationAnswer } from './administration.js';
+
+const OPERATORS = 2;
+const PAUSE_MILLISECONDS = 300;
+const ACCEPTED_STATUS = 200;
+const CONFLICT_STATUS = 409;
+
+/** A change that was accepted, with the monotonic time at which its operator learned it. */
+export interface AcceptedChange {
+  readonly id: string;
+  readonly revision: number;
+  readonly acceptedAt: number;
+}
+
+interface Entity {
+  readonly revision: number;
+  readonly entity: Readonly<Record<string, unknown>>;
+}
+
+/** Options of `Operators`. */
+export interface OperatorsOptions {
+  readonly daemons: readonly DaemonProcess[];
+  readonly organisations: readonly string[];
+  readonly seed: number;
+}
+
+/** The operators of one run. */
+export class Operators {
+  readonly accepted: AcceptedChange[] = [];
+
+  conflicts = 0;
+
+  /** Changes without an answer that says whether they were accepted. */
+  unanswered = 0;
+
+  private readonly random;
+
+  private stopped = false;
+
+  private loops: Promise<void>[] = [];
+
+  constructor(private readonly options: OperatorsOptions) {
+    this.random = xoroshiro128plus(options.seed);
+  }
+
+  start(): void {
+    this.loops = Array.from({ length: OPERATORS }, (_, index) => this.work(`operator-${index}`));
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await Promise.all(this.loops);
+  }
+
+  private pick<Item>(items: readonly Item[]): Item {
+    return items[Math.floor(uniformFloat64(this.random) * items.length)] as Item;
+  }
+
+  private async work(author: string): Promise<void> {
+    for (let number = 1; !this.stopped; number += 1) {
+      await this.change(author, `${author}-change-${this.options.seed}-${number}`);
+      await sleep(uniformFloat64(this.random) * PAUSE_MILLISECONDS);
+    }
+  }
+
+  private async change(author: string, id: string): Promise<void> {
+    const name = this.pick(this.options.organisations);
+    const path = `/v1/configuration/organisation/${name}`;
+    const daemon = this.pick(this.options.daemons);
+    const read = await callAdministration(daemon, 'GET', path);
+    if (read?.status !== ACCEPTED_STATUS) {
+      return;
+    }
+    const { revision, entity } = read.body as Entity;
+    const query = new URLSearchParams({
+      id,
+      author,
+      reason: 'randomised run',
+      baseRevision: String(revision),
+    });
+    const weight = 1 + Math.floor(uniformFloat64(this.random) * 10);
+    const write = `${path}?${query.toString()}`;
+    let answer = await callAdministration(daemon, 'PUT', write, { ...entity, weight });
+    if (answer === undefined || answer.status > 500) {
+      // A repeated id is answered with the earlier acceptance, through any daemon.
+      const other = this.pick(this.options.daemons);
+      answer = await callAdministration(other, 'PUT', write, { ...entity, weight });
+    }
+    this.note(id, answer);
+  }
+
+  private note(id: string, answer: AdministrationAnswer | undefined): void {
+    if (answer?.status === ACCEPTED_STATUS) {
+      const { revision } = answer.body as { revision: number };
+      this.accepted.push({ id, revision, acceptedAt: performance.now() });
+    } else if (answer?.status === CONFLICT_STATUS) {
+      this.conflicts += 1;
+    } else {
+      this.unanswered += 1;
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/proof/schedule.ts
@@ -0,0 +1,197 @@
+/**
+ * Fault schedules as data: drawn from a seed, printed with a violation, and run again in parts.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** What each fault acts on. */
+export const faultTargets = {
+  'gray-errors': 'server',
+  'gray-slow': 'server',
+  'gray-stall': 'server',
+  flapping: 'server',
+  'backend-crash': 'server',
+  'backend-refuse': 'server',
+  'backend-cut': 'server',
+  'backend-delay': 'server',
+  'backend-lose-requests': 'server',
+  'backend-lose-answers': 'server',
+  drain: 'server',
+  'crashing-request': 'caller',
+  'daemon-kill': 'daemon',
+  'daemon-pause': 'daemon',
+  'planned-stop': 'daemon',
+  'peer-lose-requests': 'daemon',
+  'peer-lose-answers': 'daemon',
+  'peer-cut': 'daemon',
+  'peer-delay': 'daemon',
+  'store-away': 'store',
+  'store-silent': 'store',
+  'store-slow': 'store',
+  'store-lost-answers': 'store',
+} as const;
+
+export type FaultKind = keyof typeof faultTargets;
+
+/** One fault; times in milliseconds after the start of the load. */
+export interface ScheduledFault {
+  readonly at: number;
+  readonly fault: FaultKind;
+  /** Name of the daemon or backend server; the kind of the target for others. */
+  readonly target: string;
+  readonly durationMilliseconds: number;
+}
+
+export type FaultSchedule = readonly ScheduledFault[];
+
+/** Faults that keep a configuration change from daemons while they last. */
+export const separatingFaults: ReadonlySet<FaultKind> = new Set<FaultKind>([
+  'daemon-kill',
+  'daemon-pause',
+  'planned-stop',
+  'peer-lose-requests',
+  'peer-lose-answers',
+  'peer-cut',
+  'peer-delay',
+  'store-away',
+  'store-silent',
+  'store-slow',
+  'store-lost-answers',
+]);
+
+/** Faults that change nothing for requests that another fault's check looks at. */
+export const harmlessFaults: ReadonlySet<FaultKind> = new Set<FaultKind>([
+  'planned-stop',
+  'drain',
+  'store-away',
+  'store-silent',
+  'store-slow',
+  'store-lost-answers',
+]);
+
+const SHORTEST_MILLISECONDS = 1000;
+const LONGEST_MILLISECONDS = 3000;
+// A daemon needs this for its planned stop and for the start of its replacement.
+const STOP_MILLISECONDS = 7000;
+const DRAIN_MILLISECONDS = 3500;
+const PAUSE_BETWEEN_MILLISECONDS = 600;
+const FIRST_FAULT_MILLISECONDS = 1000;
+
+/** What a schedule may act on. */
+export interface ScheduleOptions {
+  readonly seed: number;
+  readonly durationMilliseconds: number;
+  readonly daemons: readonly string[];
+  readonly servers: readonly string[];
+}
+
+type Draw = () => number;
+
+function pick<Item>(items: readonly Item[], draw: Draw): Item {
+  return items[Math.floor(draw() * items.length)] as Item;
+}
+
+function shuffle<Item>(items: readonly Item[], draw: Draw): Item[] {
+  const keyed = items.map((item) => ({ item, key: draw() }));
+  return keyed.sort((left, right) => left.key - right.key).map(({ item }) => item);
+}
+
+function drawDuration(fault: FaultKind, draw: Draw): number {
+  if (fault === 'planned-stop') {
+    return STOP_MILLISECONDS;
+  }
+  if (fault === 'drain') {
+    return DRAIN_MILLISECONDS;
+  }
+  const range = LONGEST_MILLISECONDS - SHORTEST_MILLISECONDS;
+  return Math.round(SHORTEST_MILLISECONDS + draw() * range);
+}
+
+function drawTarget(
+  fault: FaultKind,
+  taken: readonly string[],
+  options: ScheduleOptions,
+  draw: Draw,
+): string {
+  const kind = faultTargets[fault];
+  if (kind === 'daemon') {
+    return pick(
+      options.daemons.filter((name) => !taken.includes(name)),
+      draw,
+    );
+  }
+  if (kind === 'server') {
+    return pick(
+      options.servers.filter((name) => !taken.includes(name)),
+      draw,
+    );
+  }
+  return kind;
+}
+
+/**
+ * Draws a schedule: first a planned stop and a drain alone, whose checks need it, then every kind in
+ * random order, alone and two together in turn.
+ */
+export function drawSchedule(options: ScheduleOptions): FaultSchedule {
+  const random = xoroshiro128plus(options.seed);
+  const draw: Draw = () => uniformFloat64(random);
+  const kinds = Object.keys(faultTargets) as FaultKind[];
+  let order: FaultKind[] = [];
+  const next = (): FaultKind => {
+    if (order.length === 0) {
+      order = shuffle(kinds, draw);
+    }
+    return order.pop() as FaultKind;
+  };
+  const schedule: ScheduledFault[] = [];
+  const opening: FaultKind[][] = shuffle([['planned-stop'], ['drain']], draw);
+  let at = FIRST_FAULT_MILLISECONDS;
+  for (let round = 0; ; round += 1) {
+    const chosen = opening.shift() ?? (round % 3 === 0 ? [next()] : [next(), next()]);
+    const faults: ScheduledFault[] = [];
+    for (const fault of chosen) {
+      const taken = faults.map(({ target }) => target);
+      const target = drawTarget(fault, taken, options, draw);
+      const durationMilliseconds = drawDuration(fault, draw);
+      faults.push({ at: Math.round(at), fault, target, durationMilliseconds });
+    }
+    const longest = Math.max(...faults.map(({ durationMilliseconds }) => durationMilliseconds));
+    if (at + longest > options.durationMilliseconds && round >= 2) {
+      return schedule;
+    }
+    schedule.push(...faults);
+    at += longest + PAUSE_BETWEEN_MILLISECONDS;
+  }
+}
+
+/**
+ * Looks for a shorter schedule that still fails: halves first, then without single faults. `fails` is
+ * called at most `maximumReruns` times.
+ */
+export async function shrinkSchedule(
+  schedule: FaultSchedule,
+  fails: (candidate: FaultSchedule) => Promise<boolean>,
+  maximumReruns: number,
+): Promise<FaultSchedule> {
+  let shortest = schedule;
+  let reruns = 0;
+  let size = Math.ceil(schedule.length / 2);
+  while (size >= 1 && reruns < maximumReruns && shortest.length > 1) {
+    let shrunk = false;
+    for (let start = 0; start < shortest.length && reruns < maximumReruns; start += size) {
+      const candidate = [...shortest.slice(0, start), ...shortest.slice(start + size)];
+      reruns += 1;
+      if (await fails(candidate)) {
+        shortest = candidate;
+        shrunk = true;
+        break;
+      }
+    }
+    if (!shrunk) {
+      size = size === 1 ? 0 : Math.ceil(size / 2);
+    }
+    size = Math.min(size, Math.ceil(shortest.length / 2));
+  }
+  return shortest;
+}
--- a/packages/testing/stand-ins/src/backend/backend-server.ts
+++ b/packages/testing/stand-ins/src/backend/backend-server.ts
@@ -68,6 +68,8 @@
 
   private drainingSince: number | undefined;
 
+  private drainStatedAt: number | undefined;
+
   private boundAddress = '';
 
   private restartTimer: NodeJS.Timeout | undefined;
@@ -129,6 +131,8 @@
 
   setDraining(draining: boolean): void {
     this.drainingSince = draining ? performance.now() : undefined;
+    this.drainStatedAt = undefined;
+    this.counters.drains += draining ? 1 : 0;
   }
 
   /** Resets every connection, refuses new ones for a time, then starts again cold. */
@@ -184,6 +188,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     this.counters.requests += 1;
+    this.recordArrival();
     const work = readWorkRequest(request, performance.now());
     if (this.queue.inFlight >= this.slots && this.queue.queued >= this.queueLimit) {
       this.counters.shed += 1;
@@ -247,6 +252,16 @@
     }
   }
 
+  private recordArrival(): void {
+    if (this.drainStatedAt !== undefined) {
+      const sinceStatement = performance.now() - this.drainStatedAt;
+      this.counters.lastArrivalAfterStatementMilliseconds = Math.max(
+        this.counters.lastArrivalAfterStatementMilliseconds,
+        sinceStatement,
+      );
+    }
+  }
+
   private recordStart(start: ExecutionStart): void {
     this.log.recordStart(start);
     this.counters.started += 1;
@@ -303,6 +318,7 @@
     response.setHeader('endpoint-load-metrics', formatLoadHeader(this.reportedLoad()));
     if (this.drainingSince !== undefined) {
       response.setHeader('backend-draining', 'true');
+      this.drainStatedAt ??= performance.now();
     }
   }
 }
--- a/packages/testing/stand-ins/src/backend/counters.ts
+++ b/packages/testing/stand-ins/src/backend/counters.ts
@@ -18,6 +18,10 @@
   startedWhileDraining: number;
   /** From the begin of the drain to the last start of work after it. */
   lastStartAfterDrainMilliseconds: number;
+  /** Drains since the start. */
+  drains: number;
+  /** From the first answer that stated a drain to the last arrival of work after it; the longest of all drains. */
+  lastArrivalAfterStatementMilliseconds: number;
 }
 
 /** Returns counters at zero. */
@@ -35,5 +39,7 @@
     largestQueue: 0,
     startedWhileDraining: 0,
     lastStartAfterDrainMilliseconds: 0,
+    drains: 0,
+    lastArrivalAfterStatementMilliseconds: 0,
   };
 }
