Measure waits behind long requests against daemons that decide alone

Cause: the head-of-line measurement and the daemons to compare with were missing.

Change: a baseline daemon wires the product's entry and backend client to random, round robin and least-outstanding choice with passive ejection; the measurement head-of-line compares them.

--- /dev/null
+++ b/packages/testing/measure/src/routing/cell-fleet.ts
@@ -0,0 +1,159 @@
+/**
+ * The fleets of the routing measurements: one service in three zones with 12 daemons, of the product
+ * or of daemons that decide alone.
+ */
+import { fileURLToPath } from 'node:url';
+import * as hashing from '@dogwoodstall/hashing';
+import * as model from '@dogwoodstall/model';
+import * as undici from 'undici';
+import { type EndpointCounts, type PolicyName, policyNames } from '../baseline/policy.js';
+import { ControlClient } from '../fleet/control-client.js';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { LocalFleet, OPERATOR_TOKEN } from '../fleet/local-fleet.js';
+import type { ContractDescription, RouteDescription, Topology } from '../fleet/topology.js';
+
+const REGION = 'nordeste';
+const ZONES = ['recife-a', 'fortaleza-b', 'salvador-c'];
+const DAEMONS_PER_ZONE = 4;
+const CONNECTION_LIMIT = 330;
+
+const baselineProgram = fileURLToPath(new URL('../baseline/program.js', import.meta.url));
+
+/** Name of the only service. */
+export const SERVICE = 'avaliacao';
+
+/** Host of its routes. */
+export const HOST = 'avaliacao.test';
+
+/** Organisation that owns it and sends its requests. */
+export const OWNER = 'sertao';
+
+/** The routing decisions that are compared, in the order of the phases. */
+export const subjects = ['product', ...policyNames] as const;
+
+export type Subject = (typeof subjects)[number];
+
+/** What a measurement chooses about its service. */
+export interface CellOptions {
+  readonly endpoints: number;
+  readonly slots: number;
+  readonly contract?: ContractDescription;
+  readonly routes: readonly Omit<RouteDescription, 'host'>[];
+  readonly variation?: number;
+  readonly proxied?: Topology['proxied'];
+}
+
+/** Returns the topology of a measurement of routing. */
+export function createCellTopology(options: CellOptions): Topology {
+  const { endpoints, slots, contract, routes, variation, proxied } = options;
+  return {
+    zones: ZONES.map((name) => ({ name, region: REGION })),
+    daemonsPerZone: DAEMONS_PER_ZONE,
+    services: [
+      {
+        name: SERVICE,
+        organisation: OWNER,
+        contract: contract ?? {},
+        routes: routes.map((route) => ({ ...route, host: HOST })),
+        serverCount: endpoints,
+        slots,
+        connectionLimit: CONNECTION_LIMIT,
+        variation: variation ?? 0,
+      },
+    ],
+    ...(proxied === undefined ? {} : { proxied }),
+  };
+}
+
+/** Health of one endpoint, as the dispatcher of its cell reports it. */
+export interface EndpointStatus {
+  readonly name: string;
+  readonly health?: { readonly condition: string; readonly ejections: number };
+}
+
+/** The part of a daemon's own status that measurements use. */
+export interface DaemonStatus {
+  readonly cells: readonly { readonly endpoints: readonly EndpointStatus[] }[];
+  readonly violations: Readonly<Record<string, number>>;
+}
+
+/** Reads a daemon's own status. */
+export async function readDaemonStatus(daemon: DaemonProcess): Promise<DaemonStatus> {
+  const answer = await undici.request(`http://${daemon.administrationAddress}/v1/daemon`, {
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+  });
+  return (await answer.body.json()) as DaemonStatus;
+}
+
+/** Returns the daemon that dispatches the cell of the service. */
+export function findDispatcher(fleet: LocalFleet): DaemonProcess {
+  const cell = model.formatCellName(SERVICE, REGION, 0);
+  const ranked = hashing.rankMembers(cell, fleet.daemons, (daemon) => daemon.name);
+  return ranked[0] as DaemonProcess;
+}
+
+/** Sums the invariant violations of all daemons. */
+export async function countViolations(fleet: LocalFleet): Promise<number> {
+  let sum = 0;
+  for (const daemon of fleet.daemons) {
+    const { violations } = await readDaemonStatus(daemon);
+    sum += Object.values(violations).reduce((total, count) => total + count, 0);
+  }
+  return sum;
+}
+
+/** Reads the ejections of every daemon that decides alone. */
+export async function readEjections(fleet: LocalFleet): Promise<EndpointCounts[][]> {
+  return Promise.all(
+    fleet.daemons.map((daemon) =>
+      new ControlClient(daemon.administrationAddress).get<EndpointCounts[]>('/ejections'),
+    ),
+  );
+}
+
+async function setPolicy(fleet: LocalFleet, policy: PolicyName): Promise<void> {
+  for (const daemon of fleet.daemons) {
+    await new ControlClient(daemon.administrationAddress).post('/policy', { policy });
+  }
+}
+
+// A planned stop waits for the spread of its announcement, which no measurement of routing looks at.
+async function endFleet(fleet: LocalFleet): Promise<void> {
+  await Promise.all(fleet.daemons.map((daemon) => daemon.kill()));
+  await fleet.stop();
+}
+
+async function withFleet(
+  topology: Topology,
+  seed: number,
+  daemonCommand: readonly string[] | undefined,
+  use: (fleet: LocalFleet) => Promise<void>,
+): Promise<void> {
+  const options = daemonCommand === undefined ? {} : { daemonCommand };
+  const fleet = await LocalFleet.start({ topology, seed, ...options });
+  try {
+    await use(fleet);
+  } finally {
+    await endFleet(fleet);
+  }
+}
+
+/** Runs a phase with the product, then one with each daemon that decides alone, on the same seed. */
+export async function compareSubjects(
+  topology: Topology,
+  seed: number,
+  run: (fleet: LocalFleet, subject: Subject) => Promise<void>,
+): Promise<void> {
+  await withFleet(topology, seed, undefined, (fleet) => run(fleet, 'product'));
+  await withFleet(topology, seed, [baselineProgram], async (fleet) => {
+    for (const policy of policyNames) {
+      await setPolicy(fleet, policy);
+      await run(fleet, policy);
+    }
+  });
+}
+
+/** Returns the addresses of all daemons for callers. */
+export function callerAddresses(fleet: LocalFleet): string[] {
+  return fleet.daemons.map((daemon) => daemon.callerAddress);
+}
