--- a/packages/testing/measure/src/baseline/program.ts
+++ b/packages/testing/measure/src/baseline/program.ts
@@ -111,7 +111,7 @@
     const retryBudget = new proxy.RetryBudget();
     const path = new proxy.RequestPath({
       daemonName: name,
-      planDispatch: (service) => ({ cell: service, targets: [{ kind: 'local' }] }),
+      planDispatch: (service) => [{ kind: 'local', cell: service }],
       isReachable: () => false,
       locateKeyHome: () => ({ kind: 'local' }),
       keyIssuer,
