--- /dev/null
+++ b/packages/testing/measure/test/control.test.ts
@@ -0,0 +1,35 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { fitLine } from '../src/control/least-squares.js';
+import { RevisionLog } from '../src/control/revision-log.js';
+import type { DaemonProcess } from '../src/fleet/daemon-process.js';
+
+function formatLine(at: number, revision: number): string {
+  const time = new Date(at).toISOString();
+  return `${time} info configuration: configuration revision is in force daemon="a" revision=${revision}`;
+}
+
+test('a line through measured points has their slope, also when all have one size', () => {
+  const points = [10, 20, 40].map((x) => ({ x, y: 3 + 2 * x }));
+  const line = fitLine(points);
+  assert.ok(Math.abs(line.slope - 2) < 1e-9 && Math.abs(line.intercept - 3) < 1e-9);
+  assert.deepEqual(fitLine([{ x: 10, y: 4 }]), { intercept: 4, slope: 0 });
+});
+
+test('a daemon that returns with a lower revision, or lacks one, is seen in its log', async () => {
+  const daemon = { name: 'a', zone: 'z', processId: 1, output: '' };
+  const log = new RevisionLog([daemon as unknown as DaemonProcess]);
+  const acceptedAt = Date.now() + 1;
+  daemon.output = [formatLine(acceptedAt, 4), formatLine(acceptedAt + 70, 6)].join('\n');
+  while (log.lowestRevision() < 6 || Date.now() <= acceptedAt) {
+    await new Promise(setImmediate);
+  }
+  assert.deepEqual(log.findSpread(5, acceptedAt).byZone.get('z'), [70]);
+  assert.deepEqual(log.findSpread(7, acceptedAt).missing, ['a']);
+  assert.equal(log.countReversions(), 0);
+  daemon.processId = 2;
+  daemon.output = formatLine(acceptedAt + 200, 3);
+  await log.stop();
+  assert.equal(log.countReversions(), 1);
+  assert.equal(log.lowestRevision(), 3);
+});
