Ask another source when a pull gets no answer

Cause: only one pull ran at a time, and a source that receives nothing held it up for its limit of 2 s.

Change: after 200 ms a further source is asked, three at most at the same time.

--- a/packages/control/configuration-spread/src/spreader.ts
+++ b/packages/control/configuration-spread/src/spreader.ts
@@ -15,6 +15,9 @@
 const MAXIMUM_PUSHED_BYTES = 4096;
 // Exchanges stay with few peers, so that their connections are reused.
 const NEIGHBOURS = 24;
+// After this time another source is asked as well.
+const PULL_PATIENCE_MILLISECONDS = 200;
+const MAXIMUM_PULLS = 3;
 const EXCHANGE_JITTER_SHARE = 0.4;
 
 /** Options of the spreader. */
@@ -40,7 +43,10 @@
 
   private pushTimer: NodeJS.Timeout | undefined;
 
-  private pulling = false;
+  /** Sources of the pulls that run, with the time of their start. */
+  private readonly pulls = new Map<string, number>();
+
+  private patienceTimer: NodeJS.Timeout | undefined;
 
   private waitingSource: string | undefined;
 
@@ -69,6 +75,7 @@
   /** Stops pushing. */
   stop(): void {
     clearTimeout(this.pushTimer);
+    clearTimeout(this.patienceTimer);
   }
 
   /** Pushes the revision in force to a few peers, two of them in other zones. */
@@ -154,27 +161,36 @@
     }
   }
 
+  // A source that does not answer must not hold up the others until its call ends.
   private pullSoon(name: string): void {
-    if (this.pulling) {
-      this.waitingSource = name;
+    const now = performance.now();
+    const youngest = Math.max(...this.pulls.values());
+    const isEarly = now - youngest < PULL_PATIENCE_MILLISECONDS;
+    if (isEarly || this.pulls.has(name) || this.pulls.size >= MAXIMUM_PULLS) {
+      this.waitingSource = this.pulls.has(name) ? this.waitingSource : name;
+      this.patienceTimer ??= setTimeout(() => {
+        this.patienceTimer = undefined;
+        this.pullWaiting();
+      }, PULL_PATIENCE_MILLISECONDS).unref();
       return;
     }
-    this.pulling = true;
+    this.pulls.set(name, now);
     this.pullFrom(name)
       .catch(() => {})
       .finally(() => {
-        this.pulling = false;
-        const next = this.waitingSource;
-        this.waitingSource = undefined;
-        if (
-          next !== undefined &&
-          (this.knownRevisions.get(next) ?? 0) > this.options.state.revision
-        ) {
-          this.pullSoon(next);
-        }
+        this.pulls.delete(name);
+        this.pullWaiting();
       });
   }
 
+  private pullWaiting(): void {
+    const next = this.waitingSource;
+    this.waitingSource = undefined;
+    if (next !== undefined && (this.knownRevisions.get(next) ?? 0) > this.options.state.revision) {
+      this.pullSoon(next);
+    }
+  }
+
   private async pullFrom(name: string): Promise<void> {
     const { members, state, timings, signal } = this.options;
     const peer = members.find(name);
--- a/packages/control/configuration-spread/test/fleet.ts
+++ b/packages/control/configuration-spread/test/fleet.ts
@@ -25,7 +25,10 @@
 }
 
 /** The state of the link from one daemon to another. */
-export type LinkFault = (from: string, to: string) => 'open' | 'request-lost' | 'answer-lost';
+export type LinkFault = (
+  from: string,
+  to: string,
+) => 'open' | 'request-lost' | 'answer-lost' | 'stalled';
 
 /** Keepers in several zones, with links that can be cut. */
 export class Fleet {
@@ -41,6 +44,9 @@
   /** Returns whether a call may reach its target, and whether the answer comes back. */
   link: LinkFault | undefined;
 
+  /** Calls over stalled links fail when it resolves. */
+  stall: Promise<void> = Promise.resolve();
+
   readonly log = new MemoryLog();
 
   add(
@@ -106,7 +112,10 @@
       const handlers = this.daemons.get(to)?.keeper.handlers as
         Record<string, (input: unknown, caller: peerLink.Caller) => Promise<unknown>> | undefined;
       const state = this.link?.(from, to) ?? 'open';
-      if (handlers === undefined || state === 'request-lost') {
+      if (state === 'stalled') {
+        await this.stall;
+      }
+      if (handlers === undefined || state === 'request-lost' || state === 'stalled') {
         throw new FailureError('PeerUnreachable');
       }
       const answer = await handlers[name]!(structuredClone(input), { name: from });
--- a/packages/control/configuration-spread/test/watch.test.ts
+++ b/packages/control/configuration-spread/test/watch.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import { EventEmitter, once } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
 import { test, type TestContext } from 'node:test';
 import * as results from '@dogwoodstall/results';
@@ -189,3 +190,32 @@
     await reach(second, 1);
   },
 );
+
+test(
+  'a source that does not answer does not hold up the pull from another',
+  DEADLINE,
+  async (context) => {
+    const fleet = createFleet(context);
+    const rare = { exchange: 60_000 };
+    const [first, second, third] = ['a', 'b', 'c'].map((name) =>
+      fleet.add(`daemon-${name}`, 'zone-a', fleet.log, rare),
+    ) as [Daemon, Daemon, Daemon];
+    fleet.start();
+    await reachAll(fleet, 0);
+    fleet.log.goAway();
+    fleet.link = () => 'request-lost';
+    const change = new MemoryLog().commit();
+    await first.keeper.publish(change);
+    await second.keeper.publish(change);
+    const stall = new EventEmitter();
+    fleet.stall = once(stall, 'end').then(() => {});
+    fleet.link = (from, to) => {
+      const isPull = from === 'daemon-c';
+      return isPull && to === 'daemon-b' ? 'open' : (isPull && 'stalled') || 'request-lost';
+    };
+    third.keeper.noteRevision('daemon-a', 1);
+    third.keeper.noteRevision('daemon-b', 1);
+    await reach(third, 1);
+    stall.emit('end');
+  },
+);
