Check authority files, and call a key lost only when its home was replaced

Cause: TLS takes an authority file without a certificate in silence, so that a bad file at SIGHUP cut a daemon off from the fleet, as did two certificates joined without a line break. A daemon that had not heard yet of a key's home, because one of the two had just started, answered 4005 for a key whose home runs.

Change: authority files are split into certificates and each is parsed; KeyFileInvalid when there is none. A key is lost when a later incarnation runs under the name of its home, and out of reach (4009) otherwise.

--- a/packages/daemon/daemon/src/fleet-view.ts
+++ b/packages/daemon/daemon/src/fleet-view.ts
@@ -122,9 +122,11 @@
       const peer = this.targetOf(member);
       return this.isReachable(member.name) ? { kind: 'peer', peer } : { kind: 'unreachable' };
     }
-    // A failed member may only be cut off; another incarnation under its name proves that it is gone.
+    // A failed member may only be cut off, and one that is not known here may have just started. A
+    // later incarnation under its name proves that it is gone.
     const known = members.find(home);
-    return { kind: String(known?.incarnation) === incarnation ? 'unreachable' : 'lost' };
+    const isReplaced = known !== undefined && known.incarnation > Number(incarnation);
+    return { kind: isReplaced ? 'lost' : 'unreachable' };
   }
 
   /** Returns the members that may dispatch the cell of a backend server, the first ranks only. */
--- a/packages/daemon/daemon/src/key-material.ts
+++ b/packages/daemon/daemon/src/key-material.ts
@@ -1,6 +1,7 @@
 /**
  * Reads certificates, private keys and fleet keys from the files that the settings name.
  */
+import { X509Certificate } from 'node:crypto';
 import * as fs from 'node:fs/promises';
 import * as tls from 'node:tls';
 import type * as peerLink from '@dogwoodstall/peer-link';
@@ -8,6 +9,8 @@
 import * as results from '@dogwoodstall/results';
 import type * as settings from '@dogwoodstall/settings';
 
+const CERTIFICATE_PATTERN = /-----BEGIN CERTIFICATE-----[^-]+-----END CERTIFICATE-----/g;
+
 interface KeyPairFiles {
   readonly certificateFile: string;
   readonly keyFile: string;
@@ -39,11 +42,28 @@
   return { certificate, key };
 }
 
+// A secure context takes a file without a certificate in silence and then trusts nobody. Files that were
+// joined without a line break between two certificates are read as well.
+async function readAuthorities(file: string): Promise<string[]> {
+  const text = await readKeyFile(file);
+  const certificates = text.match(CERTIFICATE_PATTERN) ?? [];
+  try {
+    certificates.forEach((certificate) => new X509Certificate(certificate));
+  } catch (error) {
+    const message = `${file} has an invalid certificate`;
+    throw new results.FailureError('KeyFileInvalid', message, { cause: error });
+  }
+  if (certificates.length === 0) {
+    throw new results.FailureError('KeyFileInvalid', `${file} has no certificate`);
+  }
+  return certificates;
+}
+
 /** Reads the material of the links between daemons; throws `KeyFileInvalid`. */
 export async function readPeerTls(files: settings.Settings['peerTls']): Promise<peerLink.PeerTls> {
   const certificate = await readKeyFile(files.certificateFile);
   const key = await readKeyFile(files.keyFile);
-  const authorities = await Promise.all(files.authorityFiles.map(readKeyFile));
+  const authorities = (await Promise.all(files.authorityFiles.map(readAuthorities))).flat();
   checkKeyPair(files, { cert: certificate, key, ca: authorities });
   return { certificate, key, authorities };
 }
--- a/packages/daemon/daemon/test/fleet-view.test.ts
+++ b/packages/daemon/daemon/test/fleet-view.test.ts
@@ -120,3 +120,10 @@
   assert.equal(view.locateKeyHome('ccc', '98').kind, 'lost');
   assert.equal(view.locateKeyHome('a', String(self.incarnation)).kind, 'local');
 });
+
+test('keys of a home that this daemon has not heard of yet are not called lost', () => {
+  const view = createView(createMember('a'), [createMember('ccc', { incarnation: 99 })]);
+  assert.equal(view.locateKeyHome('dddd', '50').kind, 'unreachable');
+  // The home was restarted, and the news has not arrived here.
+  assert.equal(view.locateKeyHome('ccc', '100').kind, 'unreachable');
+});
