Show a team the revisions in status, and no refusal of daemons that do not know a request

Change: status prints the revisions and leaves the daemon out; explain passes over these refusals when another daemon knows the request.

--- a/packages/daemon/command-line/src/commands/explain.ts
+++ b/packages/daemon/command-line/src/commands/explain.ts
@@ -42,6 +42,14 @@
   return { explanations, failures, askNext };
 }
 
+// A team's token gets the same refusal for a request that the daemon does not know.
+function isUnknownRequest(error: unknown): boolean {
+  return (
+    results.isFailure(error, 'ConfigurationNotFound') ||
+    results.isFailure(error, 'AdministrationForbidden')
+  );
+}
+
 function printExplanation({ explanations, askNext }: CollectedExplanation): void {
   printLine(`requestId: ${explanations[0]?.requestId}`);
   printLine(`service: ${explanations[0]?.service}`);
@@ -80,7 +88,7 @@
       throw failures[0]?.error;
     }
     for (const { address, error } of failures) {
-      if (!results.isFailure(error, 'ConfigurationNotFound')) {
+      if (!isUnknownRequest(error)) {
         const text = formatFailure(results.toFailure(error));
         process.stderr.write(`${address}: ${text}\n`);
       }
--- a/packages/daemon/command-line/src/commands/status.ts
+++ b/packages/daemon/command-line/src/commands/status.ts
@@ -2,6 +2,8 @@
  * `dogwoodstall status`.
  */
 import * as cmd from 'cmd-ts';
+import * as results from '@dogwoodstall/results';
+import type { AdministrationClient } from '../administration-client.js';
 import { connectionOptions, jsonFlag, withClient } from '../options.js';
 import { printData, printLine } from '../output.js';
 import { printFleetStatus } from './configuration-read.js';
@@ -17,6 +19,18 @@
   }
 }
 
+// Only operators may read the state of a daemon; teams get the revisions.
+async function readDaemon(client: AdministrationClient): Promise<Record<string, unknown>> {
+  try {
+    return await client.getDaemon();
+  } catch (error) {
+    if (results.isFailure(error, 'AdministrationForbidden')) {
+      return {};
+    }
+    throw error;
+  }
+}
+
 /** Prints the fleet's and one daemon's state. */
 export const statusCommand = cmd.command({
   name: 'status',
@@ -25,7 +39,7 @@
   handler: async ({ json, ...connection }) =>
     withClient(connection, async (client) => {
       const fleet = await client.getStatus();
-      const daemon = await client.getDaemon();
+      const daemon = await readDaemon(client);
       if (json) {
         printData({ fleet, daemon });
         return;
--- a/packages/daemon/command-line/test/program.test.ts
+++ b/packages/daemon/command-line/test/program.test.ts
@@ -196,3 +196,15 @@
 test('a reader that ends first, such as head, causes no error', async () => {
   assert.deepEqual(await runWithClosedOutput(['plan', answers]), { code: 0, errors: '' });
 });
+
+test('status shows the revisions to a team that may not read the state of a daemon', async () => {
+  const zones = [{ zone: 'zone-a', revisionInForce: 4 }];
+  const forbidden = { code: 6008, name: 'AdministrationForbidden', message: 'only operators' };
+  server.expect(
+    { status: 200, body: { acceptedRevision: 4, zones } },
+    { status: 403, body: { error: forbidden } },
+  );
+  const { code, output } = await runBuiltProgram(['status'], address);
+  assert.equal(code, 0);
+  assert.match(output, /accepted revision 4[^]*zone-a +4/);
+});
