--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -3,12 +3,12 @@
  * answer, and passes news on with its probes.
  */
 import { EventEmitter } from 'node:events';
-import { setTimeout as delay } from 'node:timers/promises';
 import type * as peerLink from '@dogwoodstall/peer-link';
 import * as most from 'most';
 import { createHandlers } from './handlers.js';
 import { createIncarnation } from './incarnation.js';
-import { MemberTable } from './member-table.js';
+import { ListedLeaving } from './listed-leaving.js';
+import { MemberTable, type Gossip } from './member-table.js';
 import type { MembershipOptions } from './options.js';
 import { ProbeTurn } from './probe-turn.js';
 import { Prober, type ProbeResult } from './prober.js';
@@ -52,7 +52,10 @@
 
   private readonly suspicions: Suspicions;
 
-  private wake = new AbortController();
+  private readonly listedLeaving: ListedLeaving;
+
+  /** Ends the pause before the next probe. */
+  private endPause: (() => void) | undefined;
 
   private readonly turn: ProbeTurn;
 
@@ -82,19 +85,26 @@
       },
       (member, previous) => this.noteChange(member, previous),
     );
+    const takeIn = (gossip: Gossip): void => {
+      this.table.mergeGossip(gossip);
+      options.onHeard?.(gossip.from);
+    };
     this.prober = new Prober({
+      takeIn,
       links: options.links,
       table: this.table,
       timings: this.timings,
       signal: this.stopping.signal,
       chooseHelpers: (target) => this.chooseHelpers(target),
     });
+    const listedMachines = options.listedMachines ?? (() => []);
+    this.listedLeaving = new ListedLeaving(listedMachines);
     this.turn = new ProbeTurn(options.name, this.random);
     this.rejoiner = new Rejoiner({
       name: options.name,
       peerAddress: options.peerAddress,
       seeds: options.seeds ?? [],
-      listedMachines: options.listedMachines ?? (() => []),
+      listedMachines,
       links: options.links,
       table: this.table,
       prober: this.prober,
@@ -107,7 +117,7 @@
       confirm: (name) => this.confirmSuspicion(name),
       declareFailed: (name) => this.declareFailed(name),
     });
-    this.handlers = createHandlers(this.table, this.prober);
+    this.handlers = createHandlers(this.table, this.prober, takeIn);
   }
 
   /** This daemon as it announces itself. */
@@ -117,19 +127,7 @@
 
   /** Every member that has not failed, this daemon included. */
   members(): Member[] {
-    const leaving = new Set<string>();
-    for (const machine of this.options.listedMachines?.() ?? []) {
-      if (machine.state === 'leaving') {
-        leaving.add(machine.name);
-      }
-    }
-    const members: Member[] = [this.table.self];
-    for (const member of this.table.peers) {
-      if (member.state !== 'failed') {
-        members.push(leaving.has(member.name) ? { ...member, state: 'leaving' } : member);
-      }
-    }
-    return members;
+    return [this.table.self, ...this.listedLeaving.apply(this.table.peers)];
   }
 
   /** Returns a member by name, this daemon and failed members included. */
@@ -163,7 +161,7 @@
     }
     this.unreachable.add(name);
     this.turn.addUrgent(name, this.timings.probeInterval);
-    this.wake.abort();
+    this.endPause?.();
   }
 
   /** Feeds in a successful call. */
@@ -211,7 +209,7 @@
   /** Stops probing. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.wake.abort();
+    this.endPause?.();
     this.suspicions.clear();
     await this.task;
   }
@@ -223,18 +221,25 @@
       await this.probeNext();
       await this.rejoiner.tryNext();
       this.forgetOldMembers();
+      if (this.listedLeaving.refresh()) {
+        this.emitSoon();
+      }
       await this.pause(startedAt);
     }
   }
 
   private async pause(startedAt: number): Promise<void> {
-    if (this.turn.hasUrgent) {
+    if (this.turn.hasUrgent || this.stopping.signal.aborted) {
       return;
     }
-    this.wake = new AbortController();
-    const signal = AbortSignal.any([this.wake.signal, this.stopping.signal]);
     const left = Math.max(1, this.timings.probeInterval - (performance.now() - startedAt));
-    await delay(left, undefined, { signal }).catch(() => {});
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, left);
+      this.endPause = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
   }
 
   private async probeNext(): Promise<void> {
