Refuse crashing requests at the dispatcher; confirm a lost server by its refusal

Cause: the proxy kept its own crash guard hooks, which the daemon filled with functions that do nothing, so that a crashing request was never refused. A request that crashed an idle server left one reset only, which is no proof of a loss, and its retries took down further servers.

Change: the dispatch request carries the fingerprint and the dispatcher keeps the attempts. After a broken connection the proxy opens one more; a refused one is reported with the outcome and counts as a loss. Dispatchers tell each other about a suspicion at once instead of within 500 ms.

--- a/packages/daemon/daemon/src/crash-reports.ts
+++ b/packages/daemon/daemon/src/crash-reports.ts
@@ -74,7 +74,8 @@
     return fresh.slice(0, MAXIMUM_REPORTS);
   }
 
-  private send(): void {
+  /** Sends new entries; called at a loss too, because a resend may be dispatched elsewhere at once. */
+  send(): void {
     const reports = this.takeNewEntries().map((entry) => ({ ...entry }));
     if (reports.length === 0) {
       return;
--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -91,6 +91,7 @@
       fleetKeys: material.fleetKeys,
       callerTls: material.callerTls,
       isReady: () => this.ready,
+      onCrashSuspicion: () => this.crashReports.send(),
       onCompletedAfterSeal: (message) => this.transfer.complete(message),
     });
     const { members, links } = this.control;
--- a/packages/daemon/daemon/src/request-plane.ts
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -24,6 +24,8 @@
   readonly fleetKeys: readonly Uint8Array[];
   readonly callerTls: proxy.TlsMaterial | undefined;
   readonly isReady: () => boolean;
+  /** Called when a request was suspected of the loss of a backend server. */
+  readonly onCrashSuspicion: () => void;
   /** Receives each record that ends after the home was sealed. */
   readonly onCompletedAfterSeal: (message: idempotency.CompleteRecord) => void;
 }
@@ -58,7 +60,11 @@
       onCompletedAfterSeal: options.onCompletedAfterSeal,
     });
     this.keyIssuer = new idempotency.KeyIssuer({ fleetKeys: options.fleetKeys });
-    this.guard = new crashGuard.CrashGuard({ now: () => performance.now(), origin: incarnation });
+    this.guard = new crashGuard.CrashGuard({
+      now: () => performance.now(),
+      origin: incarnation,
+      onSuspicion: options.onCrashSuspicion,
+    });
     this.view = new FleetView({
       members: control.members,
       links: control.links,
@@ -169,7 +175,6 @@
         acquire: (cell, request) => this.registry.open(cell).acquire(request),
         backend: this.backend,
         retryBudget,
-        crashGuard: { isRefused: () => false, started: () => {}, ended: () => {} },
       }),
     });
   }
--- a/packages/routing/crash-guard/src/endpoint-losses.ts
+++ b/packages/routing/crash-guard/src/endpoint-losses.ts
@@ -4,7 +4,13 @@
 import type { Fingerprint } from './fingerprint.js';
 
 /** How an attempt ended, as far as the loss of a server is concerned. */
-export type AttemptEnd = 'answered' | 'reset' | 'refused' | 'other';
+export type AttemptEnd =
+  | 'answered'
+  | 'reset'
+  /** The connection broke, and the server refused a new one at once: its process is gone. */
+  | 'lost'
+  | 'refused'
+  | 'other';
 
 /** One attempt at a backend server that is in flight. */
 export interface GuardedAttempt {
@@ -50,6 +56,10 @@
       this.resets.push({ attempt, at: now });
       this.keepRecentResets(now);
       return this.declareLoss(this.resets.length >= RESETS_OF_A_LOSS, now);
+    } else if (end === 'lost') {
+      this.resets.push({ attempt, at: now });
+      this.keepRecentResets(now);
+      return this.declareLoss(true, now);
     } else if (end === 'refused') {
       this.keepRecentResets(now);
       return this.declareLoss(this.resets.length > 0, now);
--- a/packages/routing/crash-guard/src/guard.ts
+++ b/packages/routing/crash-guard/src/guard.ts
@@ -14,6 +14,8 @@
   readonly origin: string;
   readonly lifetimeMilliseconds?: number;
   readonly entriesPerOrganisation?: number;
+  /** Called when fingerprints were suspected of a loss, so that other dispatchers can be told. */
+  readonly onSuspicion?: () => void;
 }
 
 const DEFAULT_LIFETIME_MILLISECONDS = 600_000;
@@ -64,6 +66,9 @@
     for (const suspect of suspects) {
       this.entries.add(suspect.fingerprint, [losses.lossName], losses.lostAt);
     }
+    if (suspects.length > 0) {
+      this.options.onSuspicion?.();
+    }
     return losses.lost;
   }
 
--- a/packages/routing/dispatch/src/grant.ts
+++ b/packages/routing/dispatch/src/grant.ts
@@ -16,6 +16,10 @@
   refused: 'refused',
 };
 
+function findAttemptEnd(outcome: AttemptOutcome): AttemptEnd {
+  return outcome.refusedAfterwards === true ? 'lost' : (attemptEnds[outcome.kind] ?? 'other');
+}
+
 /** What a grant needs of its dispatcher. */
 export interface GrantOptions {
   readonly waiter: Waiter;
@@ -42,7 +46,7 @@
       }
       released = true;
       health.finished(attempt, outcome);
-      const end = attemptEnds[outcome.kind] ?? 'other';
+      const end = findAttemptEnd(outcome);
       if (guarded !== undefined && crashGuard?.finished(guarded, end) === true) {
         health.markLost(server.name);
       }
--- a/packages/routing/health/src/outcome.ts
+++ b/packages/routing/health/src/outcome.ts
@@ -39,4 +39,6 @@
   readonly reportedLoad?: ReportedLoad | undefined;
   /** The backend server said on the answer that it drains. */
   readonly draining: boolean;
+  /** After a broken connection: the server refused a new one, which shows that its process is gone. */
+  readonly refusedAfterwards?: boolean | undefined;
 }
--- a/packages/routing/proxy/src/backend-client.ts
+++ b/packages/routing/proxy/src/backend-client.ts
@@ -13,6 +13,7 @@
 import type { Exchange } from './exchange.js';
 import { readHeader, REQUEST_ID, REQUEST_TIMEOUT } from './headers.js';
 import { parseLoadReport } from './load-report.js';
+import { RefusalCheck } from './refusal-check.js';
 import { type Judgement, type TransferEnd, transfer } from './transfer.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
@@ -142,6 +143,8 @@
 export class BackendClient {
   private readonly pools = new Map<string, Pool>();
 
+  private readonly refusals = new RefusalCheck();
+
   constructor(private readonly options: BackendClientOptions = {}) {}
 
   /** Runs one attempt on a granted slot and releases the slot. Never rejects. */
@@ -178,7 +181,9 @@
     if (classified.notRun) {
       permit?.proveNotRun();
     }
-    const outcome = describeOutcome(exchange, end, classified.kind);
+    const broken = classified.kind === 'reset' || classified.kind === 'cut-answer';
+    const refusedAfterwards = broken && (await this.refusals.check(grant.endpoint.address));
+    const outcome = { ...describeOutcome(exchange, end, classified.kind), refusedAfterwards };
     grant.release(outcome);
     const answer = classified.failure === undefined ? recorder?.finish() : undefined;
     return { failure: classified.failure, notRun: classified.notRun, outcome, answer };
--- a/packages/routing/proxy/src/dispatch-runner.ts
+++ b/packages/routing/proxy/src/dispatch-runner.ts
@@ -1,8 +1,8 @@
 /**
  * The attempts of one request at the dispatcher: slot, attempt, and a retry where it is allowed.
  */
+import type { Fingerprint } from '@dogwoodstall/crash-guard';
 import type { DispatchRequest, SlotGrant } from '@dogwoodstall/dispatch';
-import type { AttemptOutcome } from '@dogwoodstall/health';
 import type { ExecutionPermit, RecordedAnswer } from '@dogwoodstall/idempotency';
 import { FailureError, toFailure } from '@dogwoodstall/results';
 import type { AttemptEnd, BackendClient } from './backend-client.js';
@@ -10,23 +10,19 @@
 import { fingerprintWork } from './fingerprint.js';
 import type { RetryBudget } from './retry-budget.js';
 
-/** The crash guard, as the request path sees it. */
-export interface CrashGuardHooks {
-  isRefused(fingerprint: string): boolean;
-  started(fingerprint: string, endpoint: string): void;
-  ended(fingerprint: string, endpoint: string, outcome: AttemptOutcome): void;
-}
-
 /** Options of `DispatchRunner`. */
 export interface DispatchRunnerOptions {
   /** Acquires a slot of a cell; rejects with a `FailureError`. */
   readonly acquire: (cell: string, request: DispatchRequest) => Promise<SlotGrant>;
   readonly backend: BackendClient;
   readonly retryBudget: RetryBudget;
-  readonly crashGuard: CrashGuardHooks;
 }
 
-function createDispatchRequest(exchange: Exchange, excluded: ReadonlySet<string>): DispatchRequest {
+function createDispatchRequest(
+  exchange: Exchange,
+  excluded: ReadonlySet<string>,
+  fingerprint: Fingerprint,
+): DispatchRequest {
   const { facts, contract } = exchange;
   return {
     requestId: facts.requestId,
@@ -39,6 +35,7 @@
     originZone: facts.originZone,
     excludedEndpoints: excluded,
     signal: exchange.signal,
+    fingerprint,
   };
 }
 
@@ -84,21 +81,14 @@
     exchange: Exchange,
     cell: string,
     excluded: ReadonlySet<string>,
-    fingerprint: string,
+    fingerprint: Fingerprint,
     permit: ExecutionPermit | undefined,
   ): Promise<{ end: AttemptEnd; endpoint: string }> {
-    const { acquire, backend, crashGuard } = this.options;
-    if (crashGuard.isRefused(fingerprint)) {
-      throw exchange.unproved ?? new FailureError('CrashingRequest');
-    }
-    const grant = await acquireSlot(
-      exchange,
-      acquire(cell, createDispatchRequest(exchange, excluded)),
-    );
+    const { acquire, backend } = this.options;
+    const request = createDispatchRequest(exchange, excluded, fingerprint);
+    const grant = await acquireSlot(exchange, acquire(cell, request));
     const endpoint = grant.endpoint.name;
-    crashGuard.started(fingerprint, endpoint);
     const end = await backend.attempt(exchange, grant, permit);
-    crashGuard.ended(fingerprint, endpoint, end.outcome);
     Object.assign(exchange.decision, { endpoint, status: end.outcome.status });
     exchange.decision.attempts.push({
       endpoint,
--- a/packages/routing/proxy/src/fingerprint.ts
+++ b/packages/routing/proxy/src/fingerprint.ts
@@ -1,6 +1,7 @@
 /**
  * Fingerprints of requests: for the crash guard, and to tell a resend from another request.
  */
+import { type Fingerprint, createFingerprint } from '@dogwoodstall/crash-guard';
 import { createStreamHash } from '@dogwoodstall/hashing';
 import type { Exchange } from './exchange.js';
 
@@ -15,18 +16,16 @@
   return hash.digest().toString(RADIX);
 }
 
-/** Fingerprint of the work that a request causes: organisation, route, key and small body. */
-export function fingerprintWork(exchange: Exchange): string {
+/** Fingerprint of the work that a request causes: organisation, route, key, target and small body. */
+export function fingerprintWork(exchange: Exchange): Fingerprint {
   const { facts, body } = exchange;
-  const parts = [
-    facts.organisation,
-    facts.route.name,
-    facts.method,
-    facts.target,
-    facts.idempotencyKey ?? '',
-    String(body.length ?? ''),
-  ];
-  return `${facts.organisation}/${hashParts(parts, body.kept)}`;
+  const parts = [facts.method, facts.target, String(body.length ?? '')];
+  return createFingerprint({
+    organisation: facts.organisation,
+    routeName: facts.route.name,
+    idempotencyKey: facts.idempotencyKey ?? '',
+    bodyDigest: hashParts(parts, body.kept),
+  });
 }
 
 /** Fingerprint of a request apart from its key: the same for each resend. */
--- a/packages/routing/proxy/src/index.ts
+++ b/packages/routing/proxy/src/index.ts
@@ -18,11 +18,7 @@
   type RequestPathOptions,
   RequestPath,
 } from './request-path.js';
-export {
-  type CrashGuardHooks,
-  type DispatchRunnerOptions,
-  DispatchRunner,
-} from './dispatch-runner.js';
+export { type DispatchRunnerOptions, DispatchRunner } from './dispatch-runner.js';
 export { type AttemptEnd, type BackendClientOptions, BackendClient } from './backend-client.js';
 export { type ForwardEnd, PeerForwarder } from './peer-forwarder.js';
 export { type LinkMonitorOptions, type PeerTarget, HEARTBEAT_PATH } from './link.js';
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -26,7 +26,6 @@
   readonly port: number;
   readonly outcomes: AttemptOutcome[];
   readonly decisions: proxy.Decision[];
-  readonly crashes: string[];
 }
 
 /** What the daemons of a test share. */
@@ -35,7 +34,6 @@
   plan: (asking: string) => proxy.DispatchTarget[];
   locate: (asking: string, home: string) => proxy.KeyLocation;
   homeName: string;
-  refusedFingerprints: Set<string>;
   contract: Partial<model.Contract>;
   limits: Partial<proxy.CallerLimits>;
   balancerMilliseconds: number;
@@ -50,7 +48,6 @@
     plan: () => [{ kind: 'local' }],
     locate: (asking, home) => (asking === home ? { kind: 'local' } : { kind: 'lost' }),
     homeName: 'daemon-a',
-    refusedFingerprints: new Set(),
     contract: {},
     limits: {},
     balancerMilliseconds: 20,
@@ -117,7 +114,6 @@
   const configuration = createConfiguration(fleet);
   const outcomes: AttemptOutcome[] = [];
   const decisions: proxy.Decision[] = [];
-  const crashes: string[] = [];
   const backend = new proxy.BackendClient({ connectTimeoutMilliseconds: 1000 });
   const retryBudget = new proxy.RetryBudget();
   const keyIssuer = new idempotency.KeyIssuer({ fleetKeys: [FLEET_KEY] });
@@ -130,11 +126,6 @@
     acquire: createAcquire(fleet, outcomes),
     backend,
     retryBudget,
-    crashGuard: {
-      isRefused: (fingerprint) => fleet.refusedFingerprints.has(fingerprint),
-      started: (fingerprint) => crashes.push(fingerprint),
-      ended: () => {},
-    },
   });
   const path = new proxy.RequestPath({
     daemonName: name,
@@ -182,7 +173,7 @@
     await dispatcher.destroy();
   });
   const peer = { name, dispatcher, baseUrl };
-  return { name, entry, server, home, peer, peerServer, port, outcomes, decisions, crashes };
+  return { name, entry, server, home, peer, peerServer, port, outcomes, decisions };
 }
 
 /** A backend server on HTTP. */
--- a/packages/routing/proxy/test/retries.test.ts
+++ b/packages/routing/proxy/test/retries.test.ts
@@ -119,14 +119,3 @@
   assert.equal(answer.headers['dogwoodstall-execution'], 'not-known');
   assert.equal(backend.requests.length, 0);
 });
-
-test('a request whose fingerprint crashed servers is refused, and not one of another body', async (context) => {
-  const backend = await startBackend(context, (_request, response) => response.end('ok'));
-  const fleet = createFleet([backend.address]);
-  const daemon = await startDaemon(context, fleet);
-  const crashing = { method: 'POST', body: 'crash' };
-  await call(daemon.port, crashing);
-  fleet.refusedFingerprints.add(daemon.crashes[0] ?? '');
-  assert.equal((await call(daemon.port, crashing)).headers['dogwoodstall-result'], '3007');
-  assert.equal((await call(daemon.port, { method: 'POST', body: 'other' })).status, 200);
-});
