Pass requests on to the successor of a key home during a planned stop

Cause: between the sealing of a home and the moment when every daemon knows its successor, requests with keys of that home were refused with KeyHomeMoving.

Change: records are handed over at the beginning of the stop. Afterwards the old home passes such requests on. At most once holds: a sealed home starts no attempt, the request is sent to the successor at most once and without a retry, and the successor decides by its own copy of the record, which was activated there and nowhere else. Before the activation a request waits for the end of the hand-over. At the hop limit a daemon dispatches by itself. Membership names a live holder of records before the old home.

--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -15,8 +15,8 @@
 import { RequestPlane } from './request-plane.js';
 
 /**
- * Time for other daemons to learn that this one is leaving before it refuses their dispatch work. Twice
- * the time that an update needs through a fleet of 810.
+ * Time for other daemons to learn that this one is leaving and where its keys live now, before it refuses
+ * their dispatch work and ends. Twice the time that an update needs through a fleet of 810.
  */
 const LEAVE_SPREAD_MILLISECONDS = 3000;
 
@@ -92,6 +92,7 @@
       callerTls: material.callerTls,
       isReady: () => this.ready,
       onCrashSuspicion: () => this.crashReports.send(),
+      findSuccessor: () => this.transfer.findSuccessor(),
       onCompletedAfterSeal: (message) => this.transfer.complete(message),
     });
     const { members, links } = this.control;
@@ -210,11 +211,14 @@
     this.requests.entry.beginStop();
     members.announceCondition('stopping');
     await members.leave();
-    await delay(LEAVE_SPREAD_MILLISECONDS);
+    // Until the others know the new home, requests with keys of this one are passed on to it.
     await this.transfer.run();
+    await delay(LEAVE_SPREAD_MILLISECONDS);
     this.requests.receiver.refusing = true;
     await this.requests.entry.whenIdle();
     await this.transfer.whenSent();
+    // A request may have arrived on the peer port while the last record was sent.
+    await this.requests.entry.whenIdle();
     await this.close();
     this.logger.info('daemon has stopped');
   }
--- a/packages/daemon/daemon/src/records-transfer.ts
+++ b/packages/daemon/daemon/src/records-transfer.ts
@@ -49,6 +49,8 @@
 
   private handOver: idempotency.HandOver | undefined;
 
+  private running: Promise<string | undefined> | undefined;
+
   constructor(private readonly options: RecordsTransferOptions) {
     const { keyHome } = options;
     this.handlers = {
@@ -72,8 +74,21 @@
     this.handOver?.complete(message);
   }
 
-  /** Hands all records over to one live peer; resolves when the peer has acknowledged, or none did. */
-  async run(): Promise<void> {
+  /**
+   * Hands all records over to one live peer; resolves with its name, or with undefined when none took
+   * them.
+   */
+  run(): Promise<string | undefined> {
+    this.running ??= this.handOverRecords();
+    return this.running;
+  }
+
+  /** Resolves with the name of the new home when a hand-over has begun, and waits for its end. */
+  async findSuccessor(): Promise<string | undefined> {
+    return this.running;
+  }
+
+  private async handOverRecords(): Promise<string | undefined> {
     const { keyHome, logger } = this.options;
     this.handOver = new idempotency.HandOver({
       home: keyHome,
@@ -85,6 +100,7 @@
     if (peer === undefined || !acknowledged) {
       logger.warn('no successor confirmed the idempotency records', { peer });
     }
+    return peer;
   }
 
   /** Resolves when the last completion was acknowledged or given up. */
--- a/packages/daemon/daemon/src/request-plane.ts
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -26,6 +26,8 @@
   readonly isReady: () => boolean;
   /** Called when a request was suspected of the loss of a backend server. */
   readonly onCrashSuspicion: () => void;
+  /** Resolves with the name of the daemon that took over this daemon's records, if one did. */
+  readonly findSuccessor: () => Promise<string | undefined>;
   /** Receives each record that ends after the home was sealed. */
   readonly onCompletedAfterSeal: (message: idempotency.CompleteRecord) => void;
 }
@@ -167,6 +169,10 @@
       isReachable: (peer) => this.view.isReachable(peer),
       reportUnreachable,
       locateKeyHome: (home, incarnation) => this.view.locateKeyHome(home, incarnation),
+      findSuccessor: async () => {
+        const member = control.members.find((await this.options.findSuccessor()) ?? '');
+        return member && this.view.targetOf(member);
+      },
       keyIssuer: this.keyIssuer,
       keyHome: this.keyHome,
       retryBudget,
--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -137,18 +137,25 @@
     return name === this.options.name ? this.table.self : this.table.find(name);
   }
 
-  /** Returns the member that answers for the idempotency records of an incarnation. */
+  /**
+   * Returns the member that answers for the idempotency records of an incarnation. A member that took
+   * them over comes before the one that handed them over, which may have ended since.
+   */
   findKeyHome(incarnation: number): Member | undefined {
     const now = Date.now();
+    let found: Member | undefined;
     for (const member of this.members()) {
       const holds = member.keyHomes.some(
         (home) => home.incarnation === incarnation && home.expiresAtEpochMilliseconds > now,
       );
-      if (member.incarnation === incarnation || holds) {
+      if (holds && member.state !== 'leaving') {
         return member;
       }
+      if (holds || (member.incarnation === incarnation && found === undefined)) {
+        found = member;
+      }
     }
-    return undefined;
+    return found;
   }
 
   /** Returns whether the last call from here to a member succeeded, or none was tried. */
--- a/packages/routing/proxy/src/request-path.ts
+++ b/packages/routing/proxy/src/request-path.ts
@@ -3,12 +3,13 @@
  * or to a backend server.
  */
 import * as idempotency from '@dogwoodstall/idempotency';
-import { FailureError } from '@dogwoodstall/results';
+import { FailureError, isFailure } from '@dogwoodstall/results';
 import { composeAnswerHeaders } from './answer-headers.js';
 import type { DispatchRunner } from './dispatch-runner.js';
 import type { Exchange } from './exchange.js';
 import { fingerprintRequest } from './fingerprint.js';
 import type { PeerTarget } from './link.js';
+import { MAXIMUM_HOPS } from './forward-headers.js';
 import type { ForwardEnd, PeerForwarder } from './peer-forwarder.js';
 import type { RetryBudget } from './retry-budget.js';
 
@@ -41,6 +42,11 @@
   /** Tells that a peer could not be reached or stalled. */
   readonly reportUnreachable?: (peer: string) => void;
   readonly locateKeyHome: (home: string, incarnation: string) => KeyLocation;
+  /**
+   * Resolves with the daemon that took over the records of an incarnation in a hand-over from here;
+   * waits for a hand-over that runs.
+   */
+  readonly findSuccessor?: (incarnation: string) => Promise<PeerTarget | undefined>;
   readonly keyIssuer: idempotency.KeyIssuer;
   readonly keyHome: idempotency.KeyHome;
   readonly runner: DispatchRunner;
@@ -99,8 +105,41 @@
 
   /** Serves a request whose key names this daemon or an incarnation that was handed over to it. */
   async serveAtHome(exchange: Exchange): Promise<void> {
+    const key = this.verifyKey(exchange);
+    try {
+      await this.runAtHome(exchange, key);
+    } catch (error) {
+      // The sealed home runs nothing more, so that the successor alone decides about the key.
+      const successor = isFailure(error, 'KeyHomeMoving')
+        ? await this.waitForSuccessor(exchange, key.incarnation)
+        : undefined;
+      if (successor === undefined) {
+        throw error;
+      }
+      await this.forwardHome(exchange, successor);
+    }
+  }
+
+  private waitForSuccessor(
+    { signal }: Exchange,
+    incarnation: string,
+  ): Promise<PeerTarget | undefined> {
+    const { findSuccessor } = this.options;
+    if (findSuccessor === undefined || signal.aborted) {
+      return Promise.resolve(undefined);
+    }
+    return new Promise((resolve, reject) => {
+      const stop = (): void => resolve(undefined);
+      signal.addEventListener('abort', stop, { once: true });
+      findSuccessor(incarnation)
+        .then(resolve, reject)
+        .finally(() => signal.removeEventListener('abort', stop));
+    });
+  }
+
+  private async runAtHome(exchange: Exchange, key: idempotency.KeyContents): Promise<void> {
     const use = {
-      key: this.verifyKey(exchange),
+      key,
       fingerprint: fingerprintRequest(exchange),
       signal: exchange.signal,
     };
@@ -148,7 +187,8 @@
       if (target.kind === 'local') {
         return this.dispatchHere(exchange, plan.cell, permit);
       }
-      if (!this.options.isReachable(target.peer.name)) {
+      const atHopLimit = facts.hops >= MAXIMUM_HOPS;
+      if (atHopLimit || !this.options.isReachable(target.peer.name)) {
         continue;
       }
       Object.assign(exchange.decision, { dispatcher: target.peer.name });
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -34,6 +34,7 @@
   plan: (asking: string) => proxy.DispatchTarget[];
   locate: (asking: string, home: string) => proxy.KeyLocation;
   homeName: string;
+  successor: proxy.PeerTarget | undefined;
   contract: Partial<model.Contract>;
   limits: Partial<proxy.CallerLimits>;
   balancerMilliseconds: number;
@@ -48,6 +49,7 @@
     plan: () => [{ kind: 'local' }],
     locate: (asking, home) => (asking === home ? { kind: 'local' } : { kind: 'lost' }),
     homeName: 'daemon-a',
+    successor: undefined,
     contract: {},
     limits: {},
     balancerMilliseconds: 20,
@@ -132,6 +134,7 @@
     planDispatch: () => ({ cell: 'shop/r/0', targets: fleet.plan(name) }),
     isReachable: () => true,
     locateKeyHome: (homeName) => fleet.locate(name, homeName),
+    findSuccessor: async () => fleet.successor,
     keyIssuer,
     keyHome: home,
     runner,
--- a/packages/testing/measure/test/crash.test.ts
+++ b/packages/testing/measure/test/crash.test.ts
@@ -20,6 +20,14 @@
   return counters.reduce((sum, server) => sum + server.crashes, 0);
 }
 
+function readLastDecision(
+  daemon: measure.LocalFleet['daemons'][number],
+): { requestId?: string; dispatcher?: string } | undefined {
+  const line =
+    /.*request routed.* requestId="(?<requestId>[^"]+)".* dispatcher="(?<dispatcher>[^"]+)"/s;
+  return line.exec(daemon.output)?.groups;
+}
+
 // Until the members know each other, each daemon dispatches for itself and sees its own losses only.
 async function waitForOneDispatcher(
   fleet: measure.LocalFleet,
@@ -28,12 +36,12 @@
   for (;;) {
     const dispatchers = new Set<string | undefined>();
     for (const daemon of fleet.daemons) {
-      const known = daemon.output.length;
+      const known = readLastDecision(daemon)?.requestId;
       assert.equal(await send(daemon.callerAddress), '0');
-      while (!daemon.output.slice(known).includes('request routed')) {
+      while (readLastDecision(daemon)?.requestId === known) {
         await sleep(POLL_MILLISECONDS);
       }
-      dispatchers.add(/.*request routed.* dispatcher="([^"]+)"/s.exec(daemon.output)?.[1]);
+      dispatchers.add(readLastDecision(daemon)?.dispatcher);
     }
     if (dispatchers.size === 1) {
       return;
