Close idle connections of callers at a planned stop by FIN

Cause: a request on a kept connection that arrived after the port had closed was refused with 3012, and idle connections were reset when the process ended.

Change: requests on kept connections are served and close their connection; connections without a request are closed by FIN after 200 ms, unless bytes of a request have arrived. The stop waits for the last connection.

--- a/packages/routing/proxy/src/entry-server.ts
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -12,6 +12,7 @@
 import { formatRawFailure } from './answer.js';
 import { BodyWatch } from './body-watch.js';
 import { CallerAdmission, type CallerAdmissionOptions, isKeyRequest } from './caller-admission.js';
+import { CallerConnections } from './caller-connections.js';
 import type { ExchangeServer } from './exchange-server.js';
 import { classifyParserError } from './request-check.js';
 import type { RequestPath } from './request-path.js';
@@ -58,6 +59,8 @@
 
   private readonly bodies: BodyWatch;
 
+  private readonly connections = new CallerConnections();
+
   private closed = false;
 
   private readonly portClosed = new AbortController();
@@ -90,22 +93,24 @@
   }
 
   /**
-   * Begins a planned stop: readiness fails and connections close with their next answer. After the
-   * balancer's time the port closes and no further request is accepted.
+   * Begins a planned stop: readiness fails, connections close with their next answer, and idle ones
+   * after a short time. After the balancer's time the port closes.
    */
   beginStop(): void {
     if (this.options.server.stopping) {
       return;
     }
     this.options.server.beginStop();
+    this.connections.beginStop();
     this.stopTimer = setTimeout(() => this.stopAccepting(), this.options.balancerMilliseconds);
   }
 
-  /** Resolves when the last request, however long, has ended after a stop began. */
+  /** Resolves when the last request, however long, and its connection have ended after a stop began. */
   async whenIdle(): Promise<void> {
     if (!this.portClosed.signal.aborted) {
       await once(this.portClosed.signal, 'abort');
     }
+    await this.connections.whenClosed();
     await this.options.server.inFlight.whenIdle();
   }
 
@@ -118,6 +123,7 @@
     clearTimeout(this.stopTimer);
     this.stopAccepting();
     this.bodies.close();
+    this.connections.close();
     this.listener.closeAllConnections();
   }
 
@@ -127,7 +133,7 @@
     }
     this.closed = true;
     // Only the port closes here. `http.Server.close` would also destroy connections on which a
-    // request may be arriving; those end with their next answer or the keep-alive timeout.
+    // request may be arriving; those end with their next answer.
     net.Server.prototype.close.call(this.listener);
     this.portClosed.abort();
   }
@@ -152,6 +158,7 @@
     listener.maxConnections = limits.callerConnections;
     // Beyond a limit the parser would drop headers silently; the size limit bounds them already.
     listener.maxHeadersCount = 0;
+    listener.on(tls === undefined ? 'connection' : 'secureConnection', this.connections.add);
     listener.on('request', this.onRequest);
     listener.on('checkContinue', (request, response: http.ServerResponse) => {
       response.writeContinue();
@@ -171,6 +178,9 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void => {
+    const { socket } = request;
+    this.connections.enter(socket);
+    response.once('close', () => this.connections.leave(socket));
     if (request.url === READY_PATH) {
       this.answerReadiness(response);
       return;
@@ -179,9 +189,6 @@
     const { server, path } = this.options;
     // `track` answers every failure itself and never rejects.
     server.track(response, requestId, async () => {
-      if (this.closed) {
-        throw new FailureError('NotReady', 'the daemon is stopping');
-      }
       if (isKeyRequest(request)) {
         this.admission.answerKeys(request, response, requestId);
         return;
