--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -1,6 +1,7 @@
 /**
  * The link to one peer: calls with limits, and connections of its own for forwarded requests.
  */
+import * as tls from 'node:tls';
 import { FailureError, findResult, type ResultName } from '@dogwoodstall/results';
 import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
 import * as undici from 'undici';
@@ -80,6 +81,14 @@
   material: PeerTls,
   connections: number | null,
 ): undici.Pool {
+  // Parsing certificate and key takes longer than the rest of a connection's set-up, and a burst of
+  // forwarded requests opens many connections.
+  const secureContext = tls.createSecureContext({
+    cert: material.certificate,
+    key: material.key,
+    ca: [...material.authorities],
+    minVersion: MINIMUM_TLS_VERSION,
+  });
   return new undici.Pool(`https://${target.peerAddress}`, {
     connections,
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
@@ -88,10 +97,7 @@
     bodyTimeout: 0,
     connect: {
       timeout: CONNECT_MILLISECONDS,
-      cert: material.certificate,
-      key: material.key,
-      ca: [...material.authorities],
-      minVersion: MINIMUM_TLS_VERSION,
+      secureContext,
       checkServerIdentity: (_host, certificate) => checkPeerName(target.name, certificate),
     },
   });
@@ -140,8 +146,16 @@
 
   private running = 0;
 
-  constructor(target: PeerTarget, material: PeerTls) {
+  private readonly onCall: (name: ProcedureName) => void;
+
+  /** `onCall` is called with the procedure of each call that is sent. */
+  constructor(
+    target: PeerTarget,
+    material: PeerTls,
+    onCall: (name: ProcedureName) => void = () => {},
+  ) {
     this.target = target;
+    this.onCall = onCall;
     this.material = material;
     this.controlPool = createPool(target, material, CONTROL_CONNECTIONS);
     this.client = createClient(this.controlPool, target);
@@ -185,6 +199,7 @@
     this.running += 1;
     try {
       options.signal?.throwIfAborted();
+      this.onCall(name);
       const answer = await this.client[name].mutate(input, { signal: stopping.signal });
       this.lastHeardAt = performance.now();
       return this.parse(name, answer);
