Ask for held-back bodies after admission; limit requests in flight at an entry

Cause: Expect: 100-continue was granted before any check, so that refused uploads sent their bodies. A daemon accepted any number of requests, and one organisation could fill it before the dispatcher's limits applied. A body that nobody read yet counted as a slow caller.

Change: a large body is asked for when the request is sent on, a small one after route, organisation, size and key passed; a refused request closes its connection. An entry refuses requests above limits.requestsInFlight with 2012, and those of one organisation above half of them with 2013. The measurement overhead reads the dispatcher from the decisions and reports CPU for each request.

--- a/packages/configuration/settings/src/schema.ts
+++ b/packages/configuration/settings/src/schema.ts
@@ -63,6 +63,8 @@
   /** Longest pause within a request body. */
   bodyPauseMilliseconds: zod.number().int().min(100).default(30_000),
   callerConnections: zod.number().int().min(1).default(10_000),
+  /** Callers' requests in flight; each may keep a body of 64 KiB in memory. */
+  requestsInFlight: zod.number().int().min(1).default(4000),
 });
 
 const stopSchema = zod.strictObject({
--- a/packages/foundation/results/src/codes/request.ts
+++ b/packages/foundation/results/src/codes/request.ts
@@ -60,4 +60,16 @@
     'not-run',
     'The request passed more daemons than the hop limit allows.',
   ),
+  DaemonFull: defineResult(
+    2012,
+    503,
+    'not-run',
+    'The daemon has as many requests in flight as its settings allow.',
+  ),
+  OrganisationShareExceeded: defineResult(
+    2013,
+    429,
+    'not-run',
+    'The organisation holds its whole share of the requests in flight at this daemon.',
+  ),
 } as const;
--- a/packages/routing/proxy/src/answer.ts
+++ b/packages/routing/proxy/src/answer.ts
@@ -75,7 +75,10 @@
   }
   const body = formatBody(failure);
   const headers = listHeaders(failure, requestId, Buffer.byteLength(body));
-  if (CLOSING_RESULTS.has(failure.kind)) {
+  // A caller that holds its body back may send it or not after a refusal; the next request can't be told
+  // from it.
+  const heldBack = response.req.headers.expect !== undefined && !response.req.complete;
+  if (heldBack || CLOSING_RESULTS.has(failure.kind)) {
     headers.Connection = 'close';
   }
   response.writeHead(findResult(failure.kind).httpStatus, { ...headers, ...extraHeaders });
--- a/packages/routing/proxy/src/body-watch.ts
+++ b/packages/routing/proxy/src/body-watch.ts
@@ -49,8 +49,8 @@
       const { bytesRead } = entry.request.socket;
       if (entry.request.complete || entry.request.destroyed) {
         this.watched.delete(entry);
-      } else if (bytesRead !== entry.bytes || entry.request.isPaused()) {
-        // A paused body waits for this side and not for its caller.
+      } else if (bytesRead !== entry.bytes || entry.request.readableFlowing !== true) {
+        // A body that nobody reads waits for this side and not for its caller.
         entry.bytes = bytesRead;
         entry.changedAt = now;
       } else if (now - entry.changedAt > this.pauseMilliseconds) {
--- a/packages/routing/proxy/src/caller-admission.ts
+++ b/packages/routing/proxy/src/caller-admission.ts
@@ -4,13 +4,14 @@
  */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { KeyIssuer } from '@dogwoodstall/idempotency';
-import type { Configuration, Route, Service } from '@dogwoodstall/model';
+import { type KeyIssuer, checkKeyOwner } from '@dogwoodstall/idempotency';
+import type { Configuration, Service } from '@dogwoodstall/model';
 import { type Failure, FailureError } from '@dogwoodstall/results';
 import { ANSWERED } from './answer.js';
 import type { BodyWatch } from './body-watch.js';
-import { type CallerBody, KEPT_BODY_BYTES, openCallerBody } from './caller-body.js';
 import { createDecision } from './decision.js';
+import { openEntryBody } from './entry-body.js';
+import type { EntryPlace } from './entry-limits.js';
 import { Exchange } from './exchange.js';
 import { EXECUTION, ORGANISATION_TOKEN, RESULT, selectRequestHeaders } from './headers.js';
 import { checkRequest } from './request-check.js';
@@ -36,24 +37,17 @@
   readonly requestPrefix: string;
 }
 
-async function openBody(
-  request: IncomingMessage,
-  length: number | undefined,
-  route: Route,
-  bodies: BodyWatch,
-): Promise<CallerBody> {
-  if (length === undefined || length > KEPT_BODY_BYTES || request.complete) {
-    return openCallerBody(request, length, route.maximumBodyBytes);
-  }
-  let unwatch = (): void => {};
-  const slow = new Promise<never>((_resolve, reject) => {
-    unwatch = bodies.watch(request, () => reject(new FailureError('RequestTooSlow')));
-  });
-  try {
-    return await Promise.race([openCallerBody(request, length, route.maximumBodyBytes), slow]);
-  } finally {
-    unwatch();
-  }
+/** A request of a caller. */
+export interface CallerRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly place: EntryPlace;
+}
+
+function readKey(request: IncomingMessage): string | undefined {
+  const key = request.headers['idempotency-key'];
+  return typeof key === 'string' ? key : undefined;
 }
 
 /** Whether a request asks for idempotency keys. */
@@ -77,12 +71,8 @@
   }
 
   /** Checks a request and opens its exchange; rejects with the failure to tell. */
-  async open(
-    request: IncomingMessage,
-    response: ServerResponse,
-    requestId: string,
-    bodies: BodyWatch,
-  ): Promise<Exchange> {
+  async open(caller: CallerRequest, bodies: BodyWatch): Promise<Exchange> {
+    const { request, response, requestId } = caller;
     const arrivedAt = performance.now();
     const checked = checkRequest(request);
     const configuration = this.requireConfiguration();
@@ -92,9 +82,13 @@
       throw new FailureError('RouteUnknown');
     }
     const organisation = this.findOrganisation(configuration, service, request);
+    caller.place.assign(organisation);
     const deadline = route.deadlineMilliseconds ?? service.contract.deadlineMilliseconds;
-    const body = await openBody(request, checked.contentLength, route, bodies);
-    const key = request.headers['idempotency-key'];
+    const key = readKey(request);
+    const refused = (): boolean =>
+      !route.idempotent && !this.isUsableKey(key, organisation, service);
+    const length = checked.contentLength;
+    const body = await openEntryBody({ request, response, length, route, bodies, refused });
     const exchange = new Exchange(
       {
         requestId,
@@ -107,7 +101,7 @@
         deadlineAt: arrivedAt + deadline,
         originZone: this.options.zone,
         hops: 0,
-        idempotencyKey: typeof key === 'string' ? key : undefined,
+        idempotencyKey: key,
         cell: undefined,
       },
       request,
@@ -158,6 +152,16 @@
     response.end(JSON.stringify({ keys }));
   }
 
+  // The key is checked again where it is used; here it only decides whether a body is asked for.
+  private isUsableKey(key: string | undefined, organisation: string, service: Service): boolean {
+    try {
+      checkKeyOwner(this.options.keyIssuer.verify(key ?? ''), organisation, service.name);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   private requireConfiguration(): Configuration {
     const configuration = this.options.findConfiguration();
     if (configuration === undefined) {
--- /dev/null
+++ b/packages/routing/proxy/src/entry-limits.ts
@@ -0,0 +1,72 @@
+/**
+ * Protects one daemon from more callers than its memory holds, and every organisation from another one
+ * that floods the entry: the dispatcher's limits come too late for a daemon that is already exhausted.
+ */
+import { FailureError } from '@dogwoodstall/results';
+
+/** Largest share of the requests in flight that one organisation may hold. */
+const ORGANISATION_SHARE = 0.5;
+
+/** The place of one request. */
+export interface EntryPlace {
+  /** Counts the request for its organisation; throws `OrganisationShareExceeded`. */
+  assign(organisation: string): void;
+  /** Gives the place back; a second call does nothing. */
+  leave(): void;
+}
+
+/** The requests of callers in flight at one daemon. */
+export class EntryLimits {
+  private total = 0;
+
+  private readonly byOrganisation = new Map<string, number>();
+
+  private readonly organisationLimit: number;
+
+  constructor(private readonly limit: number) {
+    this.organisationLimit = Math.max(1, Math.floor(limit * ORGANISATION_SHARE));
+  }
+
+  /** Takes a place; throws `DaemonFull`. */
+  enter(): EntryPlace {
+    if (this.total >= this.limit) {
+      throw new FailureError('DaemonFull');
+    }
+    this.total += 1;
+    let organisation: string | undefined;
+    let left = false;
+    return {
+      assign: (name) => {
+        this.countOrganisation(name);
+        organisation = name;
+      },
+      leave: () => {
+        if (!left) {
+          left = true;
+          this.leave(organisation);
+        }
+      },
+    };
+  }
+
+  private countOrganisation(name: string): void {
+    const count = this.byOrganisation.get(name) ?? 0;
+    if (count >= this.organisationLimit) {
+      throw new FailureError('OrganisationShareExceeded');
+    }
+    this.byOrganisation.set(name, count + 1);
+  }
+
+  private leave(organisation: string | undefined): void {
+    this.total -= 1;
+    if (organisation === undefined) {
+      return;
+    }
+    const count = (this.byOrganisation.get(organisation) ?? 1) - 1;
+    if (count === 0) {
+      this.byOrganisation.delete(organisation);
+    } else {
+      this.byOrganisation.set(organisation, count);
+    }
+  }
+}
--- a/packages/routing/proxy/src/entry-server.ts
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -13,6 +13,7 @@
 import { BodyWatch } from './body-watch.js';
 import { CallerAdmission, type CallerAdmissionOptions, isKeyRequest } from './caller-admission.js';
 import { CallerConnections } from './caller-connections.js';
+import { EntryLimits, type EntryPlace } from './entry-limits.js';
 import type { ExchangeServer } from './exchange-server.js';
 import { classifyParserError } from './request-check.js';
 import type { RequestPath } from './request-path.js';
@@ -32,6 +33,7 @@
   readonly headerMilliseconds: number;
   readonly bodyPauseMilliseconds: number;
   readonly callerConnections: number;
+  readonly requestsInFlight: number;
 }
 
 /** Options of `EntryServer`. */
@@ -61,6 +63,8 @@
 
   private readonly connections = new CallerConnections();
 
+  private readonly limits: EntryLimits;
+
   private closed = false;
 
   private readonly portClosed = new AbortController();
@@ -71,6 +75,7 @@
     const requestPrefix = randomBytes(PREFIX_BYTES).toString('hex');
     this.admission = new CallerAdmission({ ...options, requestPrefix });
     this.bodies = new BodyWatch(options.limits.bodyPauseMilliseconds);
+    this.limits = new EntryLimits(options.limits.requestsInFlight);
     this.listener = this.createListener();
   }
 
@@ -160,10 +165,8 @@
     listener.maxHeadersCount = 0;
     listener.on(tls === undefined ? 'connection' : 'secureConnection', this.connections.add);
     listener.on('request', this.onRequest);
-    listener.on('checkContinue', (request, response: http.ServerResponse) => {
-      response.writeContinue();
-      this.onRequest(request, response);
-    });
+    // The admission grants it when the request has passed the checks.
+    listener.on('checkContinue', this.onRequest);
     listener.on('checkExpectation', this.onRequest);
     listener.on('connect', (_request, socket: Duplex) =>
       this.refuseRaw(socket, createFailure('MethodUnsupported')),
@@ -186,22 +189,39 @@
       return;
     }
     const requestId = this.admission.nextRequestId();
-    const { server, path } = this.options;
+    const { server } = this.options;
+    let place: EntryPlace | undefined;
+    const work = async (): Promise<void> => {
+      place = this.limits.enter();
+      await this.serve(request, response, requestId, place);
+    };
     // `track` answers every failure itself and never rejects.
-    server.track(response, requestId, async () => {
-      if (isKeyRequest(request)) {
-        this.admission.answerKeys(request, response, requestId);
-        return;
-      }
-      const exchange = await this.admission.open(request, response, requestId, this.bodies);
-      await server.run(
-        exchange,
-        (opened) => path.serve(opened),
-        (failure) => this.admission.listExtraHeaders(exchange, failure),
-      );
-    });
+    server
+      .track(response, requestId, work)
+      .then(() => place?.leave())
+      .catch(() => {});
   };
 
+  private async serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    place: EntryPlace,
+  ): Promise<void> {
+    if (isKeyRequest(request)) {
+      this.admission.answerKeys(request, response, requestId);
+      return;
+    }
+    const { server, path } = this.options;
+    const caller = { request, response, requestId, place };
+    const exchange = await this.admission.open(caller, this.bodies);
+    await server.run(
+      exchange,
+      (opened) => path.serve(opened),
+      (failure) => this.admission.listExtraHeaders(exchange, failure),
+    );
+  }
+
   private answerReadiness(response: http.ServerResponse): void {
     const ready = !this.options.server.stopping && this.options.isReady();
     if (this.options.server.stopping) {
--- a/packages/routing/proxy/src/streamed-body.ts
+++ b/packages/routing/proxy/src/streamed-body.ts
@@ -16,6 +16,8 @@
     private readonly request: IncomingMessage,
     readonly length: number | undefined,
     private readonly maximumBytes: number,
+    /** Called before the first byte is read. */
+    private readonly onFirstRead: () => void = () => {},
   ) {}
 
   get replayable(): boolean {
@@ -33,7 +35,10 @@
     let detach = (): void => {};
     const attach = (stream: Readable): void => {
       attached = true;
-      this.consumed = true;
+      if (!this.consumed) {
+        this.consumed = true;
+        this.onFirstRead();
+      }
       const onData = (chunk: Buffer): void => {
         received += chunk.length;
         if (received > maximumBytes) {
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -45,6 +45,10 @@
   limits: Partial<proxy.CallerLimits>;
   balancerMilliseconds: number;
   bodyLimit: number;
+  /** Resolves when slots are granted. */
+  admitted: Promise<void>;
+  /** Requests that asked for a slot. */
+  asked: number;
   tls?: proxy.TlsMaterial;
 }
 
@@ -60,6 +64,8 @@
     limits: {},
     balancerMilliseconds: 20,
     bodyLimit: 100_000_000,
+    admitted: Promise.resolve(),
+    asked: 0,
     ...changes,
   };
 }
@@ -88,6 +94,8 @@
   outcomes: AttemptOutcome[],
 ): (cell: string, request: DispatchRequest) => Promise<SlotGrant> {
   return async (_cell, request) => {
+    Object.assign(fleet, { asked: fleet.asked + 1 });
+    await fleet.admitted;
     const free = fleet.backends.filter((address) => !request.excludedEndpoints.has(address));
     const address = free[0] ?? fleet.backends[0] ?? '';
     let released = false;
@@ -171,6 +179,7 @@
       headerMilliseconds: 10_000,
       bodyPauseMilliseconds: 10_000,
       callerConnections: 100,
+      requestsInFlight: 100,
       ...fleet.limits,
     },
   });
--- /dev/null
+++ b/packages/testing/measure/src/fleet/dispatcher-search.ts
@@ -0,0 +1,58 @@
+/**
+ * Finds the daemon that dispatches the requests of one class, from the decisions of the daemons.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type * as load from '@dogwoodstall/load';
+import * as results from '@dogwoodstall/results';
+import * as undici from 'undici';
+import type { DaemonProcess } from './daemon-process.js';
+import { type LocalFleet, OPERATOR_TOKEN } from './local-fleet.js';
+
+const POLL_MILLISECONDS = 100;
+const SEARCH_MILLISECONDS = 10_000;
+// One agreement may be a coincidence while the members still learn about each other.
+const AGREEMENTS = 5;
+
+interface Explanation {
+  readonly decisions: readonly { readonly dispatcher?: string }[];
+}
+
+async function askDispatcher(
+  daemon: DaemonProcess,
+  request: load.RequestClass,
+): Promise<string | undefined> {
+  const answer = await undici.request(`http://${daemon.callerAddress}${request.path}`, {
+    headers: {
+      host: request.host,
+      'dogwoodstall-organisation-token': request.organisationToken ?? '',
+    },
+    reset: true,
+  });
+  await answer.body.dump();
+  const path = `/v1/explain/${String(answer.headers['request-id'])}`;
+  const explained = await undici.request(`http://${daemon.administrationAddress}${path}`, {
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+    reset: true,
+  });
+  const { decisions } = (await explained.body.json()) as Explanation;
+  return decisions[0]?.dispatcher;
+}
+
+/** Returns the dispatcher on which all daemons agree; throws `ProcessStartFailed` without one. */
+export async function findDispatcher(
+  fleet: LocalFleet,
+  request: load.RequestClass,
+): Promise<DaemonProcess> {
+  const giveUpAt = performance.now() + SEARCH_MILLISECONDS;
+  let agreements = 0;
+  while (performance.now() < giveUpAt) {
+    const names = await Promise.all(fleet.daemons.map((daemon) => askDispatcher(daemon, request)));
+    agreements = new Set(names).size === 1 ? agreements + 1 : 0;
+    const found = fleet.daemons.find(({ name }) => name === names[0]);
+    if (found !== undefined && agreements >= AGREEMENTS) {
+      return found;
+    }
+    await sleep(POLL_MILLISECONDS);
+  }
+  throw new results.FailureError('ProcessStartFailed', 'the daemons name no common dispatcher');
+}
--- a/packages/testing/measure/src/measurements/overhead.ts
+++ b/packages/testing/measure/src/measurements/overhead.ts
@@ -1,14 +1,15 @@
 /**
- * Time that daemons add to a request: through one daemon and through two, against a direct
- * connection with the same seed and load; at 200 requests/s and at the highest rate that one daemon
- * holds.
+ * Time and CPU that daemons add to a request: through one daemon that dispatches it itself and through
+ * two, against a direct connection with the same seed and load; at 200 requests/s, at a higher rate, and
+ * at the highest rate that holds. Each with and without the log lines of decisions.
  */
-import * as hashing from '@dogwoodstall/hashing';
 import * as load from '@dogwoodstall/load';
-import * as model from '@dogwoodstall/model';
 import * as standIns from '@dogwoodstall/stand-ins';
+import type { DaemonProcess } from '../fleet/daemon-process.js';
+import { findDispatcher } from '../fleet/dispatcher-search.js';
 import { callerTokenOf } from '../fleet/first-change.js';
 import { LocalFleet } from '../fleet/local-fleet.js';
+import { readCpuMicroseconds } from '../fleet/process-usage.js';
 import type { Topology } from '../fleet/topology.js';
 import {
   roundFigure,
@@ -18,28 +19,31 @@
 } from '../measurement.js';
 
 const LOW_RATE = 200;
-const FIRST_SEARCH_RATE = 500;
-const SEARCH_FACTOR = 1.4;
+// CPU for each request at two rates separates the cost of a request from that of the process.
+const HIGH_RATE = 1000;
+const FIRST_SEARCH_RATE = 1500;
+const SEARCH_FACTOR = 1.5;
 const HIGHEST_SEARCH_RATE = 20_000;
-const SEARCH_STEP_MILLISECONDS = 1000;
+const SEARCH_STEP_MILLISECONDS = 700;
 // The first requests of fresh processes and pools measure compilation and connection set-up.
 const WARM_UP_MILLISECONDS = 600;
 // A rate is held when 99.9% of the requests succeed and p99 stays below this.
 const HELD_SHARE = 0.999;
 const HELD_P99_MILLISECONDS = 50;
-const PHASES = 6;
-// Share of the time that remains for the six compared phases besides the search.
+// Two variants of five phases each; the search takes the rest of the time.
+const PHASES = 10;
 const PHASE_SHARE = 0.5;
 
 const topology: Topology = {
   zones: [{ name: 'zone-a', region: 'region-1' }],
-  daemonsPerZone: 3,
+  daemonsPerZone: 2,
   services: [
     {
       name: 'echo',
       organisation: 'measurement',
       serverCount: 4,
-      slots: 200,
+      // 64 slots in all are one dispatch cell, so that one daemon dispatches every request.
+      slots: 16,
       connectionLimit: 2000,
       workMilliseconds: 0,
       variation: 0,
@@ -67,6 +71,13 @@
   deadlineMilliseconds: 1000,
 };
 
+interface Places {
+  readonly direct: readonly string[];
+  readonly dispatcher: DaemonProcess;
+  /** A daemon that forwards every request to the dispatcher. */
+  readonly entry: DaemonProcess;
+}
+
 interface Phase {
   readonly targets: readonly string[];
   readonly requestsPerSecond: number;
@@ -88,72 +99,145 @@
   return result.book.total;
 }
 
-async function findHeldRate(targets: readonly string[], seed: number): Promise<number> {
+async function findHeldRate(target: string, seed: number): Promise<number> {
   let held = 0;
   for (let rate = FIRST_SEARCH_RATE; rate <= HIGHEST_SEARCH_RATE; rate *= SEARCH_FACTOR) {
-    const requestsPerSecond = Math.round(rate);
-    const durationMilliseconds = SEARCH_STEP_MILLISECONDS;
-    const summary = await runPhase({ targets, requestsPerSecond, durationMilliseconds, seed });
+    const summary = await runPhase({
+      targets: [target],
+      requestsPerSecond: Math.round(rate),
+      durationMilliseconds: SEARCH_STEP_MILLISECONDS,
+      seed,
+    });
     const share = summary.count('ok') / Math.max(1, summary.requests);
     if (share < HELD_SHARE || summary.latency.p99 > HELD_P99_MILLISECONDS) {
       break;
     }
-    held = requestsPerSecond;
+    held = Math.round(rate);
   }
   return held;
 }
 
-async function compare(
-  paths: Readonly<Record<string, readonly string[]>>,
-  rateName: string,
-  phase: Omit<Phase, 'targets'>,
-): Promise<Record<string, number>> {
-  const figures: Record<string, number> = {};
-  let direct: load.LatencySummary | undefined;
-  for (const [name, targets] of Object.entries(paths)) {
-    const summary = await runPhase({ ...phase, targets });
-    const { latency } = summary;
-    direct ??= latency;
-    figures[`${name}${rateName}P50Milliseconds`] = roundFigure(latency.p50);
-    figures[`${name}${rateName}P99Milliseconds`] = roundFigure(latency.p99);
-    figures[`${name}${rateName}RequestsNotOk`] = summary.requests - summary.count('ok');
-    if (latency !== direct) {
-      figures[`${name}${rateName}AddedP50Milliseconds`] = roundFigure(latency.p50 - direct.p50);
-      figures[`${name}${rateName}AddedP99Milliseconds`] = roundFigure(latency.p99 - direct.p99);
-    }
+function describeLatency(
+  name: string,
+  summary: load.Summary,
+  direct: load.LatencySummary | undefined,
+): Figures {
+  const { p50, p99 } = summary.latency;
+  const figures: Record<string, number> = {
+    [`${name}P50Milliseconds`]: roundFigure(p50),
+    [`${name}P99Milliseconds`]: roundFigure(p99),
+    [`${name}RequestsNotOk`]: summary.requests - summary.count('ok'),
+  };
+  if (direct !== undefined) {
+    figures[`${name}AddedP50Milliseconds`] = roundFigure(p50 - direct.p50);
+    figures[`${name}AddedP99Milliseconds`] = roundFigure(p99 - direct.p99);
+    figures[`${name}ToDirectP50Ratio`] = roundFigure(p50 / direct.p50);
+    figures[`${name}ToDirectP99Ratio`] = roundFigure(p99 / direct.p99);
   }
   return figures;
 }
 
-async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
-  const cell = model.formatCellName('echo', 'region-1', 0);
-  const ranked = hashing.rankMembers(cell, fleet.daemons, (daemon) => daemon.name);
-  const direct = fleet.backends('echo').servers.map((server) => server.address);
-  const paths = {
-    direct,
-    oneDaemon: ranked.slice(0, 1).map((daemon) => daemon.callerAddress),
-    twoHops: ranked.slice(1, 2).map((daemon) => daemon.callerAddress),
+async function runWithCpu(
+  name: string,
+  daemons: Readonly<Record<string, DaemonProcess>>,
+  phase: Phase,
+): Promise<{ summary: load.Summary; figures: Figures }> {
+  const before = new Map<string, number>();
+  for (const [role, daemon] of Object.entries(daemons)) {
+    before.set(role, await readCpuMicroseconds(daemon.processId));
+  }
+  const summary = await runPhase(phase);
+  const milliseconds = WARM_UP_MILLISECONDS + phase.durationMilliseconds;
+  const requests = (phase.requestsPerSecond * milliseconds) / 1000;
+  const figures: Record<string, number> = {};
+  for (const [role, daemon] of Object.entries(daemons)) {
+    const used = (await readCpuMicroseconds(daemon.processId)) - (before.get(role) ?? 0);
+    figures[`${name}${role}CpuMicrosecondsPerRequest`] = roundFigure(used / requests);
+  }
+  return { summary, figures };
+}
+
+async function compareAt(
+  places: Places,
+  name: string,
+  phase: Omit<Phase, 'targets'>,
+  withDirect: boolean,
+): Promise<Figures> {
+  const { dispatcher, entry } = places;
+  const direct = withDirect ? await runPhase({ ...phase, targets: places.direct }) : undefined;
+  const one = await runWithCpu(
+    `${name}OneDaemon`,
+    { BothRoles: dispatcher },
+    { ...phase, targets: [dispatcher.callerAddress] },
+  );
+  const two = await runWithCpu(
+    `${name}TwoHops`,
+    { EntryRole: entry, DispatcherRole: dispatcher },
+    { ...phase, targets: [entry.callerAddress] },
+  );
+  return {
+    ...(direct && describeLatency(`${name}Direct`, direct, undefined)),
+    ...describeLatency(`${name}OneDaemon`, one.summary, direct?.latency),
+    ...one.figures,
+    ...describeLatency(`${name}TwoHops`, two.summary, direct?.latency),
+    ...two.figures,
   };
+}
+
+async function findPlaces(fleet: LocalFleet): Promise<Places> {
+  const dispatcher = await findDispatcher(fleet, requestClass);
+  const entry = fleet.daemons.find((daemon) => daemon !== dispatcher) ?? dispatcher;
+  const direct = fleet.backends('echo').servers.map((server) => server.address);
+  return { direct, dispatcher, entry };
+}
+
+async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
+  const places = await findPlaces(fleet);
   const { seed, print } = context;
   const durationMilliseconds = (context.durationMilliseconds * PHASE_SHARE) / PHASES;
   const low = { seed, durationMilliseconds, requestsPerSecond: LOW_RATE };
-  const lowFigures = await compare(paths, 'At200RequestsPerSecond', low);
-  const held = await findHeldRate(paths.oneDaemon, seed);
-  print(`one daemon holds ${held} requests/s`);
-  const high = { seed, durationMilliseconds, requestsPerSecond: Math.max(1, held) };
-  const highFigures = await compare(paths, 'AtHeldRate', high);
-  return { ...lowFigures, oneDaemonHeldRequestsPerSecond: held, ...highFigures };
+  const high = { seed, durationMilliseconds, requestsPerSecond: HIGH_RATE };
+  const lowFigures = await compareAt(places, `at${LOW_RATE}PerSecond`, low, true);
+  const highFigures = await compareAt(places, `at${HIGH_RATE}PerSecond`, high, false);
+  const heldRequestsPerSecond = await findHeldRate(places.dispatcher.callerAddress, seed);
+  const heldTwoHopsRequestsPerSecond = await findHeldRate(places.entry.callerAddress, seed);
+  print(`one daemon holds ${heldRequestsPerSecond} requests/s`);
+  print(`two daemons in a row hold ${heldTwoHopsRequestsPerSecond} requests/s`);
+  // The decisions of the last requests still name the dispatcher that was found first.
+  const last = await findPlaces(fleet);
+  const dispatcherChanges = last.dispatcher === places.dispatcher ? 0 : 1;
+  return {
+    ...lowFigures,
+    ...highFigures,
+    heldRequestsPerSecond,
+    heldTwoHopsRequestsPerSecond,
+    dispatcherChanges,
+  };
+}
+
+async function measureVariant(
+  decisionShare: number,
+  context: MeasurementContext,
+): Promise<Figures> {
+  const settings = { log: { format: 'json' as const, decisionShare } };
+  const fleet = await LocalFleet.start({ topology, seed: context.seed, settings });
+  try {
+    context.print(`share of decision lines: ${decisionShare}`);
+    const figures = await measureFleet(fleet, context);
+    const named = Object.entries(figures).map(([name, value]) => [
+      `decisionShare${decisionShare}${name[0]?.toUpperCase()}${name.slice(1)}`,
+      value,
+    ]);
+    return decisionShare === 0 ? figures : (Object.fromEntries(named) as Figures);
+  } finally {
+    await fleet.stop();
+  }
 }
 
 export const measurement: Measurement = {
   name: 'overhead',
-  summary: 'time that one and two daemons add to a request, against a direct connection',
+  summary: 'time and CPU that one and two daemons add to a request, against a direct connection',
   async run(context) {
-    const fleet = await LocalFleet.start({ topology, seed: context.seed });
-    try {
-      return await measureFleet(fleet, context);
-    } finally {
-      await fleet.stop();
-    }
+    return { ...(await measureVariant(0, context)), ...(await measureVariant(1, context)) };
   },
 };
