Begin the routing measurements when all daemons know each other

Cause: for about 1.5 s after the start of 12 daemons the members are not known everywhere, five daemons dispatched the cell, and their backlog at the backend servers lasted through the phase.

Change: the fleets of routing measurements wait until every daemon lists all members as ready.

--- a/packages/testing/measure/src/routing/cell-fleet.ts
+++ b/packages/testing/measure/src/routing/cell-fleet.ts
@@ -2,9 +2,11 @@
  * The fleets of the routing measurements: one service in three zones with 12 daemons, of the product
  * or of daemons that decide alone.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import * as hashing from '@dogwoodstall/hashing';
 import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
 import * as undici from 'undici';
 import { type EndpointCounts, type PolicyName, policyNames } from '../baseline/policy.js';
 import { ControlClient } from '../fleet/control-client.js';
@@ -16,6 +18,8 @@
 const ZONES = ['recife-a', 'fortaleza-b', 'salvador-c'];
 const DAEMONS_PER_ZONE = 4;
 const CONNECTION_LIMIT = 330;
+const SETTLE_LIMIT_MILLISECONDS = 10_000;
+const SETTLE_POLL_MILLISECONDS = 100;
 
 const baselineProgram = fileURLToPath(new URL('../baseline/program.js', import.meta.url));
 
@@ -75,6 +79,7 @@
 export interface DaemonStatus {
   readonly cells: readonly { readonly endpoints: readonly EndpointStatus[] }[];
   readonly violations: Readonly<Record<string, number>>;
+  readonly members: readonly { readonly state: string; readonly condition: string }[];
 }
 
 /** Reads a daemon's own status. */
@@ -123,6 +128,27 @@
   await fleet.stop();
 }
 
+// Daemons that do not know all members yet dispatch a cell at several places; a measurement of the
+// running service begins after that.
+async function waitUntilSettled(fleet: LocalFleet): Promise<void> {
+  const giveUpAt = performance.now() + SETTLE_LIMIT_MILLISECONDS;
+  for (const daemon of fleet.daemons) {
+    for (;;) {
+      const { members } = await readDaemonStatus(daemon);
+      const ready = members.filter(
+        ({ state, condition }) => state === 'alive' && condition === 'ready',
+      );
+      if (ready.length === fleet.daemons.length) {
+        break;
+      }
+      if (performance.now() > giveUpAt) {
+        throw new results.FailureError('ProcessStartFailed', `${daemon.name} lacks members`);
+      }
+      await sleep(SETTLE_POLL_MILLISECONDS);
+    }
+  }
+}
+
 async function withFleet(
   topology: Topology,
   seed: number,
@@ -132,6 +158,9 @@
   const options = daemonCommand === undefined ? {} : { daemonCommand };
   const fleet = await LocalFleet.start({ topology, seed, ...options });
   try {
+    if (daemonCommand === undefined) {
+      await waitUntilSettled(fleet);
+    }
     await use(fleet);
   } finally {
     await endFleet(fleet);
