--- a/packages/testing/measure/src/baseline/program.ts
+++ b/packages/testing/measure/src/baseline/program.ts
@@ -1,7 +1,7 @@
 /**
  * A daemon that decides alone: the product's own entry and backend client without membership, peers,
  * queue and dispatcher. It is started like the product, `daemon --settings FILE`. Its administration
- * port takes the control calls `POST /policy` and `GET /ejections`.
+ * port takes the control calls `POST /policy`, `POST /change` and `GET /ejections`.
  */
 import { randomBytes } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -54,10 +54,11 @@
 
   constructor(
     private readonly options: settings.Settings,
-    private readonly configuration: model.Configuration,
+    private configuration: model.Configuration,
   ) {
     this.control = new standIns.ControlServer({
       'POST /policy': (body) => this.setPolicy(body),
+      'POST /change': (body) => this.applyChange(body),
       'GET /ejections': () => this.describe(),
     });
     this.entry = this.createEntry();
@@ -86,6 +87,10 @@
     this.choosers.clear();
   }
 
+  private applyChange(body: unknown): void {
+    this.configuration = this.configuration.apply(model.changeSchema.parse(body));
+  }
+
   private describe(): EndpointCounts[] {
     return [...this.choosers.values()].flatMap((chooser) => chooser.describe());
   }
--- a/packages/testing/measure/src/measurements/head-of-line.ts
+++ b/packages/testing/measure/src/measurements/head-of-line.ts
@@ -146,7 +146,7 @@
   const figures: Record<string, number> = { offeredRequestsPerSecond: Math.round(findRate()) };
   const phase = durationMilliseconds / subjects.length - WARM_UP_MILLISECONDS;
   let startDelay = 0;
-  await compareSubjects(topology, seed, async (fleet, subject) => {
+  await compareSubjects({ topology, seed }, async (fleet, subject) => {
     const waits = await measureWaits(fleet, seed, phase);
     Object.assign(figures, describeWaits(subject, waits));
     startDelay = Math.max(startDelay, waits.largestStartDelay);
--- a/packages/testing/measure/src/routing/cell-fleet.ts
+++ b/packages/testing/measure/src/routing/cell-fleet.ts
@@ -7,12 +7,13 @@
 import * as hashing from '@dogwoodstall/hashing';
 import * as model from '@dogwoodstall/model';
 import * as results from '@dogwoodstall/results';
-import * as undici from 'undici';
 import { type EndpointCounts, type PolicyName, policyNames } from '../baseline/policy.js';
 import { ControlClient } from '../fleet/control-client.js';
 import type { DaemonProcess } from '../fleet/daemon-process.js';
-import { LocalFleet, OPERATOR_TOKEN } from '../fleet/local-fleet.js';
+import { LocalFleet } from '../fleet/local-fleet.js';
 import type { ContractDescription, RouteDescription, Topology } from '../fleet/topology.js';
+import { readDaemonStatus } from './daemon-status.js';
+import { addOrganisationsAlone, addOrganisationsInFleet } from './organisations.js';
 
 const REGION = 'nordeste';
 const ZONES = ['recife-a', 'fortaleza-b', 'salvador-c'];
@@ -69,27 +70,6 @@
   };
 }
 
-/** Health of one endpoint, as the dispatcher of its cell reports it. */
-export interface EndpointStatus {
-  readonly name: string;
-  readonly health?: { readonly condition: string; readonly ejections: number };
-}
-
-/** The part of a daemon's own status that measurements use. */
-export interface DaemonStatus {
-  readonly cells: readonly { readonly endpoints: readonly EndpointStatus[] }[];
-  readonly violations: Readonly<Record<string, number>>;
-  readonly members: readonly { readonly state: string; readonly condition: string }[];
-}
-
-/** Reads a daemon's own status. */
-export async function readDaemonStatus(daemon: DaemonProcess): Promise<DaemonStatus> {
-  const answer = await undici.request(`http://${daemon.administrationAddress}/v1/daemon`, {
-    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
-  });
-  return (await answer.body.json()) as DaemonStatus;
-}
-
 /** Returns the daemon that dispatches the cell of the service. */
 export function findDispatcher(fleet: LocalFleet): DaemonProcess {
   const cell = model.formatCellName(SERVICE, REGION, 0);
@@ -167,14 +147,29 @@
   }
 }
 
+/** What is compared. */
+export interface Comparison {
+  readonly topology: Topology;
+  readonly seed: number;
+  /** Organisations besides the owner of the service. */
+  readonly organisations?: readonly string[];
+}
+
 /** Runs a phase with the product, then one with each daemon that decides alone, on the same seed. */
 export async function compareSubjects(
-  topology: Topology,
-  seed: number,
+  { topology, seed, organisations = [] }: Comparison,
   run: (fleet: LocalFleet, subject: Subject) => Promise<void>,
 ): Promise<void> {
-  await withFleet(topology, seed, undefined, (fleet) => run(fleet, 'product'));
+  await withFleet(topology, seed, undefined, async (fleet) => {
+    if (organisations.length > 0) {
+      await addOrganisationsInFleet(fleet, organisations);
+    }
+    await run(fleet, 'product');
+  });
   await withFleet(topology, seed, [baselineProgram], async (fleet) => {
+    if (organisations.length > 0) {
+      await addOrganisationsAlone(fleet, organisations);
+    }
     for (const policy of policyNames) {
       await setPolicy(fleet, policy);
       await run(fleet, policy);
--- /dev/null
+++ b/packages/testing/measure/src/routing/organisations.ts
@@ -0,0 +1,70 @@
+/**
+ * Further organisations for the fleets of the routing measurements.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import * as model from '@dogwoodstall/model';
+import * as results from '@dogwoodstall/results';
+import * as undici from 'undici';
+import { ControlClient } from '../fleet/control-client.js';
+import { callerTokenOf, digestToken } from '../fleet/first-change.js';
+import { type LocalFleet, OPERATOR_TOKEN } from '../fleet/local-fleet.js';
+import { readDaemonStatus } from './daemon-status.js';
+
+const REVISION = 2;
+const APPLY_LIMIT_MILLISECONDS = 7000;
+const POLL_MILLISECONDS = 50;
+
+function createDraft(organisations: readonly string[]): model.ChangeDraftInput {
+  return {
+    id: 'further-organisations',
+    baseRevision: REVISION - 1,
+    author: 'measurement',
+    reason: 'organisations of a measurement',
+    operations: organisations.map((name) => ({
+      action: 'put',
+      kind: 'organisation',
+      entity: { name, callerTokenDigests: [digestToken(callerTokenOf(name))] },
+    })),
+  };
+}
+
+/** Commits a change with organisations and waits until every daemon has it in force. */
+export async function addOrganisationsInFleet(
+  fleet: LocalFleet,
+  organisations: readonly string[],
+): Promise<void> {
+  const address = fleet.daemons[0]?.administrationAddress ?? '';
+  const answer = await undici.request(`http://${address}/v1/changes`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}`, 'content-type': 'application/json' },
+    body: JSON.stringify(createDraft(organisations)),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode >= 300) {
+    throw new results.FailureError('InternalError', `change was refused: ${text}`);
+  }
+  const giveUpAt = performance.now() + APPLY_LIMIT_MILLISECONDS;
+  for (const daemon of fleet.daemons) {
+    while (((await readDaemonStatus(daemon)).revision ?? 0) < REVISION) {
+      if (performance.now() > giveUpAt) {
+        throw new results.FailureError('InternalError', `${daemon.name} lacks the change`);
+      }
+      await sleep(POLL_MILLISECONDS);
+    }
+  }
+}
+
+/** Gives organisations to each daemon that decides alone. */
+export async function addOrganisationsAlone(
+  fleet: LocalFleet,
+  organisations: readonly string[],
+): Promise<void> {
+  const change = model.changeSchema.parse({
+    ...createDraft(organisations),
+    revision: REVISION,
+    acceptedAtEpochMilliseconds: Date.now(),
+  });
+  for (const daemon of fleet.daemons) {
+    await new ControlClient(daemon.administrationAddress).post('/change', change);
+  }
+}
