Measure detection and false ejections against passive ejection

Cause: the measurement of detection was missing; a report that arrived after a later answer counted the dispatcher's own request as that of another dispatcher and took a slot for up to 500 ms.

Change: the measurement detection; foreign load is compared with the requests that were in flight shortly before.

--- a/packages/routing/dispatch/src/endpoint-slots.ts
+++ b/packages/routing/dispatch/src/endpoint-slots.ts
@@ -8,6 +8,12 @@
 /** A report says nothing about the load of others after this time. */
 const REPORT_VALID_MILLISECONDS = 500;
 
+/**
+ * Answers that leave the endpoint one after the other may arrive in any order within this time: a
+ * report still counts requests whose own answers arrived before it.
+ */
+const REORDERING_MILLISECONDS = 50;
+
 /** Shortest time between two reductions of the limit: one reduction must take effect first. */
 const REDUCTION_PAUSE_MILLISECONDS = 200;
 
@@ -47,6 +53,10 @@
 
   private reportedAt = -Infinity;
 
+  private recentInFlight = 0;
+
+  private recentInFlightAt = -Infinity;
+
   private reducedAt = -Infinity;
 
   private overloadedAt = -Infinity;
@@ -108,6 +118,7 @@
 
   /** Gives a slot back and learns from the outcome. */
   vacate(outcome: AttemptOutcome, long: boolean, now: number): void {
+    this.noteRecent(now);
     if (outcome.reportedLoad !== undefined) {
       this.learnReport(outcome.reportedLoad, now);
     }
@@ -130,10 +141,18 @@
     }
   }
 
+  private noteRecent(now: number): void {
+    const expired = now - this.recentInFlightAt > REORDERING_MILLISECONDS;
+    if (expired || this.inFlight >= this.recentInFlight) {
+      this.recentInFlight = this.inFlight;
+      this.recentInFlightAt = now;
+    }
+  }
+
   // The report was made while this dispatcher's requests were counted in it.
   private learnReport(load: ReportedLoad, now: number): void {
     const total = load.inFlight + load.queued;
-    this.foreignLoad = Math.max(0, total - this.inFlight);
+    this.foreignLoad = Math.max(0, total - this.recentInFlight);
     this.reportedAt = now;
     if (load.queued > 0 && total <= this.inFlight) {
       this.reduce(now);
--- /dev/null
+++ b/packages/testing/measure/src/measurements/detection.ts
@@ -0,0 +1,221 @@
+/**
+ * Time from a gray failure of one of 25 endpoints until it receives no new work, at 70% load through
+ * 12 daemons; false ejections in a surge, a store outage, a cold start and false load reports; and
+ * the requests that were lost.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import * as load from '@dogwoodstall/load';
+import { callerTokenOf } from '../fleet/first-change.js';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import { type Figures, type Measurement, type MeasurementContext } from '../measurement.js';
+import {
+  callerAddresses,
+  compareSubjects,
+  countViolations,
+  createCellTopology,
+  HOST,
+  OWNER,
+  SERVICE,
+  type Subject,
+} from '../routing/cell-fleet.js';
+import { detectAlone } from '../routing/detection-alone.js';
+import { detectInFleet, readEjectionCounts } from '../routing/detection-product.js';
+import { faultKinds } from '../routing/endpoint-faults.js';
+import { percentile } from '../routing/sample.js';
+
+const ENDPOINTS = 25;
+const SLOTS = 2;
+const LOAD = 0.7;
+const SEARCH_SHARE = 0.2;
+const PRICES_MILLISECONDS = 50;
+const SEARCH_MILLISECONDS = 100;
+const MEAN_MILLISECONDS =
+  (1 - SEARCH_SHARE) * PRICES_MILLISECONDS + SEARCH_SHARE * SEARCH_MILLISECONDS;
+const RATE_PER_SECOND = (ENDPOINTS * SLOTS * LOAD * 1000) / MEAN_MILLISECONDS;
+const SURGE_FACTOR = 3;
+const DEADLINE_MILLISECONDS = 2000;
+
+const WARM_UP_MILLISECONDS = 3000;
+const LOAD_MILLISECONDS = 600_000;
+const ALONE_WINDOW_MILLISECONDS = 5000;
+const CALM_PHASE_MILLISECONDS = 5000;
+const CRASH_REFUSAL_MILLISECONDS = 300;
+
+/** Share of the duration for the faults of the product. */
+const PRODUCT_SHARE = 0.4;
+
+const topology = createCellTopology({
+  endpoints: ENDPOINTS,
+  slots: SLOTS,
+  variation: 0.5,
+  coldStartFactor: 3,
+  coldStartMilliseconds: 3000,
+  contract: { deadlineMilliseconds: DEADLINE_MILLISECONDS },
+  routes: [
+    { name: 'prices', pathPrefix: '/prices', methods: ['GET'], idempotent: true },
+    { name: 'search', pathPrefix: '/search', methods: ['GET'], idempotent: true },
+  ],
+  proxied: ['backend'],
+});
+
+function createClass(path: string, work: number, weight: number): load.RequestClass {
+  return {
+    name: path,
+    weight,
+    method: 'GET',
+    path: `${path}?work=${work}`,
+    host: HOST,
+    organisationToken: callerTokenOf(OWNER),
+    idempotent: true,
+    deadlineMilliseconds: DEADLINE_MILLISECONDS,
+  };
+}
+
+const classes = [
+  createClass('/prices', PRICES_MILLISECONDS, 1 - SEARCH_SHARE),
+  createClass('/search', SEARCH_MILLISECONDS, SEARCH_SHARE),
+];
+
+/** Load in the background of the faults. */
+class Background {
+  private readonly stop = new AbortController();
+
+  private readonly running: Promise<load.LoadResult>;
+
+  private lostCount = 0;
+
+  private requestCount = 0;
+
+  constructor(fleet: LocalFleet, seed: number, requestsPerSecond: number) {
+    this.running = load.runLoad({
+      targets: callerAddresses(fleet),
+      classes,
+      arrivals: 'poisson',
+      profile: load.createFlatProfile(requestsPerSecond),
+      durationMilliseconds: LOAD_MILLISECONDS,
+      seed,
+      signal: this.stop.signal,
+      onOutcome: ({ kind }) => {
+        this.requestCount += 1;
+        this.lostCount += kind === 'ok' ? 0 : 1;
+      },
+    });
+  }
+
+  /** Requests that ended and those of them that got no complete answer in time. */
+  get counts(): { requests: number; lost: number } {
+    return { requests: this.requestCount, lost: this.lostCount };
+  }
+
+  async end(): Promise<load.LoadResult> {
+    this.stop.abort();
+    return this.running;
+  }
+}
+
+/** Conditions that are no fault of an endpoint; returns the endpoint that really crashed. */
+async function disturb(fleet: LocalFleet, seed: number): Promise<string> {
+  const backends = fleet.backends(SERVICE).control;
+  const crashed = `${SERVICE}-${ENDPOINTS}`;
+  await fleet.store.control.post('/faults', { outage: 'reset' });
+  const idle = [`${SERVICE}-1`, `${SERVICE}-2`];
+  const loaded = [`${SERVICE}-3`, `${SERVICE}-4`];
+  const none = { inFlight: 0, queued: 0 };
+  const many = { inFlight: SLOTS, queued: 50 };
+  await backends.post('/faults', { servers: idle, faults: { falseReport: none } });
+  await backends.post('/faults', { servers: loaded, faults: { falseReport: many } });
+  const refusalMilliseconds = CRASH_REFUSAL_MILLISECONDS;
+  await backends.post('/crash', { servers: [crashed], refusalMilliseconds });
+  const surge = new Background(fleet, seed + 1, RATE_PER_SECOND * SURGE_FACTOR);
+  await sleep(CALM_PHASE_MILLISECONDS / 2);
+  await surge.end();
+  await sleep(CALM_PHASE_MILLISECONDS / 2);
+  await fleet.store.control.post('/faults', { outage: 'none' });
+  await backends.post('/faults/clear', {});
+  return crashed;
+}
+
+function describeProduct(times: ReadonlyMap<string, number[]>): Record<string, number> {
+  const figures: Record<string, number> = {};
+  for (const [kind, values] of times) {
+    figures[`product${kind}DetectionMedianMilliseconds`] = percentile(values, 0.5);
+    figures[`product${kind}DetectionWorstMilliseconds`] = percentile(values, 1);
+    figures[`product${kind}Repetitions`] = values.length;
+  }
+  const all = [...times.values()].flat();
+  figures.productDetectionMedianMilliseconds = percentile(all, 0.5);
+  figures.productDetectionP99Milliseconds = percentile(all, 0.99);
+  return figures;
+}
+
+async function measureProduct(
+  fleet: LocalFleet,
+  context: MeasurementContext,
+): Promise<Record<string, number>> {
+  const { seed, durationMilliseconds } = context;
+  const background = new Background(fleet, seed, RATE_PER_SECOND);
+  await sleep(WARM_UP_MILLISECONDS);
+  const before = background.counts;
+  const faultsAt = performance.now();
+  const found = await detectInFleet(fleet, ENDPOINTS, durationMilliseconds * PRODUCT_SHARE);
+  const after = background.counts;
+  const crashed = await disturb(fleet, seed);
+  const hours = ((performance.now() - faultsAt) * (ENDPOINTS - 1)) / 3_600_000;
+  const ejections = await readEjectionCounts(fleet);
+  const { largestStartDelayMilliseconds } = await background.end();
+  let falseEjections = 0;
+  for (const [server, count] of ejections) {
+    falseEjections += found.faulty.has(server) || server === crashed ? 0 : count;
+  }
+  const faults = [...found.times.values()].flat().length;
+  return {
+    ...describeProduct(found.times),
+    productArrivalsAfterEjection: found.arrivalsAfterEjection,
+    productLostRequestsPerFault: (after.lost - before.lost) / faults,
+    productFalseEjections: falseEjections,
+    productObservedEndpointHours: hours,
+    productInvariantViolations: await countViolations(fleet),
+    productLargestStartDelayMilliseconds: Math.round(largestStartDelayMilliseconds),
+  };
+}
+
+async function measureAlone(
+  fleet: LocalFleet,
+  subject: Subject,
+  seed: number,
+): Promise<Record<string, number>> {
+  const background = new Background(fleet, seed, RATE_PER_SECOND);
+  await sleep(WARM_UP_MILLISECONDS / 3);
+  const before = background.counts;
+  const detections = await detectAlone(fleet, ALONE_WINDOW_MILLISECONDS);
+  const after = background.counts;
+  await background.end();
+  const figures: Record<string, number> = {};
+  for (const [kind, milliseconds] of detections) {
+    figures[`${subject}${kind}DetectionMilliseconds`] = milliseconds ?? ALONE_WINDOW_MILLISECONDS;
+  }
+  const detected = [...detections.values()].filter((value) => value !== undefined);
+  figures[`${subject}DetectedKinds`] = detected.length;
+  figures[`${subject}LostRequestsPerFault`] = (after.lost - before.lost) / faultKinds.length;
+  return figures;
+}
+
+async function run(context: MeasurementContext): Promise<Figures> {
+  const { seed, print } = context;
+  const figures: Record<string, number> = {};
+  await compareSubjects({ topology, seed }, async (fleet, subject) => {
+    const measured =
+      subject === 'product'
+        ? await measureProduct(fleet, context)
+        : await measureAlone(fleet, subject, seed);
+    Object.assign(figures, measured);
+    print(JSON.stringify(measured));
+  });
+  return figures;
+}
+
+export const measurement: Measurement = {
+  name: 'detection',
+  summary: 'time to detect gray failures and false ejections, against passive ejection',
+  run,
+};
--- a/packages/testing/measure/src/routing/cell-fleet.ts
+++ b/packages/testing/measure/src/routing/cell-fleet.ts
@@ -45,12 +45,15 @@
   readonly contract?: ContractDescription;
   readonly routes: readonly Omit<RouteDescription, 'host'>[];
   readonly variation?: number;
+  readonly coldStartFactor?: number;
+  readonly coldStartMilliseconds?: number;
   readonly proxied?: Topology['proxied'];
 }
 
 /** Returns the topology of a measurement of routing. */
 export function createCellTopology(options: CellOptions): Topology {
-  const { endpoints, slots, contract, routes, variation, proxied } = options;
+  const { endpoints, slots, contract, routes, proxied } = options;
+  const { variation, coldStartFactor, coldStartMilliseconds } = options;
   return {
     zones: ZONES.map((name) => ({ name, region: REGION })),
     daemonsPerZone: DAEMONS_PER_ZONE,
@@ -64,6 +67,8 @@
         slots,
         connectionLimit: CONNECTION_LIMIT,
         variation: variation ?? 0,
+        coldStartFactor: coldStartFactor ?? 1,
+        coldStartMilliseconds: coldStartMilliseconds ?? 0,
       },
     ],
     ...(proxied === undefined ? {} : { proxied }),
--- /dev/null
+++ b/packages/testing/measure/src/routing/detection-product.ts
@@ -0,0 +1,76 @@
+/**
+ * Detection by the product: one fault after the other, each at another endpoint, until the dispatcher
+ * of the cell reports the ejection.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import { findDispatcher, SERVICE } from './cell-fleet.js';
+import { readDaemonStatus } from './daemon-status.js';
+import { beginFault, endFault, faultKinds, readArrivals } from './endpoint-faults.js';
+
+const POLL_MILLISECONDS = 10;
+const LIMIT_MILLISECONDS = 5000;
+const PAUSE_MILLISECONDS = 400;
+
+/** A number without a common divisor with the endpoints, so that neighbours are not hit in turn. */
+const STRIDE = 7;
+
+/** What a series of faults showed. */
+export interface ProductDetections {
+  /** Detection times by kind of fault; the limit stands for none. */
+  readonly times: ReadonlyMap<string, number[]>;
+  readonly faulty: ReadonlySet<string>;
+  /** Requests that arrived at an endpoint after its ejection was reported. */
+  readonly arrivalsAfterEjection: number;
+}
+
+/** Returns the ejections that the dispatcher counts, by endpoint. */
+export async function readEjectionCounts(fleet: LocalFleet): Promise<Map<string, number>> {
+  const { cells } = await readDaemonStatus(findDispatcher(fleet));
+  const endpoints = cells.flatMap((cell) => cell.endpoints);
+  return new Map(endpoints.map(({ name, health }) => [name, health?.ejections ?? 0]));
+}
+
+async function isEjected(fleet: LocalFleet, server: string): Promise<boolean> {
+  const { cells } = await readDaemonStatus(findDispatcher(fleet));
+  const endpoints = cells.flatMap((cell) => cell.endpoints);
+  return endpoints.some(({ name, health }) => name === server && health?.condition === 'ejected');
+}
+
+async function detect(fleet: LocalFleet, kind: string, server: string): Promise<number> {
+  await beginFault(fleet, kind, server);
+  const startedAt = performance.now();
+  while (performance.now() - startedAt < LIMIT_MILLISECONDS) {
+    if (await isEjected(fleet, server)) {
+      break;
+    }
+    await sleep(POLL_MILLISECONDS);
+  }
+  return performance.now() - startedAt;
+}
+
+/** Repeats all kinds of faults for a time, each kind at least once. */
+export async function detectInFleet(
+  fleet: LocalFleet,
+  endpoints: number,
+  durationMilliseconds: number,
+): Promise<ProductDetections> {
+  const times = new Map<string, number[]>(faultKinds.map((kind) => [kind, []]));
+  const faulty = new Set<string>();
+  const startedAt = performance.now();
+  let arrivalsAfterEjection = 0;
+  for (let index = 0; ; index += 1) {
+    const late = performance.now() - startedAt > durationMilliseconds;
+    if (late && index >= faultKinds.length) {
+      return { times, faulty, arrivalsAfterEjection };
+    }
+    const kind = faultKinds[index % faultKinds.length] ?? '';
+    const server = `${SERVICE}-${((index * STRIDE) % endpoints) + 1}`;
+    faulty.add(server);
+    times.get(kind)?.push(await detect(fleet, kind, server));
+    const before = (await readArrivals(fleet)).get(server) ?? 0;
+    await sleep(PAUSE_MILLISECONDS);
+    arrivalsAfterEjection += ((await readArrivals(fleet)).get(server) ?? 0) - before;
+    await endFault(fleet, server);
+  }
+}
--- /dev/null
+++ b/packages/testing/measure/src/routing/endpoint-faults.ts
@@ -0,0 +1,47 @@
+/**
+ * Gray failures of one endpoint for measurements of detection.
+ */
+import type * as standIns from '@dogwoodstall/stand-ins';
+import type { LocalFleet } from '../fleet/local-fleet.js';
+import { SERVICE } from './cell-fleet.js';
+
+const FLAP_MILLISECONDS = 3000;
+
+/** Faults of the backend server itself, by the name that figures use. */
+const serverFaults: Readonly<Record<string, Partial<standIns.BackendFaults>>> = {
+  FailsHalf: { failShare: 0.5 },
+  FailsOneRoute: { failPathPrefix: '/search' },
+  TenTimesSlower: { slowFactor: 10 },
+  Stalls: { stalled: true },
+  Flaps: { failShare: 1, flapPeriodMilliseconds: FLAP_MILLISECONDS },
+};
+
+/** The answers of the endpoint get lost on their way; requests still arrive. */
+const PARTITION = 'OneWayPartition';
+
+/** Names of all kinds of faults. */
+export const faultKinds = [...Object.keys(serverFaults), PARTITION];
+
+/** Begins a fault at an endpoint. */
+export async function beginFault(fleet: LocalFleet, kind: string, server: string): Promise<void> {
+  const faults = serverFaults[kind];
+  if (faults === undefined) {
+    await fleet.setLinkFaults([`backend:${server}`], { dropBackward: true });
+  } else {
+    await fleet.backends(SERVICE).control.post('/faults', { servers: [server], faults });
+  }
+}
+
+/** Ends every fault at an endpoint. */
+export async function endFault(fleet: LocalFleet, server: string): Promise<void> {
+  await fleet.setLinkFaults([`backend:${server}`], { dropBackward: false });
+  await fleet.backends(SERVICE).control.post('/faults/clear', { servers: [server] });
+}
+
+/** Reads the requests that arrived at each endpoint since its start. */
+export async function readArrivals(fleet: LocalFleet): Promise<ReadonlyMap<string, number>> {
+  const counters = await fleet
+    .backends(SERVICE)
+    .control.get<Record<string, standIns.BackendCounters>>('/counters');
+  return new Map(Object.entries(counters).map(([name, { requests }]) => [name, requests]));
+}
