--- a/packages/testing/measure/src/proof/ledger.ts
+++ b/packages/testing/measure/src/proof/ledger.ts
@@ -23,6 +23,13 @@
 export class Ledger {
   readonly entries: LedgerEntry[] = [];
 
+  /** The last result of each request. */
+  readonly outcomes: load.RequestOutcome[] = [];
+
+  readonly recordOutcome = (outcome: load.RequestOutcome): void => {
+    this.outcomes.push(outcome);
+  };
+
   /** Takes an exchange of a load that has just ended. */
   readonly record = (attempt: load.AttemptObservation): void => {
     const endedAt = performance.now();
--- a/packages/testing/measure/src/proof/randomised-run.ts
+++ b/packages/testing/measure/src/proof/randomised-run.ts
@@ -227,6 +227,6 @@
     earlyLines.forEach(([daemon, line]) => checkLogLine(run.book, daemon, line));
     return await run.run();
   } finally {
-    await fleet.stop();
+    await fleet.kill();
   }
 }
