--- a/packages/daemon/daemon/src/request-plane.ts
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -24,6 +24,10 @@
   readonly fleetKeys: readonly Uint8Array[];
   readonly callerTls: proxy.TlsMaterial | undefined;
   readonly isReady: () => boolean;
+  /** Called when a request was suspected of the loss of a backend server. */
+  readonly onCrashSuspicion: () => void;
+  /** Resolves with the name of the daemon that took over this daemon's records, if one did. */
+  readonly findSuccessor: () => Promise<string | undefined>;
   /** Receives each record that ends after the home was sealed. */
   readonly onCompletedAfterSeal: (message: idempotency.CompleteRecord) => void;
 }
@@ -58,7 +62,11 @@
       onCompletedAfterSeal: options.onCompletedAfterSeal,
     });
     this.keyIssuer = new idempotency.KeyIssuer({ fleetKeys: options.fleetKeys });
-    this.guard = new crashGuard.CrashGuard({ now: () => performance.now(), origin: incarnation });
+    this.guard = new crashGuard.CrashGuard({
+      now: () => performance.now(),
+      origin: incarnation,
+      onSuspicion: options.onCrashSuspicion,
+    });
     this.view = new FleetView({
       members: control.members,
       links: control.links,
@@ -162,6 +170,10 @@
       isReachable: (peer) => this.view.isReachable(peer),
       reportUnreachable,
       locateKeyHome: (home, incarnation) => this.view.locateKeyHome(home, incarnation),
+      findSuccessor: async () => {
+        const member = control.members.find((await this.options.findSuccessor()) ?? '');
+        return member && this.view.targetOf(member);
+      },
       keyIssuer: this.keyIssuer,
       keyHome: this.keyHome,
       retryBudget,
@@ -170,7 +182,6 @@
         acquire: (cell, request) => this.registry.open(cell).acquire(request),
         backend: this.backend,
         retryBudget,
-        crashGuard: { isRefused: () => false, started: () => {}, ended: () => {} },
       }),
     });
   }
--- a/packages/routing/proxy/src/peer-forwarder.ts
+++ b/packages/routing/proxy/src/peer-forwarder.ts
@@ -97,35 +97,20 @@
       const failure = new FailureError('ForwardLoop');
       return { failure, statedByPeer: false, notRun: true, answer: undefined };
     }
-    const { permit, peer } = options;
+    const { permit } = options;
     const recorder = permit && new AnswerRecorder(exchange.contract.recordedAnswerBytes);
-    const link = new AbortController();
-    const follow = (): void => link.abort(exchange.signal.reason);
-    exchange.signal.addEventListener('abort', follow, { once: true });
-    const unwatch = this.monitor.watch(peer, () => {
-      // A non-idempotent request may run at the silent daemon, so it stays where it is.
-      if (exchange.facts.route.idempotent && !exchange.response.headersSent) {
-        link.abort(new FailureError('DispatcherLost', 'the link to the dispatcher is silent'));
-      }
-    });
-    try {
-      const end = await this.send(exchange, options, link.signal, recorder);
-      const described = describeEnd(end);
-      if (described.notRun) {
-        permit?.proveNotRun();
-      }
-      const answer = described.failure === undefined ? recorder?.finish() : undefined;
-      return { ...described, answer };
-    } finally {
-      unwatch();
-      exchange.signal.removeEventListener('abort', follow);
+    const end = await this.send(exchange, options, recorder);
+    const described = describeEnd(end);
+    if (described.notRun) {
+      permit?.proveNotRun();
     }
+    const answer = described.failure === undefined ? recorder?.finish() : undefined;
+    return { ...described, answer };
   }
 
   private send(
     exchange: Exchange,
     { peer, kind, cell, permit }: ForwardOptions,
-    signal: AbortSignal,
     recorder: AnswerRecorder | undefined,
   ): Promise<TransferEnd> {
     return transfer({
@@ -136,7 +121,14 @@
       headers: formatForwardHeaders(exchange, kind, cell),
       body: exchange.body,
       response: exchange.response,
-      signal,
+      signal: exchange.signal,
+      watch: (abandon) =>
+        this.monitor.watch(peer, () => {
+          // A non-idempotent request may run at the silent daemon, so it stays where it is.
+          if (exchange.facts.route.idempotent && !exchange.response.headersSent) {
+            abandon(new FailureError('DispatcherLost', 'the link to the dispatcher is silent'));
+          }
+        }),
       begin: () => {
         permit?.begin();
         exchange.markSending();
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -27,7 +27,6 @@
   readonly port: number;
   readonly outcomes: AttemptOutcome[];
   readonly decisions: proxy.Decision[];
-  readonly crashes: string[];
 }
 
 /** A dispatch target; its cell is `CELL` unless a test names another one. */
@@ -41,11 +40,15 @@
   plan: (asking: string) => TestTarget[];
   locate: (asking: string, home: string) => proxy.KeyLocation;
   homeName: string;
-  refusedFingerprints: Set<string>;
+  successor: proxy.PeerTarget | undefined;
   contract: Partial<model.Contract>;
   limits: Partial<proxy.CallerLimits>;
   balancerMilliseconds: number;
   bodyLimit: number;
+  /** Resolves when slots are granted. */
+  admitted: Promise<void>;
+  /** Requests that asked for a slot. */
+  asked: number;
   tls?: proxy.TlsMaterial;
 }
 
@@ -56,11 +59,13 @@
     plan: () => [{ kind: 'local' }],
     locate: (asking, home) => (asking === home ? { kind: 'local' } : { kind: 'lost' }),
     homeName: 'daemon-a',
-    refusedFingerprints: new Set(),
+    successor: undefined,
     contract: {},
     limits: {},
     balancerMilliseconds: 20,
     bodyLimit: 100_000_000,
+    admitted: Promise.resolve(),
+    asked: 0,
     ...changes,
   };
 }
@@ -89,6 +94,8 @@
   outcomes: AttemptOutcome[],
 ): (cell: string, request: DispatchRequest) => Promise<SlotGrant> {
   return async (_cell, request) => {
+    Object.assign(fleet, { asked: fleet.asked + 1 });
+    await fleet.admitted;
     const free = fleet.backends.filter((address) => !request.excludedEndpoints.has(address));
     const address = free[0] ?? fleet.backends[0] ?? '';
     let released = false;
@@ -123,7 +130,6 @@
   const configuration = createConfiguration(fleet);
   const outcomes: AttemptOutcome[] = [];
   const decisions: proxy.Decision[] = [];
-  const crashes: string[] = [];
   const backend = new proxy.BackendClient({ connectTimeoutMilliseconds: 1000 });
   const retryBudget = new proxy.RetryBudget();
   const keyIssuer = new idempotency.KeyIssuer({ fleetKeys: [FLEET_KEY] });
@@ -136,17 +142,13 @@
     acquire: createAcquire(fleet, outcomes),
     backend,
     retryBudget,
-    crashGuard: {
-      isRefused: (fingerprint) => fleet.refusedFingerprints.has(fingerprint),
-      started: (fingerprint) => crashes.push(fingerprint),
-      ended: () => {},
-    },
   });
   const path = new proxy.RequestPath({
     daemonName: name,
     planDispatch: () => fleet.plan(name).map((target) => ({ cell: CELL, ...target })),
     isReachable: () => true,
     locateKeyHome: (homeName) => fleet.locate(name, homeName),
+    findSuccessor: async () => fleet.successor,
     keyIssuer,
     keyHome: home,
     runner,
@@ -177,6 +179,7 @@
       headerMilliseconds: 10_000,
       bodyPauseMilliseconds: 10_000,
       callerConnections: 100,
+      requestsInFlight: 100,
       ...fleet.limits,
     },
   });
@@ -188,7 +191,7 @@
     await dispatcher.destroy();
   });
   const peer = { name, dispatcher, baseUrl };
-  return { name, entry, server, home, peer, peerServer, port, outcomes, decisions, crashes };
+  return { name, entry, server, home, peer, peerServer, port, outcomes, decisions };
 }
 
 /** A backend server on HTTP. */
