--- a/packages/routing/dispatch/src/cell-dispatcher.ts
+++ b/packages/routing/dispatch/src/cell-dispatcher.ts
@@ -16,12 +16,11 @@
 import type { DispatchRequest, SlotGrant } from './request.js';
 import { ServiceTimes } from './service-times.js';
 import { type CellSnapshot, describeEndpoints } from './snapshot.js';
-import type { Waiter } from './waiter.js';
+import { createWaiter, listenForAbort, type Waiter } from './waiter.js';
 import { WaitingRoom } from './waiting-room.js';
 
-/** Longest time between two evaluations of health while requests are in flight or waiting. */
+/** Longest and shortest time between two evaluations while requests are in flight or waiting. */
 const TICK_MILLISECONDS = 50;
-
 const MINIMUM_TICK_MILLISECONDS = 1;
 
 /** Parked requests that are looked at for each free slot. */
@@ -114,10 +113,7 @@
 
   /** Refuses what waits and stops the timer; the cell moved or is idle. */
   close(): void {
-    for (let waiter = this.room.findExpired(Infinity); waiter !== undefined;) {
-      this.refuseWaiter(waiter, 'NoEndpoint');
-      waiter = this.room.findExpired(Infinity);
-    }
+    this.refuseExpired(Infinity, 'NoEndpoint');
     this.cancelTick?.();
     this.cancelTick = undefined;
   }
@@ -154,19 +150,8 @@
       reject(new results.FailureError(refusal));
       return;
     }
-    const waiter: Waiter = {
-      request,
-      enteredAt: now,
-      latestStartAt: request.deadlineAt - expectation.neededMilliseconds,
-      expectedWaitMilliseconds: expectation.waitMilliseconds,
-      resolve,
-      reject,
-      heapIndex: -1,
-      previous: undefined,
-      next: undefined,
-      stopListening: () => {},
-    };
-    this.listen(waiter);
+    const waiter = createWaiter({ request, expectation, now, resolve, reject });
+    listenForAbort(waiter, () => this.refuseWaiter(waiter, 'CancelledInQueue'));
     this.room.push(waiter);
     this.pump();
   }
@@ -180,7 +165,7 @@
     if (signal.aborted) {
       return 'CancelledInQueue';
     }
-    if (fingerprint !== undefined && this.options.crashGuard?.isCrashing(fingerprint) === true) {
+    if (fingerprint && this.options.crashGuard?.isCrashing(fingerprint) === true) {
       return 'CrashingRequest';
     }
     if (!this.pool.hasCandidate(request.excludedEndpoints)) {
@@ -218,15 +203,7 @@
     return true;
   }
 
-  private listen(waiter: Waiter): void {
-    const listened = waiter;
-    const { signal } = waiter.request;
-    const cancel = (): void => this.refuseWaiter(waiter, 'CancelledInQueue');
-    signal.addEventListener('abort', cancel, { once: true });
-    listened.stopListening = () => signal.removeEventListener('abort', cancel);
-  }
-
-  /** Gives free slots to waiting requests, as long as there are both. */
+  // Gives free slots to waiting requests, as long as there are both.
   private pump(): void {
     const now = this.options.now();
     this.refuseExpired(now, 'DeadlineInQueue');
@@ -336,20 +313,14 @@
 
   // Requests whose every endpoint drains now would wait in vain.
   private refuseStranded(): void {
-    if (this.pool.hasCandidate(new Set())) {
-      return;
-    }
-    for (let waiter = this.room.findExpired(Infinity); waiter !== undefined;) {
-      this.refuseWaiter(waiter, 'NoEndpoint');
-      waiter = this.room.findExpired(Infinity);
+    if (!this.pool.hasCandidate(new Set())) {
+      this.refuseExpired(Infinity, 'NoEndpoint');
     }
   }
 
   private refuseExpired(now: number, result: RefusalResult): void {
-    let waiter = this.room.findExpired(now);
-    while (waiter !== undefined) {
+    for (const waiter of this.room.listExpired(now)) {
       this.refuseWaiter(waiter, result);
-      waiter = this.room.findExpired(now);
     }
   }
 
--- a/packages/routing/dispatch/src/endpoint-pool.ts
+++ b/packages/routing/dispatch/src/endpoint-pool.ts
@@ -77,7 +77,7 @@
   /** Returns whether any endpoint can take a request now. */
   hasRoom(now: number): boolean {
     for (const endpoint of this.ordered) {
-      if (endpoint.hasRoom(now, this.health.admissionWeight(endpoint.server.name))) {
+      if (endpoint.hasRoom(now, this.health.admissionWeight(endpoint.server.name, now))) {
         return true;
       }
     }
@@ -90,7 +90,7 @@
     let longInFlight = 0;
     let inFlight = 0;
     for (const endpoint of this.ordered) {
-      const weight = this.health.admissionWeight(endpoint.server.name);
+      const weight = this.health.admissionWeight(endpoint.server.name, now);
       slots += endpoint.draining || weight <= 0 ? 0 : endpoint.usable(now, weight);
       longInFlight += endpoint.longInFlight;
       inFlight += endpoint.inFlight;
@@ -125,7 +125,7 @@
     if (request.excludedEndpoints.has(name)) {
       return false;
     }
-    return endpoint.hasRoom(now, this.health.admissionWeight(name));
+    return endpoint.hasRoom(now, this.health.admissionWeight(name, now));
   }
 
   private score(endpoint: EndpointSlots, request: DispatchRequest, now: number): number {
--- a/packages/routing/dispatch/src/waiter.ts
+++ b/packages/routing/dispatch/src/waiter.ts
@@ -1,6 +1,7 @@
 /**
  * A request that waits in the queue of a cell.
  */
+import type { Expectation } from './admission.js';
 import type { DispatchRequest, SlotGrant } from './request.js';
 
 /** A waiting request with its place in the queue. */
@@ -20,3 +21,32 @@
   /** Stops listening to the request's signal. */
   stopListening: () => void;
 }
+
+/** What a new waiter is made of. */
+export interface WaiterOptions extends Pick<Waiter, 'request' | 'resolve' | 'reject'> {
+  readonly expectation: Expectation;
+  readonly now: number;
+}
+
+/** Creates a waiter that is in no queue yet. */
+export function createWaiter({ request, expectation, now, ...ends }: WaiterOptions): Waiter {
+  return {
+    ...ends,
+    request,
+    enteredAt: now,
+    latestStartAt: request.deadlineAt - expectation.neededMilliseconds,
+    expectedWaitMilliseconds: expectation.waitMilliseconds,
+    heapIndex: -1,
+    previous: undefined,
+    next: undefined,
+    stopListening: () => {},
+  };
+}
+
+/** Calls a function when the caller goes away, until the waiter stops to listen. */
+export function listenForAbort(waiter: Waiter, cancel: () => void): void {
+  const listened = waiter;
+  const { signal } = waiter.request;
+  signal.addEventListener('abort', cancel, { once: true });
+  listened.stopListening = () => signal.removeEventListener('abort', cancel);
+}
--- a/packages/routing/dispatch/src/waiting-room.ts
+++ b/packages/routing/dispatch/src/waiting-room.ts
@@ -83,10 +83,13 @@
     this.parked.add(waiter);
   }
 
-  /** Returns a request that can not meet its deadline any more. */
-  findExpired(now: number): Waiter | undefined {
-    const waiter = this.deadlines.peek();
-    return waiter !== undefined && waiter.latestStartAt < now ? waiter : undefined;
+  /** Yields the requests that can not meet their deadlines any more; each must be removed. */
+  *listExpired(now: number): Generator<Waiter> {
+    let waiter = this.deadlines.peek();
+    while (waiter !== undefined && waiter.latestStartAt < now) {
+      yield waiter;
+      waiter = this.deadlines.peek();
+    }
   }
 
   /** The next moment at which a request expires. */
--- a/packages/routing/health/src/cell-health.ts
+++ b/packages/routing/health/src/cell-health.ts
@@ -161,9 +161,8 @@
   }
 
   /** Returns the share of its slots that an endpoint may use: 0 ejected, up to 1. */
-  admissionWeight(endpointName: string): number {
+  admissionWeight(endpointName: string, now = this.options.now()): number {
     const record = this.records.get(endpointName);
-    const now = this.options.now();
     return record?.life.weight(now, this.contract.coldStartMilliseconds) ?? 0;
   }
 
