--- a/packages/daemon/daemon/src/daemon.ts
+++ b/packages/daemon/daemon/src/daemon.ts
@@ -9,14 +9,15 @@
 import { createAdministration } from './administration.js';
 import { ControlPlane } from './control-plane.js';
 import { CrashReports } from './crash-reports.js';
+import { DrainSigns } from './drain-signs.js';
 import { READY_CONDITION } from './fleet-view.js';
 import { readFleetKeys, readKeyPair, readPeerTls } from './key-material.js';
 import { RecordsTransfer } from './records-transfer.js';
 import { RequestPlane } from './request-plane.js';
 
 /**
- * Time for other daemons to learn that this one is leaving before it refuses their dispatch work. Twice
- * the time that an update needs through a fleet of 810.
+ * Time for other daemons to learn that this one is leaving and where its keys live now, before it refuses
+ * their dispatch work and ends. Twice the time that an update needs through a fleet of 810.
  */
 const LEAVE_SPREAD_MILLISECONDS = 3000;
 
@@ -54,6 +55,8 @@
 
   private readonly crashReports: CrashReports;
 
+  private readonly drainSigns: DrainSigns;
+
   private readonly administration: administrationApi.AdministrationApi;
 
   private readonly metrics: observability.Metrics;
@@ -91,6 +94,8 @@
       fleetKeys: material.fleetKeys,
       callerTls: material.callerTls,
       isReady: () => this.ready,
+      onCrashSuspicion: () => this.crashReports.send(),
+      findSuccessor: () => this.transfer.findSuccessor(),
       onCompletedAfterSeal: (message) => this.transfer.complete(message),
     });
     const { members, links } = this.control;
@@ -101,7 +106,19 @@
       logger: log.part('idempotency'),
     });
     this.crashReports = new CrashReports({ guard: this.requests.guard, members, links });
-    this.control.register({ ...this.transfer.handlers, ...this.crashReports.handlers });
+    this.drainSigns = new DrainSigns({
+      name: settings.name,
+      registry: this.requests.registry,
+      view: this.requests.view,
+      links,
+      findConfiguration: () => this.control.keeper.current,
+      logger: log.part('dispatch'),
+    });
+    this.control.register({
+      ...this.transfer.handlers,
+      ...this.crashReports.handlers,
+      ...this.drainSigns.handlers,
+    });
     this.administration = createAdministration({
       settings,
       log,
@@ -119,6 +136,7 @@
     await this.requests.listen();
     await this.administration.listen();
     this.crashReports.start();
+    this.drainSigns.start();
     this.becomeReady().catch((error: unknown) => {
       this.logger.error('daemon can not become ready', { reason: String(error) });
     });
@@ -209,11 +227,14 @@
     this.requests.entry.beginStop();
     members.announceCondition('stopping');
     await members.leave();
-    await delay(LEAVE_SPREAD_MILLISECONDS);
+    // Until the others know the new home, requests with keys of this one are passed on to it.
     await this.transfer.run();
+    await delay(LEAVE_SPREAD_MILLISECONDS);
     this.requests.receiver.refusing = true;
     await this.requests.entry.whenIdle();
     await this.transfer.whenSent();
+    // A request may have arrived on the peer port while the last record was sent.
+    await this.requests.entry.whenIdle();
     await this.close();
     this.logger.info('daemon has stopped');
   }
@@ -221,6 +242,7 @@
   /** Closes every port and connection at once; a planned stop uses `stop`. */
   async close(): Promise<void> {
     this.crashReports.stop();
+    this.drainSigns.stop();
     await this.requests.close();
     await this.administration.close();
     await this.control.stop();
--- a/packages/foundation/observability/src/logger.ts
+++ b/packages/foundation/observability/src/logger.ts
@@ -84,18 +84,22 @@
       warn: (message, fields) => this.logger.warn(message, { part, ...fields }),
       info: (message, fields) => this.logger.info(message, { part, ...fields }),
       debug: (message, fields) => this.logger.debug(message, { part, ...fields }),
-      decision: (message, fields) => this.writeDecision(message, { part, ...fields }),
+      decision: (message, fields) => {
+        if (this.takesDecision()) {
+          this.logger.info(message, { part, ...fields, decision: true });
+        }
+      },
     };
   }
 
   // Evenly spaced sampling keeps the share exact without random numbers on the request path.
-  private writeDecision(message: string, fields: LogFields): void {
+  private takesDecision(): boolean {
     this.decisionCredit += this.decisionShare;
     if (this.decisionCredit < 1) {
-      return;
+      return false;
     }
     this.decisionCredit -= 1;
-    this.logger.info(message, { ...fields, decision: true });
+    return true;
   }
 }
 
--- a/packages/peers/peer-link/src/messages.ts
+++ b/packages/peers/peer-link/src/messages.ts
@@ -42,13 +42,17 @@
   keyHomes: zod.array(keyHomeSchema).max(MAXIMUM_KEY_HOMES),
 });
 
-/** The name, incarnation and configuration revision of a member. */
-export const memberRevisionSchema = zod.tuple([name, count, count]);
+/** A configuration revision and the members that have it in force, each by a number of 32 bits. */
+export const revisionGroupSchema = zod.tuple([count, zod.array(count).max(MAXIMUM_REVISIONS)]);
+
+/** A doubt about a member that the receiver knows, by its number of 32 bits, with its counter. */
+export const doubtSchema = zod.tuple([count, count, zod.enum(['suspect', 'failed'])]);
 
 const gossip = {
   from: memberUpdateSchema,
   updates: zod.array(memberUpdateSchema).max(MAXIMUM_UPDATES),
-  revisions: zod.array(memberRevisionSchema).max(MAXIMUM_REVISIONS),
+  doubts: zod.array(doubtSchema).max(MAXIMUM_UPDATES),
+  revisions: zod.array(revisionGroupSchema).max(MAXIMUM_REVISIONS),
 };
 
 /** The incarnation whose idempotency records move, and how often they have moved. */
@@ -126,6 +130,16 @@
     input: zod.strictObject({ ...handover, record }),
     output: zod.strictObject({ completed: zod.boolean() }),
   },
+  /** Shares which backend servers announced that they drain, with the age of the announcement. */
+  reportDrain: {
+    input: zod.strictObject({
+      from: name,
+      drains: zod
+        .array(zod.strictObject({ server: name, ageMilliseconds: zod.number().min(0) }))
+        .max(MAXIMUM_REPORTS),
+    }),
+    output: zod.strictObject({ accepted: count }),
+  },
   /** Shares the fingerprints of requests that crashed backend servers. */
   reportCrash: {
     input: zod.strictObject({ from: name, reports: zod.array(record).max(MAXIMUM_REPORTS) }),
@@ -135,7 +149,8 @@
 
 export type KeyHome = zod.infer<typeof keyHomeSchema>;
 export type MemberUpdate = zod.infer<typeof memberUpdateSchema>;
-export type MemberRevision = zod.infer<typeof memberRevisionSchema>;
+export type Doubt = zod.infer<typeof doubtSchema>;
+export type RevisionGroup = zod.infer<typeof revisionGroupSchema>;
 export type ProcedureName = keyof typeof procedures;
 export type ProcedureInput<Name extends ProcedureName> = zod.infer<
   (typeof procedures)[Name]['input']
--- a/packages/testing/measure/src/baseline/program.ts
+++ b/packages/testing/measure/src/baseline/program.ts
@@ -116,7 +116,7 @@
     const retryBudget = new proxy.RetryBudget();
     const path = new proxy.RequestPath({
       daemonName: name,
-      planDispatch: (service) => ({ cell: service, targets: [{ kind: 'local' }] }),
+      planDispatch: (service) => [{ kind: 'local', cell: service }],
       isReachable: () => false,
       locateKeyHome: () => ({ kind: 'local' }),
       keyIssuer,
@@ -128,7 +128,6 @@
           this.findChooser(service).acquire(request.excludedEndpoints),
         backend: this.backend,
         retryBudget,
-        crashGuard: { isRefused: () => false, started: () => {}, ended: () => {} },
       }),
     });
     return new proxy.EntryServer({
