--- a/packages/routing/dispatch/src/endpoint-pool.ts
+++ b/packages/routing/dispatch/src/endpoint-pool.ts
@@ -86,7 +86,7 @@
   /** Returns whether any endpoint can take a request now. */
   hasRoom(now: number): boolean {
     for (const endpoint of this.ordered) {
-      if (endpoint.hasRoom(now, this.health.admissionWeight(endpoint.server.name))) {
+      if (endpoint.hasRoom(now, this.health.admissionWeight(endpoint.server.name, now))) {
         return true;
       }
     }
@@ -99,7 +99,7 @@
     let longInFlight = 0;
     let inFlight = 0;
     for (const endpoint of this.ordered) {
-      const weight = this.health.admissionWeight(endpoint.server.name);
+      const weight = this.health.admissionWeight(endpoint.server.name, now);
       slots += endpoint.draining || weight <= 0 ? 0 : endpoint.usable(now, weight);
       longInFlight += endpoint.longInFlight;
       inFlight += endpoint.inFlight;
@@ -134,7 +134,7 @@
     if (request.excludedEndpoints.has(name)) {
       return false;
     }
-    return endpoint.hasRoom(now, this.health.admissionWeight(name));
+    return endpoint.hasRoom(now, this.health.admissionWeight(name, now));
   }
 
   private score(endpoint: EndpointSlots, request: DispatchRequest, now: number): number {
