Keep idle connections for the announced time at a planned stop

Idle connections got a FIN after 200 ms, although answers announce a keep-alive time of 5 s, so that a request of the caller crossed it. Ruled out: the balancer, which keeps open connections where they are. Change: the FIN comes half a second after the announced time; a planned stop lasts so long while idle connections are open.

--- a/packages/routing/proxy/src/caller-connections.ts
+++ b/packages/routing/proxy/src/caller-connections.ts
@@ -1,13 +1,13 @@
 /**
  * The connections of callers, and their end at a planned stop. A kept connection without a request is
- * closed by FIN after a short time. A caller that sends at the very moment of the FIN gets no answer: the
- * request crosses the FIN on the network, which one side alone can't prevent.
+ * closed by FIN only when the time that answers announce in `Keep-Alive: timeout` is over. An earlier FIN
+ * could cross a request on the network, and that request would get no answer.
  */
 import type * as net from 'node:net';
 
 const SWEEP_MILLISECONDS = 50;
-/** Time without a request after which a kept connection is closed. */
-const IDLE_MILLISECONDS = 200;
+/** Beyond the announced time, for requests that callers sent just before its end. */
+const IDLE_MARGIN_MILLISECONDS = 500;
 /** Time that a caller gets to close its own side after the FIN. */
 const LINGER_MILLISECONDS = 1000;
 
@@ -19,13 +19,6 @@
   endedAt: number | undefined;
 }
 
-function endIdle(socket: net.Socket, connection: Connection, now: number): void {
-  if (now - connection.idleSince >= IDLE_MILLISECONDS) {
-    Object.assign(connection, { endedAt: now });
-    socket.end();
-  }
-}
-
 /** The open connections of one server. */
 export class CallerConnections {
   private readonly connections = new Map<net.Socket, Connection>();
@@ -34,6 +27,9 @@
 
   private waiters: (() => void)[] = [];
 
+  /** `keepAliveMilliseconds` is the time without a request that answers announce to callers. */
+  constructor(private readonly keepAliveMilliseconds: number) {}
+
   /** Follows a connection until it is closed. */
   readonly add = (socket: net.Socket): void => {
     this.connections.set(socket, {
@@ -92,11 +88,18 @@
           socket.destroy();
         }
       } else if (connection.requests === 0 && !arriving) {
-        endIdle(socket, connection, now);
+        this.endIdle(socket, connection, now);
       }
     }
   };
 
+  private endIdle(socket: net.Socket, connection: Connection, now: number): void {
+    if (now - connection.idleSince >= this.keepAliveMilliseconds + IDLE_MARGIN_MILLISECONDS) {
+      Object.assign(connection, { endedAt: now });
+      socket.end();
+    }
+  }
+
   private remove(socket: net.Socket): void {
     this.connections.delete(socket);
     if (this.connections.size === 0) {
--- a/packages/routing/proxy/src/entry-server.ts
+++ b/packages/routing/proxy/src/entry-server.ts
@@ -47,9 +47,12 @@
   readonly findConfiguration: () => Configuration | undefined;
   /** Time between the failing readiness check and the closing of the port. */
   readonly balancerMilliseconds: number;
+  /** Time that a connection without a request is kept, as answers announce it; 5000 by default. */
+  readonly keepAliveMilliseconds?: number;
 }
 
 const PREFIX_BYTES = 6;
+const KEEP_ALIVE_MILLISECONDS = 5000;
 const MINIMUM_CHECK_MILLISECONDS = 50;
 const CHECKS_PER_LIMIT = 4;
 
@@ -61,7 +64,7 @@
 
   private readonly bodies: BodyWatch;
 
-  private readonly connections = new CallerConnections();
+  private readonly connections: CallerConnections;
 
   private readonly limits: EntryLimits;
 
@@ -72,6 +75,7 @@
   private stopTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryServerOptions) {
+    this.connections = new CallerConnections(this.keepAliveMilliseconds);
     const requestPrefix = randomBytes(PREFIX_BYTES).toString('hex');
     this.admission = new CallerAdmission({ ...options, requestPrefix });
     this.bodies = new BodyWatch(options.limits.bodyPauseMilliseconds);
@@ -99,7 +103,7 @@
 
   /**
    * Begins a planned stop: readiness fails, connections close with their next answer, and idle ones
-   * after a short time. After the balancer's time the port closes.
+   * when the announced time is over. After the balancer's time the port closes.
    */
   beginStop(): void {
     if (this.options.server.stopping) {
@@ -132,6 +136,10 @@
     this.listener.closeAllConnections();
   }
 
+  private get keepAliveMilliseconds(): number {
+    return this.options.keepAliveMilliseconds ?? KEEP_ALIVE_MILLISECONDS;
+  }
+
   private stopAccepting(): void {
     if (this.closed) {
       return;
@@ -161,6 +169,7 @@
         ? http.createServer(options)
         : https.createServer({ ...options, cert: tls.certificate, key: tls.key });
     listener.maxConnections = limits.callerConnections;
+    listener.keepAliveTimeout = this.keepAliveMilliseconds;
     // Beyond a limit the parser would drop headers silently; the size limit bounds them already.
     listener.maxHeadersCount = 0;
     listener.on(tls === undefined ? 'connection' : 'secureConnection', this.connections.add);
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -44,6 +44,7 @@
   contract: Partial<model.Contract>;
   limits: Partial<proxy.CallerLimits>;
   balancerMilliseconds: number;
+  keepAliveMilliseconds: number;
   bodyLimit: number;
   /** Resolves when slots are granted. */
   admitted: Promise<void>;
@@ -63,6 +64,7 @@
     contract: {},
     limits: {},
     balancerMilliseconds: 20,
+    keepAliveMilliseconds: 200,
     bodyLimit: 100_000_000,
     admitted: Promise.resolve(),
     asked: 0,
@@ -173,6 +175,7 @@
     zone: 'a',
     isReady: () => true,
     balancerMilliseconds: fleet.balancerMilliseconds,
+    keepAliveMilliseconds: fleet.keepAliveMilliseconds,
     tls: fleet.tls,
     limits: {
       headerBytes: 8192,
--- a/packages/routing/proxy/test/stop.test.ts
+++ b/packages/routing/proxy/test/stop.test.ts
@@ -137,3 +137,24 @@
   await answered.catch(() => '');
   assert.equal(results.countViolations().get('RequestCutByStop'), before + 1);
 });
+
+test('a request within the announced keep-alive time is answered during a planned stop', async (context) => {
+  const backend = await startBackend(context, (_request, response) => response.end('ok'));
+  const fleet = createFleet([backend.address], { keepAliveMilliseconds: 2000 });
+  const daemon = await startDaemon(context, fleet);
+  const socket = net.connect(daemon.port, '127.0.0.1');
+  const request = 'GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n';
+  socket.write(request);
+  const [first] = (await once(socket, 'data')) as [Buffer];
+  assert.match(first.toString(), /keep-alive: timeout=2\r\n/i);
+  daemon.entry.beginStop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 1000);
+  });
+  socket.write(request);
+  const [second] = (await once(socket, 'data')) as [Buffer];
+  assert.match(second.toString(), /^HTTP\/1.1 200/);
+  assert.match(second.toString(), /connection: close\r\n/i);
+  await daemon.entry.whenIdle();
+  assert.equal(backend.requests.length, 2);
+});
