Warm daemons up before the phases of overhead

Cause: the first thousand requests of a fresh process cost about 2 ms of CPU each for compilation, which hid the cost of a request, and the search began above what a busy machine holds.

Change: both paths are warmed up first, and the search begins at 500 requests/s.

--- a/packages/testing/measure/src/measurements/overhead.ts
+++ b/packages/testing/measure/src/measurements/overhead.ts
@@ -21,18 +21,21 @@
 const LOW_RATE = 200;
 // CPU for each request at two rates separates the cost of a request from that of the process.
 const HIGH_RATE = 1000;
-const FIRST_SEARCH_RATE = 1500;
+const FIRST_SEARCH_RATE = 500;
 const SEARCH_FACTOR = 1.5;
 const HIGHEST_SEARCH_RATE = 20_000;
 const SEARCH_STEP_MILLISECONDS = 700;
-// The first requests of fresh processes and pools measure compilation and connection set-up.
+// The first thousand requests of fresh processes measure compilation, and the first ones of a phase
+// connection set-up.
+const COMPILE_RATE = 800;
+const COMPILE_MILLISECONDS = 1500;
 const WARM_UP_MILLISECONDS = 600;
 // A rate is held when 99.9% of the requests succeed and p99 stays below this.
 const HELD_SHARE = 0.999;
 const HELD_P99_MILLISECONDS = 50;
 // Two variants of five phases each; the search takes the rest of the time.
 const PHASES = 10;
-const PHASE_SHARE = 0.5;
+const PHASE_SHARE = 0.4;
 
 const topology: Topology = {
   zones: [{ name: 'zone-a', region: 'region-1' }],
@@ -194,6 +197,14 @@
 async function measureFleet(fleet: LocalFleet, context: MeasurementContext): Promise<Figures> {
   const places = await findPlaces(fleet);
   const { seed, print } = context;
+  for (const { callerAddress } of [places.dispatcher, places.entry]) {
+    await runPhase({
+      targets: [callerAddress],
+      requestsPerSecond: COMPILE_RATE,
+      durationMilliseconds: COMPILE_MILLISECONDS,
+      seed,
+    });
+  }
   const durationMilliseconds = (context.durationMilliseconds * PHASE_SHARE) / PHASES;
   const low = { seed, durationMilliseconds, requestsPerSecond: LOW_RATE };
   const high = { seed, durationMilliseconds, requestsPerSecond: HIGH_RATE };
