--- a/packages/peers/peer-link/src/index.ts
+++ b/packages/peers/peer-link/src/index.ts
@@ -6,13 +6,14 @@
 export { PeerLinks } from './links.js';
 export {
   type Caller,
+  type Doubt,
   type KeyHome,
-  type MemberRevision,
   type MemberUpdate,
   type PeerHandlers,
   type ProcedureInput,
   type ProcedureName,
   type ProcedureOutput,
+  type RevisionGroup,
   memberUpdateSchema,
   procedures,
 } from './messages.js';
--- a/packages/testing/measure/src/fleet/ports.ts
+++ b/packages/testing/measure/src/fleet/ports.ts
@@ -4,11 +4,13 @@
 import { randomInt } from 'node:crypto';
 import { once } from 'node:events';
 import * as net from 'node:net';
+import * as results from '@dogwoodstall/results';
 
-// Below the range that the system uses for outgoing connections: one of those could take a port
-// between its choice and the start of the daemon.
-const FIRST_PORT = 10_000;
+// Below the range from which the kernel takes the ports of outgoing connections, one of which could
+// otherwise take a port between this search and the start of its daemon.
+const FIRST_PORT = 12_000;
 const END_PORT = 32_000;
+const MAXIMUM_TRIES = 1000;
 
 let nextPort = randomInt(FIRST_PORT, END_PORT);
 
@@ -25,15 +27,21 @@
   return true;
 }
 
-/** Returns addresses on loopback that were free a moment ago; this process gets each only once. */
+/**
+ * Returns addresses on loopback that were free a moment ago; this process gets each only once. Throws
+ * `ListenFailed` when too few are free.
+ */
 export async function findFreeAddresses(count: number): Promise<string[]> {
   const addresses: string[] = [];
-  while (addresses.length < count) {
+  for (let tries = 0; tries < MAXIMUM_TRIES && addresses.length < count; tries += 1) {
     const port = nextPort;
     nextPort = port + 1 < END_PORT ? port + 1 : FIRST_PORT;
     if (await isFree(port)) {
       addresses.push(`127.0.0.1:${port}`);
     }
   }
+  if (addresses.length < count) {
+    throw new results.FailureError('ListenFailed', `fewer than ${count} free ports were found`);
+  }
   return addresses;
 }
--- a/packages/testing/measure/src/routing/cell-fleet.ts
+++ b/packages/testing/measure/src/routing/cell-fleet.ts
@@ -2,20 +2,25 @@
  * The fleets of the routing measurements: one service in three zones with 12 daemons, of the product
  * or of daemons that decide alone.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import * as hashing from '@dogwoodstall/hashing';
 import * as model from '@dogwoodstall/model';
-import * as undici from 'undici';
+import * as results from '@dogwoodstall/results';
 import { type EndpointCounts, type PolicyName, policyNames } from '../baseline/policy.js';
 import { ControlClient } from '../fleet/control-client.js';
 import type { DaemonProcess } from '../fleet/daemon-process.js';
-import { LocalFleet, OPERATOR_TOKEN } from '../fleet/local-fleet.js';
+import { LocalFleet } from '../fleet/local-fleet.js';
 import type { ContractDescription, RouteDescription, Topology } from '../fleet/topology.js';
+import { readDaemonStatus } from './daemon-status.js';
+import { addOrganisationsAlone, addOrganisationsInFleet } from './organisations.js';
 
 const REGION = 'nordeste';
 const ZONES = ['recife-a', 'fortaleza-b', 'salvador-c'];
 const DAEMONS_PER_ZONE = 4;
 const CONNECTION_LIMIT = 330;
+const SETTLE_LIMIT_MILLISECONDS = 10_000;
+const SETTLE_POLL_MILLISECONDS = 100;
 
 const baselineProgram = fileURLToPath(new URL('../baseline/program.js', import.meta.url));
 
@@ -40,12 +45,15 @@
   readonly contract?: ContractDescription;
   readonly routes: readonly Omit<RouteDescription, 'host'>[];
   readonly variation?: number;
+  readonly coldStartFactor?: number;
+  readonly coldStartMilliseconds?: number;
   readonly proxied?: Topology['proxied'];
 }
 
 /** Returns the topology of a measurement of routing. */
 export function createCellTopology(options: CellOptions): Topology {
-  const { endpoints, slots, contract, routes, variation, proxied } = options;
+  const { endpoints, slots, contract, routes, proxied } = options;
+  const { variation, coldStartFactor, coldStartMilliseconds } = options;
   return {
     zones: ZONES.map((name) => ({ name, region: REGION })),
     daemonsPerZone: DAEMONS_PER_ZONE,
@@ -59,32 +67,14 @@
         slots,
         connectionLimit: CONNECTION_LIMIT,
         variation: variation ?? 0,
+        coldStartFactor: coldStartFactor ?? 1,
+        coldStartMilliseconds: coldStartMilliseconds ?? 0,
       },
     ],
     ...(proxied === undefined ? {} : { proxied }),
   };
 }
 
-/** Health of one endpoint, as the dispatcher of its cell reports it. */
-export interface EndpointStatus {
-  readonly name: string;
-  readonly health?: { readonly condition: string; readonly ejections: number };
-}
-
-/** The part of a daemon's own status that measurements use. */
-export interface DaemonStatus {
-  readonly cells: readonly { readonly endpoints: readonly EndpointStatus[] }[];
-  readonly violations: Readonly<Record<string, number>>;
-}
-
-/** Reads a daemon's own status. */
-export async function readDaemonStatus(daemon: DaemonProcess): Promise<DaemonStatus> {
-  const answer = await undici.request(`http://${daemon.administrationAddress}/v1/daemon`, {
-    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
-  });
-  return (await answer.body.json()) as DaemonStatus;
-}
-
 /** Returns the daemon that dispatches the cell of the service. */
 export function findDispatcher(fleet: LocalFleet): DaemonProcess {
   const cell = model.formatCellName(SERVICE, REGION, 0);
@@ -123,6 +113,27 @@
   await fleet.stop();
 }
 
+// Daemons that do not know all members yet dispatch a cell at several places; a measurement of the
+// running service begins after that.
+async function waitUntilSettled(fleet: LocalFleet): Promise<void> {
+  const giveUpAt = performance.now() + SETTLE_LIMIT_MILLISECONDS;
+  for (const daemon of fleet.daemons) {
+    for (;;) {
+      const { members } = await readDaemonStatus(daemon);
+      const ready = members.filter(
+        ({ state, condition }) => state === 'alive' && condition === 'ready',
+      );
+      if (ready.length === fleet.daemons.length) {
+        break;
+      }
+      if (performance.now() > giveUpAt) {
+        throw new results.FailureError('ProcessStartFailed', `${daemon.name} lacks members`);
+      }
+      await sleep(SETTLE_POLL_MILLISECONDS);
+    }
+  }
+}
+
 async function withFleet(
   topology: Topology,
   seed: number,
@@ -132,20 +143,38 @@
   const options = daemonCommand === undefined ? {} : { daemonCommand };
   const fleet = await LocalFleet.start({ topology, seed, ...options });
   try {
+    if (daemonCommand === undefined) {
+      await waitUntilSettled(fleet);
+    }
     await use(fleet);
   } finally {
     await endFleet(fleet);
   }
 }
 
+/** What is compared. */
+export interface Comparison {
+  readonly topology: Topology;
+  readonly seed: number;
+  /** Organisations besides the owner of the service. */
+  readonly organisations?: readonly string[];
+}
+
 /** Runs a phase with the product, then one with each daemon that decides alone, on the same seed. */
 export async function compareSubjects(
-  topology: Topology,
-  seed: number,
+  { topology, seed, organisations = [] }: Comparison,
   run: (fleet: LocalFleet, subject: Subject) => Promise<void>,
 ): Promise<void> {
-  await withFleet(topology, seed, undefined, (fleet) => run(fleet, 'product'));
+  await withFleet(topology, seed, undefined, async (fleet) => {
+    if (organisations.length > 0) {
+      await addOrganisationsInFleet(fleet, organisations);
+    }
+    await run(fleet, 'product');
+  });
   await withFleet(topology, seed, [baselineProgram], async (fleet) => {
+    if (organisations.length > 0) {
+      await addOrganisationsAlone(fleet, organisations);
+    }
     for (const policy of policyNames) {
       await setPolicy(fleet, policy);
       await run(fleet, policy);
