--- a/packages/routing/proxy/src/fingerprint.ts
+++ b/packages/routing/proxy/src/fingerprint.ts
@@ -24,7 +24,8 @@
     organisation: facts.organisation,
     routeName: facts.route.name,
     idempotencyKey: facts.idempotencyKey ?? '',
-    bodyDigest: hashParts(parts, body.kept),
+    // The fingerprint hashes this text again, so that only a body is worth a hash of its own.
+    bodyDigest: body.kept?.length ? hashParts(parts, body.kept) : parts.join(SEPARATOR),
   });
 }
 
