--- a/packages/routing/proxy/src/caller-connections.ts
+++ b/packages/routing/proxy/src/caller-connections.ts
@@ -61,7 +61,14 @@
 
   /** Closes idle connections from now on. */
   beginStop(): void {
-    this.timer ??= setInterval(this.sweep, SWEEP_MILLISECONDS);
+    if (this.timer !== undefined) {
+      return;
+    }
+    const now = performance.now();
+    for (const connection of this.connections.values()) {
+      connection.idleSince = now;
+    }
+    this.timer = setInterval(this.sweep, SWEEP_MILLISECONDS);
   }
 
   /** Resolves when no connection is open. */
