--- a/packages/testing/measure/src/fleet/local-fleet.ts
+++ b/packages/testing/measure/src/fleet/local-fleet.ts
@@ -158,17 +158,18 @@
   /** Ends every process, daemons by a planned stop, and removes the temporary files. */
   async stop(): Promise<void> {
     await Promise.all(this.daemonList.map((daemon) => daemon.stop()));
+    await Promise.all(this.standInProcesses.map((standIn) => standIn.process.stop()));
     await this.clear();
   }
 
   /** Ends every process without notice and removes the temporary files. */
   async kill(): Promise<void> {
     await Promise.all(this.daemonList.map((daemon) => daemon.kill()));
+    await Promise.all(this.standInProcesses.map((standIn) => standIn.process.kill()));
     await this.clear();
   }
 
   private async clear(): Promise<void> {
-    await Promise.all(this.standInProcesses.map((standIn) => standIn.process.stop()));
     if (this.directory !== '') {
       await removeDirectory(this.directory);
     }
