Give out the ports of a local fleet in turn

Cause: Ports drawn at random for one daemon could be drawn again for another one before the first had bound them, so that a fleet failed to start.

Change: Ports are taken in turn from a random start for each process.

--- a/packages/testing/measure/src/fleet/ports.ts
+++ b/packages/testing/measure/src/fleet/ports.ts
@@ -12,6 +12,16 @@
 const END_PORT = 32_000;
 const MAXIMUM_TRIES = 1000;
 
+// Ports are given out in turn, because a daemon binds its ports later: a port drawn at random for one
+// daemon could be drawn again for another one before that.
+let nextPort = randomInt(FIRST_PORT, END_PORT);
+
+function takePort(): number {
+  const port = nextPort;
+  nextPort = port + 1 < END_PORT ? port + 1 : FIRST_PORT;
+  return port;
+}
+
 async function tryListen(port: number): Promise<net.Server | undefined> {
   const server = net.createServer();
   try {
@@ -31,7 +41,7 @@
   const servers: net.Server[] = [];
   const addresses: string[] = [];
   for (let tries = 0; tries < MAXIMUM_TRIES && servers.length < count; tries += 1) {
-    const port = randomInt(FIRST_PORT, END_PORT);
+    const port = takePort();
     const server = await tryListen(port);
     if (server !== undefined) {
       servers.push(server);
--- a/packages/testing/measure/test/local-fleet.test.ts
+++ b/packages/testing/measure/test/local-fleet.test.ts
@@ -5,6 +5,7 @@
 import * as results from '@dogwoodstall/results';
 import * as settings from '@dogwoodstall/settings';
 import * as toml from 'smol-toml';
+import { findFreeAddresses } from '../src/fleet/ports.js';
 import * as measure from '../src/index.js';
 
 const daemonCommand = [fileURLToPath(new URL('./fixtures/daemon.js', import.meta.url))];
@@ -116,6 +117,14 @@
   assert.deepEqual(await findExisting(files), []);
 });
 
+test('ports that are not bound yet are never given out twice', async () => {
+  const addresses: string[] = [];
+  for (let daemon = 0; daemon < 200; daemon += 1) {
+    addresses.push(...(await findFreeAddresses(3)));
+  }
+  assert.equal(new Set(addresses).size, addresses.length);
+});
+
 test('every measurement in the folder is found by its name', async () => {
   const names = (await measure.loadMeasurements()).map((measurement) => measurement.name);
   assert.ok(names.includes('drain') && names.includes('overhead'), names.join(', '));
