Let the crash of the at-most-once measurement hit the home of most keys

Cause: A drawn daemon is seldom the home of the keys in flight, so that its crash says little about what callers know afterwards.

Change: The crash phase ends the daemon that dispatches confirmations.

--- a/packages/testing/measure/src/measurements/at-most-once.ts
+++ b/packages/testing/measure/src/measurements/at-most-once.ts
@@ -2,7 +2,9 @@
  * At-most-once execution: callers send keyed requests and resend them through other daemons, at the
  * same moment and later, while one kind of fault at a time disturbs the fleet and the store is away.
  */
+import * as hashing from '@dogwoodstall/hashing';
 import * as load from '@dogwoodstall/load';
+import * as model from '@dogwoodstall/model';
 import * as standIns from '@dogwoodstall/stand-ins';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -43,7 +45,18 @@
   readonly ledger: Ledger;
 }
 
-/** Draws the faults of one phase: each kind once, on targets of its own. */
+/** Returns the daemon that dispatches confirmations and is the home of their keys. */
+function findHome(fleet: LocalFleet): string {
+  const region = fleet.topology.zones[0]?.region ?? '';
+  const cell = model.formatCellName('avaliacao', region, 0);
+  const [home] = hashing.rankMembers(cell, fleet.daemons, (daemon) => daemon.name);
+  return home?.name ?? '';
+}
+
+/**
+ * Draws the faults of one phase: each kind once. A crash hits the home of most keys, which is the worst
+ * case for what is known afterwards; other faults have drawn targets.
+ */
 function drawFaults(
   kinds: readonly FaultKind[],
   fleet: LocalFleet,
@@ -56,7 +69,8 @@
     .flatMap(({ name }) => fleet.backends(name).servers.map((server) => server.name));
   return kinds.map((fault) => {
     const targets = fault.startsWith('backend') ? servers : daemons;
-    const target = targets[Math.floor(draw() * targets.length)] ?? '';
+    const drawnTarget = targets[Math.floor(draw() * targets.length)] ?? '';
+    const target = fault === 'daemon-kill' ? findHome(fleet) : drawnTarget;
     const range = LONGEST_PAUSE_MILLISECONDS - SHORTEST_FAULT_MILLISECONDS;
     const drawn = SHORTEST_FAULT_MILLISECONDS + draw() * range;
     const longest = Math.max(SHORTEST_FAULT_MILLISECONDS, durationMilliseconds / 2);
