--- a/packages/peers/peer-link/src/index.ts
+++ b/packages/peers/peer-link/src/index.ts
@@ -6,14 +6,20 @@
 export { PeerLinks } from './links.js';
 export {
   type Caller,
+  type Doubt,
   type KeyHome,
-  type MemberRevision,
   type MemberUpdate,
   type PeerHandlers,
   type ProcedureInput,
   type ProcedureName,
   type ProcedureOutput,
+  type RevisionGroup,
   memberUpdateSchema,
   procedures,
 } from './messages.js';
-export { type ForwardHandler, type PeerServerOptions, PeerServer } from './server.js';
+export {
+  type ForwardHandler,
+  type PeerServerOptions,
+  type PeerTraffic,
+  PeerServer,
+} from './server.js';
--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -1,9 +1,11 @@
 /**
  * The link to one peer: calls with limits, and connections of its own for forwarded requests.
  */
+import * as tls from 'node:tls';
 import { FailureError, findResult, type ResultName } from '@dogwoodstall/results';
-import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
+import { createTRPCClient, TRPCClientError } from '@trpc/client';
 import * as undici from 'undici';
+import { createCallLink } from './call-link.js';
 import { checkPeerName, MINIMUM_TLS_VERSION, type PeerTls } from './identity.js';
 import {
   procedures,
@@ -80,6 +82,14 @@
   material: PeerTls,
   connections: number | null,
 ): undici.Pool {
+  // Parsing certificate and key takes longer than the rest of a connection's set-up, and a burst of
+  // forwarded requests opens many connections.
+  const secureContext = tls.createSecureContext({
+    cert: material.certificate,
+    key: material.key,
+    ca: [...material.authorities],
+    minVersion: MINIMUM_TLS_VERSION,
+  });
   return new undici.Pool(`https://${target.peerAddress}`, {
     connections,
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
@@ -88,38 +98,14 @@
     bodyTimeout: 0,
     connect: {
       timeout: CONNECT_MILLISECONDS,
-      cert: material.certificate,
-      key: material.key,
-      ca: [...material.authorities],
-      minVersion: MINIMUM_TLS_VERSION,
+      secureContext,
       checkServerIdentity: (_host, certificate) => checkPeerName(target.name, certificate),
     },
   });
 }
 
-function createClient(pool: undici.Pool, target: PeerTarget): Client {
-  const origin = `https://${target.peerAddress}`;
-  const client = createTRPCClient<PeerRouter>({
-    links: [
-      httpLink({
-        url: `${origin}/trpc`,
-        fetch: async (url, init) => {
-          const answer = await pool.request({
-            path: String(url).slice(origin.length),
-            method: 'POST',
-            headers: { 'content-type': 'application/json' },
-            body: init?.body as string,
-            signal: init?.signal ?? null,
-          });
-          const text = await answer.body.text();
-          return {
-            ok: answer.statusCode < 300,
-            json: () => Promise.resolve(JSON.parse(text) as unknown),
-          };
-        },
-      }),
-    ],
-  });
+function createClient(pool: undici.Pool): Client {
+  const client = createTRPCClient<PeerRouter>({ links: [createCallLink(pool)] });
   return client as unknown as Client;
 }
 
@@ -140,11 +126,19 @@
 
   private running = 0;
 
-  constructor(target: PeerTarget, material: PeerTls) {
+  private readonly onCall: (name: ProcedureName) => void;
+
+  /** `onCall` is called with the procedure of each call that is sent. */
+  constructor(
+    target: PeerTarget,
+    material: PeerTls,
+    onCall: (name: ProcedureName) => void = () => {},
+  ) {
     this.target = target;
+    this.onCall = onCall;
     this.material = material;
     this.controlPool = createPool(target, material, CONTROL_CONNECTIONS);
-    this.client = createClient(this.controlPool, target);
+    this.client = createClient(this.controlPool);
   }
 
   /** The base URL of forwarded requests. */
@@ -185,6 +179,7 @@
     this.running += 1;
     try {
       options.signal?.throwIfAborted();
+      this.onCall(name);
       const answer = await this.client[name].mutate(input, { signal: stopping.signal });
       this.lastHeardAt = performance.now();
       return this.parse(name, answer);
@@ -202,7 +197,7 @@
     const pools = [this.controlPool, this.forwardPool];
     this.material = material;
     this.controlPool = createPool(this.target, material, CONTROL_CONNECTIONS);
-    this.client = createClient(this.controlPool, this.target);
+    this.client = createClient(this.controlPool);
     this.forwardPool = undefined;
     for (const pool of pools) {
       pool?.close().catch(() => {});
--- a/packages/routing/proxy/src/transfer.ts
+++ b/packages/routing/proxy/src/transfer.ts
@@ -28,6 +28,11 @@
   readonly judge: (status: number, headers: IncomingHttpHeaders) => Judgement;
   /** Sees each chunk that goes to the caller. */
   readonly record?: ((chunk: Buffer) => void) | undefined;
+  /**
+   * Called at the start with a function that abandons the transmission; the returned function is called
+   * at its end.
+   */
+  readonly watch?: ((abandon: (reason: Error) => void) => () => void) | undefined;
   /** Called when anything arrives from the target. */
   readonly heard?: (() => void) | undefined;
 }
@@ -51,6 +56,13 @@
 const MAXIMUM_DISCARDED_BYTES = 16_384;
 const BODILESS_STATUS = new Set([204, 304]);
 
+function sendCorked(response: ServerResponse): void {
+  if (!response.destroyed && !response.writableEnded) {
+    response.flushHeaders();
+  }
+  response.uncork();
+}
+
 class Transfer implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
 
@@ -72,6 +84,8 @@
 
   private waitingForDrain = false;
 
+  private unwatch: (() => void) | undefined;
+
   constructor(
     private readonly options: TransferOptions,
     private readonly resolve: (end: TransferEnd) => void,
@@ -84,6 +98,7 @@
       return;
     }
     signal.addEventListener('abort', this.onAbort, { once: true });
+    this.unwatch = this.options.watch?.((reason) => this.fail(reason, 'aborted'));
     try {
       dispatcher.dispatch({ origin, path, method, headers, body: body.open() }, this);
     } catch (error) {
@@ -202,6 +217,10 @@
     const { response } = this.options;
     if (!response.destroyed) {
       response.writeHead(status, judgement.headers);
+      // Head and body leave in one write when they arrived together; otherwise the head does not wait
+      // for the body, which may be slow to come.
+      response.cork();
+      process.nextTick(sendCorked, response);
     }
   }
 
@@ -264,6 +283,7 @@
     }
     this.settled = true;
     this.options.signal.removeEventListener('abort', this.onAbort);
+    this.unwatch?.();
     this.resolve({
       kind,
       sent: this.controller !== undefined,
