--- a/packages/peers/membership/src/membership.ts
+++ b/packages/peers/membership/src/membership.ts
@@ -11,6 +11,7 @@
 import { MemberTable, type Gossip } from './member-table.js';
 import type { MembershipOptions } from './options.js';
 import { ProbeTurn } from './probe-turn.js';
+import { Pause } from './pause.js';
 import { Prober, type ProbeResult } from './prober.js';
 import { RandomChoice } from './random.js';
 import { Rejoiner } from './rejoiner.js';
@@ -55,7 +56,7 @@
   private readonly listedLeaving: ListedLeaving;
 
   /** Ends the pause before the next probe. */
-  private endPause: (() => void) | undefined;
+  private readonly pause = new Pause();
 
   private readonly turn: ProbeTurn;
 
@@ -168,7 +169,7 @@
     }
     this.unreachable.add(name);
     this.turn.addUrgent(name, this.timings.probeInterval);
-    this.endPause?.();
+    this.pause.end();
   }
 
   /** Feeds in a successful call. */
@@ -216,7 +217,7 @@
   /** Stops probing. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.endPause?.();
+    this.pause.end();
     this.suspicions.clear();
     await this.task;
   }
@@ -231,22 +232,15 @@
       if (this.listedLeaving.refresh()) {
         this.emitSoon();
       }
-      await this.pause(startedAt);
+      await this.pauseSince(startedAt);
     }
   }
 
-  private async pause(startedAt: number): Promise<void> {
-    if (this.turn.hasUrgent || this.stopping.signal.aborted) {
-      return;
+  private async pauseSince(startedAt: number): Promise<void> {
+    if (!this.turn.hasUrgent && !this.stopping.signal.aborted) {
+      const passed = performance.now() - startedAt;
+      await this.pause.wait(Math.max(1, this.timings.probeInterval - passed));
     }
-    const left = Math.max(1, this.timings.probeInterval - (performance.now() - startedAt));
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, left);
-      this.endPause = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
   }
 
   private async probeNext(): Promise<void> {
--- a/packages/routing/dispatch/src/cell-dispatcher.ts
+++ b/packages/routing/dispatch/src/cell-dispatcher.ts
@@ -11,18 +11,15 @@
 import type { EndpointSlots } from './endpoint-slots.js';
 import { createGrant } from './grant.js';
 import { LongShare } from './long-share.js';
-import { type CellDispatcherOptions, type Schedule, scheduleTimer } from './options.js';
+import { type CellDispatcherOptions, scheduleTimer } from './options.js';
 import { OrganisationLimits } from './organisation-limits.js';
 import type { DispatchRequest, SlotGrant } from './request.js';
 import { ServiceTimes } from './service-times.js';
 import { type CellSnapshot, describeEndpoints } from './snapshot.js';
+import { Ticker } from './ticker.js';
 import { createWaiter, listenForAbort, type Waiter } from './waiter.js';
 import { WaitingRoom } from './waiting-room.js';
 
-/** Longest and shortest time between two evaluations while requests are in flight or waiting. */
-const TICK_MILLISECONDS = 50;
-const MINIMUM_TICK_MILLISECONDS = 1;
-
 /** Parked requests that are looked at for each free slot. */
 const PARKED_SEARCH_LIMIT = 32;
 
@@ -33,8 +30,6 @@
 
   private readonly options: CellDispatcherOptions;
 
-  private readonly schedule: Schedule;
-
   private readonly pool: EndpointPool;
 
   private readonly room: WaitingRoom;
@@ -51,7 +46,7 @@
 
   private contract: Contract;
 
-  private cancelTick: (() => void) | undefined;
+  private readonly ticker: Ticker;
 
   private inFlight = 0;
 
@@ -61,7 +56,10 @@
     const { servers, contract, now, random, logHealth } = options;
     this.options = options;
     this.contract = contract;
-    this.schedule = options.schedule ?? scheduleTimer;
+    this.ticker = new Ticker(options.schedule ?? scheduleTimer, () => {
+      this.health.evaluate();
+      this.pump();
+    });
     this.usedAt = now();
     const logDecision = logHealth ?? ((): void => {});
     this.health = new health.CellHealth({ servers, contract, now, random, logDecision });
@@ -120,8 +118,7 @@
   /** Refuses what waits and stops the timer; the cell moved or is idle. */
   close(): void {
     this.refuseExpired(Infinity, 'NoEndpoint');
-    this.cancelTick?.();
-    this.cancelTick = undefined;
+    this.ticker.cancel();
   }
 
   /** Describes endpoints and queues. */
@@ -340,17 +337,8 @@
   }
 
   private armTick(now: number): void {
-    if (this.cancelTick !== undefined || (this.inFlight === 0 && this.room.size === 0)) {
-      return;
+    if (this.inFlight > 0 || this.room.size > 0) {
+      this.ticker.arm(this.room.nextExpiryAt - now);
     }
-    const untilExpiry = Math.max(MINIMUM_TICK_MILLISECONDS, this.room.nextExpiryAt - now);
-    this.cancelTick = this.schedule(
-      () => {
-        this.cancelTick = undefined;
-        this.health.evaluate();
-        this.pump();
-      },
-      Math.min(TICK_MILLISECONDS, untilExpiry),
-    );
   }
 }
