Make the limit of idempotency records a setting

Cause: 100,000 records were fixed in the program; with keys of two hours a daemon refuses new keys above 14 keyed requests/s for good. Two test files had the same search for a closed address. Change: setting limits.keyRecords; the search moves to the fixture.

--- a/packages/configuration/settings/src/schema.ts
+++ b/packages/configuration/settings/src/schema.ts
@@ -65,6 +65,8 @@
   callerConnections: zod.number().int().min(1).default(10_000),
   /** Callers' requests in flight; each may keep a body of 64 KiB in memory. */
   requestsInFlight: zod.number().int().min(1).default(4000),
+  /** Records of idempotency keys; beyond them new keys are refused. */
+  keyRecords: zod.number().int().min(1000).default(100_000),
 });
 
 const stopSchema = zod.strictObject({
--- a/packages/daemon/daemon/src/request-plane.ts
+++ b/packages/daemon/daemon/src/request-plane.ts
@@ -59,6 +59,7 @@
     const incarnation = String(control.members.self.incarnation);
     this.keyHome = new idempotency.KeyHome({
       incarnation,
+      maximumRecords: options.settings.limits.keyRecords,
       onCompletedAfterSeal: options.onCompletedAfterSeal,
     });
     this.keyIssuer = new idempotency.KeyIssuer({ fleetKeys: options.fleetKeys });
--- a/packages/routing/proxy/test/fixture.ts
+++ b/packages/routing/proxy/test/fixture.ts
@@ -245,6 +245,16 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+/** Returns an address on loopback at which nothing listens. */
+export async function findClosedAddress(): Promise<string> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return `127.0.0.1:${port}`;
+}
+
 /** An answer as a caller sees it; `cut` when the connection ended before its end. */
 export interface CallerAnswer {
   readonly status: number;
--- a/packages/routing/proxy/test/other-region.test.ts
+++ b/packages/routing/proxy/test/other-region.test.ts
@@ -1,25 +1,15 @@
 import * as assert from 'node:assert/strict';
-import { once } from 'node:events';
-import * as net from 'node:net';
 import { test, type TestContext } from 'node:test';
 import {
   call,
   createFleet,
+  findClosedAddress,
   startBackend,
   startDaemon,
   startRawBackend,
   type TestDaemon,
 } from './fixture.js';
 
-async function findClosedAddress(): Promise<string> {
-  const server = net.createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as net.AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `127.0.0.1:${port}`;
-}
-
 /** A daemon whose region has the given endpoints only, beside a region that works. */
 async function startBesideWorkingRegion(
   context: TestContext,
--- a/packages/routing/proxy/test/retries.test.ts
+++ b/packages/routing/proxy/test/retries.test.ts
@@ -1,18 +1,14 @@
 import * as assert from 'node:assert/strict';
-import { once } from 'node:events';
-import * as net from 'node:net';
 import { test } from 'node:test';
 import type { TestContext } from 'node:test';
-import { call, createFleet, startBackend, startDaemon, startRawBackend } from './fixture.js';
-
-async function findClosedAddress(): Promise<string> {
-  const server = net.createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as net.AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return `127.0.0.1:${port}`;
-}
+import {
+  call,
+  createFleet,
+  findClosedAddress,
+  startBackend,
+  startDaemon,
+  startRawBackend,
+} from './fixture.js';
 
 async function startResetting(
   context: TestContext,
