--- a/packages/control/configuration-log/test/log.test.ts
+++ b/packages/control/configuration-log/test/log.test.ts
@@ -18,6 +18,19 @@
   }
 }
 
+function createOrganisations(count: number, callerTokenDigests: string[]): model.Operation[] {
+  return Array.from({ length: count }, (_, index) => ({
+    action: 'put',
+    kind: 'organisation',
+    entity: {
+      name: `organisation-${index}`,
+      weight: 1,
+      administratorTokenDigests: [],
+      callerTokenDigests,
+    },
+  }));
+}
+
 test('a commit whose answer was lost is found again and not made twice', async () => {
   const store = new MemoryStore();
   const log = new configurationLog.ConfigurationLog({ store });
@@ -68,16 +81,7 @@
 test('a change above the value limit and a dangling reference are refused before the commit', async () => {
   const store = new MemoryStore();
   const log = new configurationLog.ConfigurationLog({ store });
-  const operations: model.Operation[] = Array.from({ length: 5000 }, (_, index) => ({
-    action: 'put',
-    kind: 'organisation',
-    entity: {
-      name: `organisation-${index}`,
-      weight: 1,
-      administratorTokenDigests: [],
-      callerTokenDigests: Array<string>(3).fill('a'.repeat(64)),
-    },
-  }));
+  const operations = createOrganisations(5000, Array<string>(3).fill('a'.repeat(64)));
   await assert.rejects(log.commit({ ...draft('change-large', 0), operations }), (error) =>
     results.isFailure(error, 'ConfigurationTooLarge'),
   );
@@ -122,16 +126,7 @@
 test('a fresh reader starts from a snapshot in parts, and older parts are removed', async () => {
   const store = new MemoryStore();
   const log = new configurationLog.ConfigurationLog({ store });
-  const operations: model.Operation[] = Array.from({ length: 31_000 }, (_, index) => ({
-    action: 'put',
-    kind: 'organisation',
-    entity: {
-      name: `organisation-${index}`,
-      weight: 1,
-      administratorTokenDigests: [],
-      callerTokenDigests: ['b'.repeat(64)],
-    },
-  }));
+  const operations = createOrganisations(31_000, ['b'.repeat(64)]);
   await log.writeSnapshot(model.Configuration.fromOperations(200, operations));
   const snapshot = model.Configuration.fromOperations(400, operations);
   assert.equal(await log.writeSnapshot(snapshot), 400);
