--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -0,0 +1,232 @@
+/**
+ * The daemons that may dispatch each service, and which of them answer. Each daemon pings the first two that answer
+ * and, more rarely, those that rank before them.
+ */
+import type * as datagrams from '@dogwoodstall/datagrams';
+import type { Member, MemberTable } from './member.js';
+
+/** A daemon that may be asked. */
+export interface DispatcherTarget {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+  readonly isSelf: boolean;
+}
+
+interface Contact {
+  /** When the last ping left that was not answered yet; undefined when none is open. */
+  openSince: number | undefined;
+  lastPingAt: number;
+  lastPongAt: number;
+  /** Whether the daemon answers and takes asks. */
+  responsive: boolean;
+  sequence: number;
+}
+
+/** Interval between pings of the first candidate. */
+const FIRST_PING_MILLISECONDS = 450;
+/** Interval between pings of the second one. */
+const STANDBY_PING_MILLISECONDS = 900;
+/** Interval between pings of daemons that do not answer. */
+const SILENT_PING_MILLISECONDS = 1200;
+const TICK_MILLISECONDS = 100;
+/** A ping without an answer for this long makes a daemon silent. */
+const PONG_MILLISECONDS = 250;
+/** Candidates that answer and are followed, per service. */
+const FOLLOWED = 2;
+
+/** Options of `Candidates`. */
+export interface CandidatesOptions {
+  readonly members: MemberTable;
+  readonly listServices: () => Iterable<string>;
+  /** Whether this daemon may dispatch, because it knows the directory. */
+  readonly isSelfAble: () => boolean;
+  /** What this daemon tells about itself in a ping. */
+  readonly describeKnowledge: () => Pick<
+    datagrams.Ping,
+    'configurationVersion' | 'directoryRevision'
+  >;
+  readonly send: (message: datagrams.Message, target: DispatcherTarget) => void;
+  readonly onChange: (name: string, responsive: boolean) => void;
+}
+
+/** Follows the candidates of all services. */
+export class Candidates {
+  private readonly contacts = new Map<string, Contact>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: CandidatesOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.tick(), TICK_MILLISECONDS);
+    this.tick();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Returns the first daemon that answers, or this daemon. */
+  choose(service: string, passed: ReadonlySet<string>): DispatcherTarget {
+    for (const member of this.options.members.rank(service)) {
+      if (!passed.has(member.name) && this.isUsable(member)) {
+        return this.describe(member);
+      }
+    }
+    return this.describe(this.options.members.self);
+  }
+
+  /** Whether this daemon is the first that answers for any service. */
+  isSelfFirst(): boolean {
+    const { members, listServices } = this.options;
+    const none = new Set<string>();
+    for (const service of listServices()) {
+      if (this.choose(service, none).name === members.self.name) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Position of this daemon among those that answer. */
+  isSelfStandby(service: string): boolean {
+    const { self } = this.options.members;
+    let position = 0;
+    for (const member of this.options.members.rank(service)) {
+      if (member.name === self.name) {
+        return position <= 1;
+      }
+      position += this.isUsable(member) ? 1 : 0;
+    }
+    return false;
+  }
+
+  /** Whether any other daemon answered lately. */
+  hasContact(): boolean {
+    for (const [name, { responsive }] of this.contacts) {
+      if (responsive && name !== this.options.members.self.name) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Notes that a daemon did not answer an ask. */
+  markSilent(name: string): void {
+    this.setResponsive(name, false);
+    const contact = this.contacts.get(name);
+    if (contact !== undefined) {
+      contact.lastPingAt = performance.now() - SILENT_PING_MILLISECONDS + PONG_MILLISECONDS;
+    }
+  }
+
+  /** Notes the answer to a ping; returns whether it is one. */
+  receivePong(name: string, pong: datagrams.Pong): void {
+    const contact = this.contacts.get(name);
+    if (contact === undefined) {
+      return;
+    }
+    contact.openSince = undefined;
+    contact.lastPongAt = performance.now();
+    this.setResponsive(name, !pong.stopping);
+  }
+
+  /** Returns the target behind a member. */
+  describe({ name, host, datagramPort }: Member): DispatcherTarget {
+    return { name, host, port: datagramPort, isSelf: name === this.options.members.self.name };
+  }
+
+  private isUsable(member: Member): boolean {
+    if (member.name === this.options.members.self.name) {
+      return this.options.isSelfAble();
+    }
+    return this.contacts.get(member.name)?.responsive ?? false;
+  }
+
+  private setResponsive(name: string, responsive: boolean): void {
+    const contact = this.contacts.get(name);
+    if (contact !== undefined && contact.responsive !== responsive) {
+      contact.responsive = responsive;
+      this.options.onChange(name, responsive);
+    }
+  }
+
+  private tick(): void {
+    const now = performance.now();
+    for (const [name, contact] of this.contacts) {
+      if (contact.openSince !== undefined && now - contact.openSince > PONG_MILLISECONDS) {
+        contact.openSince = undefined;
+        this.setResponsive(name, false);
+      }
+    }
+    const intervals = new Map<string, { member: Member; interval: number }>();
+    for (const service of this.options.listServices()) {
+      this.collect(service, intervals);
+    }
+    for (const { member, interval } of intervals.values()) {
+      this.ping(member, interval, now);
+    }
+    for (const name of this.contacts.keys()) {
+      if (!intervals.has(name)) {
+        this.contacts.delete(name);
+      }
+    }
+  }
+
+  private collect(
+    service: string,
+    intervals: Map<string, { member: Member; interval: number }>,
+  ): void {
+    const { members } = this.options;
+    let answering = 0;
+    for (const member of members.rank(service)) {
+      const isSelf = member.name === members.self.name;
+      const responsive = isSelf || this.contacts.get(member.name)?.responsive === true;
+      let interval = SILENT_PING_MILLISECONDS;
+      if (responsive) {
+        interval = answering === 0 ? FIRST_PING_MILLISECONDS : STANDBY_PING_MILLISECONDS;
+        answering += 1;
+      }
+      if (!isSelf) {
+        const known = intervals.get(member.name)?.interval ?? Infinity;
+        intervals.set(member.name, { member, interval: Math.min(known, interval) });
+      }
+      if (answering >= FOLLOWED) {
+        return;
+      }
+    }
+  }
+
+  private ping(member: Member, interval: number, now: number): void {
+    let contact = this.contacts.get(member.name);
+    if (contact === undefined) {
+      contact = {
+        openSince: undefined,
+        lastPingAt: -Infinity,
+        lastPongAt: -Infinity,
+        responsive: false,
+        sequence: 0,
+      };
+      this.contacts.set(member.name, contact);
+    }
+    if (contact.openSince !== undefined || now - contact.lastPingAt < interval) {
+      return;
+    }
+    contact.sequence += 1;
+    contact.openSince = now;
+    contact.lastPingAt = now;
+    let standby = false;
+    for (const service of this.options.listServices()) {
+      standby ||= this.isSelfStandby(service);
+    }
+    const { name } = this.options.members.self;
+    this.options.send(
+      [
+        'ping',
+        { sequence: contact.sequence, name, standby, ...this.options.describeKnowledge() },
+      ],
+      this.describe(member),
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/decision-log.ts
@@ -0,0 +1,54 @@
+/**
+ * Decision lines with a bounded rate; the lines that are left out are counted.
+ */
+import type * as observability from '@dogwoodstall/observability';
+
+const REPORT_MILLISECONDS = 5000;
+/** Lines that may be written at once after a quiet time, in seconds of the rate. */
+const BURST_SECONDS = 2;
+
+/** Writes decision lines of one part. */
+export class DecisionLog {
+  private credit: number;
+
+  private refilledAt = performance.now();
+
+  private omitted = 0;
+
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    private readonly logger: observability.PartLogger,
+    private readonly perSecond: number,
+  ) {
+    this.credit = perSecond * BURST_SECONDS;
+    this.timer = setInterval(() => this.reportOmitted(), REPORT_MILLISECONDS);
+    this.timer.unref();
+  }
+
+  /** Writes a line, or counts it when the rate is used up. */
+  write(message: string, fields: observability.LogFields): void {
+    const now = performance.now();
+    const refill = ((now - this.refilledAt) / 1000) * this.perSecond;
+    this.credit = Math.min(this.perSecond * BURST_SECONDS, this.credit + refill);
+    this.refilledAt = now;
+    if (this.credit < 1) {
+      this.omitted += 1;
+      return;
+    }
+    this.credit -= 1;
+    this.logger.decision(message, fields);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.reportOmitted();
+  }
+
+  private reportOmitted(): void {
+    if (this.omitted > 0) {
+      this.logger.info('decision lines were left out', { count: this.omitted });
+      this.omitted = 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/dispatcher-link.ts
@@ -0,0 +1,208 @@
+/**
+ * The entry side of the datagrams: asks the dispatcher of a service for slots, turns to the next daemon when it does
+ * not answer, and to this daemon itself when none does.
+ */
+import type * as datagrams from '@dogwoodstall/datagrams';
+import type * as gateway from '@dogwoodstall/gateway';
+import type { Candidates, DispatcherTarget } from './candidates.js';
+import type { Answer } from './dispatcher-role.js';
+
+/** An ask without any answer is sent again after this; some round trips between zones. */
+const RESEND_MILLISECONDS = 25;
+/** A dispatcher that has not answered by then is passed over. */
+const PASS_OVER_MILLISECONDS = 60;
+/** While a request waits, the ask is repeated at this interval to notice a lost dispatcher. */
+const WAITING_CHECK_MILLISECONDS = 150;
+/** A report without an acknowledgement is sent again after these times. */
+const REPORT_RESEND_MILLISECONDS = [40, 120, 400];
+/** Dispatchers asked for one slot at most. */
+const MAXIMUM_DISPATCHERS = 3;
+const STOPPING_RETRY_MILLISECONDS = 200;
+
+/** Options of `DispatcherLink`. */
+export interface DispatcherLinkOptions {
+  readonly zone: string;
+  readonly candidates: Candidates;
+  readonly send: (message: datagrams.Message, target: DispatcherTarget) => void;
+  /** Answers asks and reports of this daemon to itself. */
+  readonly local: {
+    readonly ask: (ask: datagrams.Ask, tell: (answer: Answer) => void) => void;
+    readonly withdraw: (askId: number) => void;
+    readonly report: (report: datagrams.Report) => void;
+  };
+  readonly onPassOver: (target: DispatcherTarget, service: string) => void;
+}
+
+interface PendingAsk {
+  readonly target: DispatcherTarget;
+  readonly onAnswer: (answer: Answer) => void;
+}
+
+type AskEnd = gateway.SlotDecision | 'pass-over';
+
+/** Acquires slots from dispatchers. */
+export class DispatcherLink implements gateway.SlotSource {
+  private readonly asks = new Map<number, PendingAsk>();
+
+  private readonly reports = new Map<string, NodeJS.Timeout>();
+
+  private lastAskId = Math.floor(Math.random() * 1_000_000) * 1000;
+
+  constructor(private readonly options: DispatcherLinkOptions) {}
+
+  async acquire(ask: gateway.SlotAsk, signal: AbortSignal): Promise<gateway.SlotDecision> {
+    const tried = new Set<string>();
+    while (!signal.aborted && tried.size < MAXIMUM_DISPATCHERS) {
+      const target = this.options.candidates.choose(ask.service, tried);
+      tried.add(target.name);
+      const end = await this.askOne(target, ask, signal);
+      if (end !== 'pass-over') {
+        return end;
+      }
+      this.options.candidates.markSilent(target.name);
+      this.options.onPassOver(target, ask.service);
+    }
+    return { kind: 'refused', reason: 'overload', retryAfter: STOPPING_RETRY_MILLISECONDS };
+  }
+
+  /** Takes an answer from the network. */
+  receive(answer: Answer, from: DispatcherTarget): void {
+    const askId = typeof answer[1] === 'number' ? answer[1] : answer[1].askId;
+    const pending = this.asks.get(askId);
+    if (pending !== undefined && pending.target.host === from.host) {
+      pending.onAnswer(answer);
+    } else if (answer[0] === 'grant') {
+      // The request has ended or another dispatcher decided about it.
+      this.sendReport(from, answer[1].grantId, {
+        outcome: 'unused',
+        elapsed: 0,
+        load: undefined,
+        silent: true,
+      });
+    }
+  }
+
+  /** Takes an acknowledgement from the network. */
+  acknowledge(grantId: number, from: DispatcherTarget): void {
+    const key = `${from.host}/${grantId}`;
+    clearTimeout(this.reports.get(key));
+    this.reports.delete(key);
+  }
+
+  close(): void {
+    for (const timer of this.reports.values()) {
+      clearTimeout(timer);
+    }
+  }
+
+  private askOne(
+    target: DispatcherTarget,
+    ask: gateway.SlotAsk,
+    signal: AbortSignal,
+  ): Promise<AskEnd> {
+    this.lastAskId += 1;
+    const askId = this.lastAskId;
+    const { route } = ask;
+    const content: datagrams.Ask = {
+      askId,
+      service: ask.service,
+      route: route.name,
+      zone: this.options.zone,
+      idempotent: route.idempotent,
+      priority: route.priority,
+      remaining: Math.round(ask.deadlineAt - performance.now()),
+      target: route.targetMilliseconds,
+      repeated: ask.repeated,
+      fingerprint: ask.fingerprint,
+      excluded: [...ask.excluded],
+    };
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const settle = (end: AskEnd): void => {
+        clearTimeout(timer);
+        this.asks.delete(askId);
+        signal.removeEventListener('abort', onAbort);
+        resolve(end);
+      };
+      const withdraw = (): void => {
+        if (target.isSelf) {
+          this.options.local.withdraw(askId);
+        } else {
+          this.options.send(['withdraw', askId], target);
+        }
+      };
+      const onAbort = (): void => {
+        withdraw();
+        settle({ kind: 'refused', reason: 'overload', retryAfter: STOPPING_RETRY_MILLISECONDS });
+      };
+      const passOver = (): void => {
+        withdraw();
+        settle('pass-over');
+      };
+      const resend = (): void => {
+        this.options.send(['ask', content], target);
+        timer = setTimeout(passOver, PASS_OVER_MILLISECONDS - RESEND_MILLISECONDS);
+      };
+      const onAnswer = (answer: Answer): void => {
+        if (answer[0] === 'queued') {
+          clearTimeout(timer);
+          if (!target.isSelf) {
+            timer = setTimeout(resend, WAITING_CHECK_MILLISECONDS);
+          }
+        } else if (answer[0] === 'grant') {
+          settle({ kind: 'slot', slot: this.createSlot(target, answer[1]) });
+        } else if (answer[1].reason === 'stopping') {
+          settle('pass-over');
+        } else {
+          const { reason, retryAfter } = answer[1];
+          settle({ kind: 'refused', reason, retryAfter });
+        }
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.asks.set(askId, { target, onAnswer });
+      if (target.isSelf) {
+        this.options.local.ask(content, onAnswer);
+      } else {
+        this.options.send(['ask', content], target);
+        timer = setTimeout(resend, RESEND_MILLISECONDS);
+      }
+    });
+  }
+
+  private createSlot(target: DispatcherTarget, grant: datagrams.Grant): gateway.Slot {
+    return {
+      endpoint: grant.endpoint,
+      address: grant.address,
+      hedgeAfter: grant.hedgeAfter,
+      report: (end) => this.sendReport(target, grant.grantId, end),
+    };
+  }
+
+  private sendReport(target: DispatcherTarget, grantId: number, end: gateway.SlotEnd): void {
+    const report: datagrams.Report = {
+      grantId,
+      outcome: end.outcome,
+      elapsed: Math.round(end.elapsed),
+      load: end.load ?? -1,
+      silent: end.silent,
+    };
+    if (target.isSelf) {
+      this.options.local.report(report);
+      return;
+    }
+    const key = `${target.host}/${grantId}`;
+    const send = (attempt: number): void => {
+      this.options.send(['report', report], target);
+      const wait = REPORT_RESEND_MILLISECONDS[attempt];
+      if (wait === undefined) {
+        this.reports.delete(key);
+      } else {
+        this.reports.set(
+          key,
+          setTimeout(() => send(attempt + 1), wait),
+        );
+      }
+    };
+    send(0);
+  }
+}
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * The daemon for transparent traffic.
+ */
+export { type GatewayDaemonOptions, GatewayDaemon } from './gateway-daemon.js';
+export { type GatewaySettings, gatewaySettingsSchema, loadGatewaySettings } from './settings.js';
+export { type Member, memberSchema } from './member.js';
+export {
+  type ConfigurationReading,
+  type DirectorySource,
+  type EndpointChange,
+  type EndpointChanges,
+} from './sources.js';
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/readiness-page.ts
@@ -0,0 +1,37 @@
+/**
+ * The readiness check of the platform's balancer.
+ */
+import * as http from 'node:http';
+import { FailureError } from '@dogwoodstall/results';
+
+/** Answers 200 while the daemon takes callers, else 503. */
+export class ReadinessPage {
+  private readonly server: http.Server;
+
+  constructor(path: string, isReady: () => boolean) {
+    this.server = http.createServer((request, response) => {
+      if (request.url !== path) {
+        response.writeHead(404).end();
+        return;
+      }
+      const ready = isReady();
+      response.writeHead(ready ? 200 : 503, { 'Content-Type': 'text/plain' });
+      response.end(ready ? 'ready\n' : 'not ready\n');
+    });
+  }
+
+  /** Binds the port; throws `ListenFailed`. */
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', (cause) =>
+        reject(new FailureError('ListenFailed', cause.message, { cause })),
+      );
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/state-page.ts
@@ -0,0 +1,96 @@
+/**
+ * The exchange of state between daemons by HTTP: configuration, endpoints and members, when a datagram told that the
+ * other side knows more.
+ */
+import * as http from 'node:http';
+import { FailureError } from '@dogwoodstall/results';
+import * as undici from 'undici';
+import { z } from 'zod';
+import { type State, stateSchema } from './directory.js';
+import { type Member, memberSchema } from './member.js';
+
+const STATE_PATH = '/state';
+const EXCHANGE_MILLISECONDS = 700;
+const MAXIMUM_REQUEST_BYTES = 1_048_576;
+
+/** What a daemon that asks knows already. */
+export const stateRequestSchema = z.object({
+  configurationVersion: z.number(),
+  directoryRevision: z.number(),
+  members: z.array(memberSchema),
+});
+
+export type StateRequest = z.infer<typeof stateRequestSchema>;
+
+async function readText(request: http.IncomingMessage): Promise<string> {
+  let text = '';
+  request.setEncoding('utf8');
+  for await (const chunk of request) {
+    text += String(chunk);
+    if (text.length > MAXIMUM_REQUEST_BYTES) {
+      throw new FailureError('PeerMessageInvalid', 'the request for the state is too long');
+    }
+  }
+  return text;
+}
+
+/** Serves the state to other daemons. */
+export class StatePage {
+  private readonly server: http.Server;
+
+  constructor(answer: (request: StateRequest) => State) {
+    this.server = http.createServer((request, response) => {
+      const serve = async (): Promise<void> => {
+        const parsed = stateRequestSchema.safeParse(JSON.parse(await readText(request)));
+        if (request.url !== STATE_PATH || !parsed.success) {
+          response.writeHead(400).end();
+          return;
+        }
+        response.writeHead(200, { 'Content-Type': 'application/json' });
+        response.end(JSON.stringify(answer(parsed.data)));
+      };
+      serve().catch(() => response.writeHead(400).end());
+    });
+  }
+
+  /** Binds the port; throws `ListenFailed`. */
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', (cause) =>
+        reject(new FailureError('ListenFailed', cause.message, { cause })),
+      );
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+/** Asks a daemon for its state; throws `PeerUnreachable` or `PeerMessageInvalid`. */
+export async function requestState(address: string, request: StateRequest): Promise<State> {
+  let value: unknown;
+  try {
+    const { statusCode, body } = await undici.request(`http://${address}${STATE_PATH}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(request),
+      signal: AbortSignal.timeout(EXCHANGE_MILLISECONDS),
+    });
+    value = await body.json();
+    if (statusCode !== 200) {
+      throw new Error(`status ${statusCode}`);
+    }
+  } catch (cause) {
+    throw new FailureError('PeerUnreachable', String(cause), { cause });
+  }
+  const parsed = stateSchema.safeParse(value);
+  if (!parsed.success) {
+    throw new FailureError('PeerMessageInvalid', 'the state does not fit its schema');
+  }
+  return parsed.data;
+}
+
+export type { Member, State };
--- a/packages/foundation/observability/src/logger.ts
+++ b/packages/foundation/observability/src/logger.ts
@@ -9,6 +9,7 @@
   | 'administration'
   | 'configuration'
   | 'daemon'
+  | 'directory'
   | 'dispatch'
   | 'entry'
   | 'health'
--- a/packages/foundation/results/src/codes/routing.ts
+++ b/packages/foundation/results/src/codes/routing.ts
@@ -78,4 +78,16 @@
     'not-run',
     'The caller closed the connection while the request waited in the queue.',
   ),
+  CrashingRequestHeld: defineResult(
+    3015,
+    503,
+    'not-run',
+    'The request crashed several endpoints before and is held back.',
+  ),
+  DaemonMemoryFull: defineResult(
+    3016,
+    503,
+    'not-run',
+    'The daemon holds as many bytes of requests as its settings allow.',
+  ),
 } as const;
--- a/packages/foundation/results/src/codes/store.ts
+++ b/packages/foundation/results/src/codes/store.ts
@@ -34,4 +34,16 @@
     'not-applicable',
     'The list of VMs could not be read.',
   ),
+  StoreHistoryLost: defineResult(
+    8006,
+    503,
+    'not-applicable',
+    'The key-value service no longer knows the changes after the wanted revision.',
+  ),
+  StoreConditionFailed: defineResult(
+    8007,
+    503,
+    'not-applicable',
+    'The condition of a write to the key-value service does not hold.',
+  ),
 } as const;
--- /dev/null
+++ b/packages/peers/datagrams/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Datagrams between daemons.
+ */
+export {
+  type Ask,
+  type Grant,
+  type Message,
+  type Outcome,
+  type Ping,
+  type Pong,
+  type Refusal,
+  type Report,
+} from './messages.js';
+export { decodeMessage, encodeMessage } from './encoding.js';
+export { type DatagramPortOptions, type PeerAddress, DatagramPort } from './port.js';
--- /dev/null
+++ b/packages/peers/datagrams/src/port.ts
@@ -0,0 +1,70 @@
+/**
+ * The UDP port of a daemon.
+ */
+import * as dgram from 'node:dgram';
+import { FailureError } from '@dogwoodstall/results';
+import { decodeMessage, encodeMessage } from './encoding.js';
+import type { Message } from './messages.js';
+
+/** Where a peer receives datagrams. */
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Options of `DatagramPort`. */
+export interface DatagramPortOptions {
+  readonly onMessage: (message: Message, from: PeerAddress) => void;
+  /** Called for a datagram that holds no message. */
+  readonly onMalformed: (from: PeerAddress) => void;
+  /** Called when a datagram could not be sent. */
+  readonly onSendError: (error: Error, to: PeerAddress) => void;
+}
+
+/** Sends and receives messages. */
+export class DatagramPort {
+  private readonly socket = dgram.createSocket('udp4');
+
+  constructor(private readonly options: DatagramPortOptions) {
+    this.socket.on('message', (datagram, { address, port }) => {
+      const from = { host: address, port };
+      const message = decodeMessage(datagram);
+      if (message === undefined) {
+        this.options.onMalformed(from);
+        return;
+      }
+      this.options.onMessage(message, from);
+    });
+  }
+
+  /** Binds the port; throws `ListenFailed`. */
+  async bind({ host, port }: PeerAddress): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', (cause) =>
+        reject(new FailureError('ListenFailed', cause.message, { cause })),
+      );
+      this.socket.bind(port, host, resolve);
+    });
+    this.socket.removeAllListeners('error');
+    this.socket.on('error', (error) => this.options.onSendError(error, { host, port }));
+  }
+
+  /** The address that the port is bound to. */
+  get address(): PeerAddress {
+    const { address, port } = this.socket.address();
+    return { host: address, port };
+  }
+
+  /** Sends a message; it may be lost. */
+  send(message: Message, to: PeerAddress): void {
+    this.socket.send(encodeMessage(message), to.port, to.host, (error) => {
+      if (error !== null) {
+        this.options.onSendError(error, to);
+      }
+    });
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+}
--- /dev/null
+++ b/packages/routing/gateway/src/attempt.ts
@@ -0,0 +1,208 @@
+/**
+ * One attempt of a request at one endpoint. The answer is held until it is whole, so that a cut one never looks
+ * complete to the caller and an idempotent request can go to another endpoint.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Dispatcher } from 'undici';
+import type { ConnectionPool } from './connection-pool.js';
+import type { AnswerVerdict, AttemptFacts, WireContract } from './contract.js';
+import type { EndpointConnection } from './endpoint-connection.js';
+
+/** Longest answer that is held. */
+const MAXIMUM_ANSWER_BYTES = 33_554_432;
+
+/** A whole answer of an endpoint. */
+export interface EndpointAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: 'answer'; readonly answer: EndpointAnswer }
+  /** The endpoint states that it did not run the request. */
+  | { readonly kind: 'shed' }
+  | { readonly kind: 'misdirected' }
+  /** No byte of the request left. */
+  | { readonly kind: 'refused'; readonly reason: string }
+  /** The request may have run and there is no whole answer. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  /** The attempt was abandoned; `sent` tells whether the request may have run. */
+  | { readonly kind: 'abandoned'; readonly sent: boolean };
+
+/** The end of an attempt with what it tells about the endpoint. */
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  /** Milliseconds from sending to the end. */
+  readonly elapsed: number;
+  readonly load: number | undefined;
+  /** Whether no byte of an answer came. */
+  readonly silent: boolean;
+}
+
+/** Options of `sendAttempt`. */
+export interface AttemptOptions {
+  readonly pool: ConnectionPool;
+  readonly contract: WireContract;
+  readonly address: string;
+  readonly facts: AttemptFacts;
+  readonly method: string;
+  /** Path and query. */
+  readonly target: string;
+  /** Flat list of names and values. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | null;
+  readonly signal: AbortSignal;
+}
+
+class Attempt implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private readonly connection: EndpointConnection;
+
+  private startedAt = performance.now();
+
+  private status = 0;
+
+  private headers: IncomingHttpHeaders = {};
+
+  private verdict: AnswerVerdict | undefined;
+
+  private readonly chunks: Buffer[] = [];
+
+  private length = 0;
+
+  private settled = false;
+
+  constructor(
+    private readonly options: AttemptOptions,
+    private readonly resolve: (result: AttemptResult) => void,
+  ) {
+    this.connection = options.pool.take(options.address);
+  }
+
+  start(): void {
+    const { signal, contract, facts, method, target, headers, body } = this.options;
+    if (signal.aborted) {
+      this.options.pool.give(this.options.address, this.connection);
+      this.settle({ kind: 'abandoned', sent: false });
+      return;
+    }
+    signal.addEventListener('abort', this.onAbort, { once: true });
+    try {
+      this.connection.dispatch(
+        {
+          path: target,
+          method: method as Dispatcher.HttpMethod,
+          headers: [...headers, ...contract.listAttemptHeaders(facts)],
+          body,
+          // Without it undici waits for the answer of a method that it takes for unsafe before it reuses.
+          blocking: false,
+        },
+        this,
+      );
+    } catch (error) {
+      this.fail({ kind: 'refused', reason: String(error) });
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.settled) {
+      controller.abort(new Error('the attempt was abandoned'));
+      return;
+    }
+    if (this.controller !== undefined) {
+      // undici sends a request again after some closes; the first transmission may have run.
+      this.fail({ kind: 'broken', reason: 'the connection was replaced' });
+      controller.abort(new Error('the connection was replaced'));
+      return;
+    }
+    this.startedAt = performance.now();
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.settled || status < 200) {
+      return;
+    }
+    this.status = status;
+    this.headers = headers;
+    this.verdict = this.options.contract.judgeAnswer(status, headers, this.options.facts);
+    if (this.verdict.kind === 'foreign') {
+      this.fail({ kind: 'broken', reason: 'the answer belongs to another request' });
+    }
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.length += chunk.length;
+    if (this.length > MAXIMUM_ANSWER_BYTES) {
+      this.fail({ kind: 'broken', reason: 'the answer is too long to be held' });
+    } else if (!this.settled) {
+      this.chunks.push(chunk);
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.settled) {
+      return;
+    }
+    if (this.connection.broken) {
+      this.fail({ kind: 'broken', reason: 'the connection broke before the end of the answer' });
+      return;
+    }
+    // Bytes behind the answer arrive with it; the connection is given back after they were parsed.
+    setImmediate(() => this.options.pool.give(this.options.address, this.connection));
+    const { verdict } = this;
+    if (verdict === undefined || verdict.kind === 'foreign') {
+      this.fail({ kind: 'broken', reason: 'the answer has no head' });
+    } else if (verdict.kind === 'not-run') {
+      this.settle({ kind: 'shed' });
+    } else if (verdict.kind === 'misdirected') {
+      this.settle({ kind: 'misdirected' });
+    } else {
+      const body = Buffer.concat(this.chunks, this.length);
+      this.settle({ kind: 'answer', answer: { status: this.status, headers: this.headers, body } });
+    }
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    const reason = 'code' in error ? String(error.code) : error.message;
+    this.fail({ kind: this.controller === undefined ? 'refused' : 'broken', reason });
+  }
+
+  private readonly onAbort = (): void => {
+    this.fail({ kind: 'abandoned', sent: this.controller !== undefined });
+  };
+
+  private fail(end: AttemptEnd): void {
+    if (this.settled) {
+      return;
+    }
+    this.settle(end);
+    this.controller?.abort(new Error('the attempt ended'));
+    this.connection.destroy();
+  }
+
+  private settle(end: AttemptEnd): void {
+    this.settled = true;
+    this.options.signal.removeEventListener('abort', this.onAbort);
+    this.resolve({
+      end,
+      elapsed: performance.now() - this.startedAt,
+      load: this.options.contract.readLoad(this.headers),
+      silent: this.status === 0,
+    });
+  }
+}
+
+/** Sends a request to an endpoint. Never rejects. */
+export function sendAttempt(options: AttemptOptions): Promise<AttemptResult> {
+  return new Promise((resolve) => {
+    new Attempt(options, resolve).start();
+  });
+}
--- /dev/null
+++ b/packages/routing/gateway/src/index.ts
@@ -0,0 +1,19 @@
+/**
+ * HTTP in and out for transparent traffic.
+ */
+export { type AnswerVerdict, type AttemptFacts, type WireContract } from './contract.js';
+export {
+  type GatewayServerOptions,
+  type RequestDecision,
+  GatewayServer,
+} from './gateway-server.js';
+export {
+  type Slot,
+  type SlotAsk,
+  type SlotDecision,
+  type SlotEnd,
+  type SlotRefusalReason,
+  type SlotSource,
+} from './slots.js';
+export { ConnectionPool } from './connection-pool.js';
+export { type AttemptResult, sendAttempt } from './attempt.js';
--- /dev/null
+++ b/packages/routing/gateway/src/request-run.ts
@@ -0,0 +1,305 @@
+/**
+ * The attempts of one request. A request that is not idempotent is sent again only when it is proved that no endpoint
+ * ran it; an idempotent one also when it failed, or when its endpoint stays silent.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Outcome } from '@dogwoodstall/datagrams';
+import { FailureError, type ResultName } from '@dogwoodstall/results';
+import type { Route } from '@dogwoodstall/traffic';
+import {
+  type AttemptEnd,
+  type AttemptOptions,
+  type AttemptResult,
+  type EndpointAnswer,
+  sendAttempt,
+} from './attempt.js';
+import type { SlotDecision, SlotEnd, SlotSource } from './slots.js';
+
+/** One attempt in the log. */
+export interface AttemptNote {
+  readonly endpoint: string;
+  readonly outcome: string;
+  readonly milliseconds: number;
+}
+
+/** What a request is, without its connection. */
+export interface RunFacts {
+  readonly requestId: string | undefined;
+  readonly service: string;
+  readonly route: Route;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer | null;
+  readonly deadlineAt: number;
+  readonly fingerprint: string;
+}
+
+/** Options of `runRequest`. */
+export interface RunOptions {
+  readonly facts: RunFacts;
+  readonly slots: SlotSource;
+  readonly attempt: Pick<AttemptOptions, 'pool' | 'contract'>;
+  /** Aborted at the deadline and when the caller goes away. */
+  readonly signal: AbortSignal;
+  readonly note: (note: AttemptNote) => void;
+}
+
+/** How a request ended. */
+export type RunEnd =
+  | { readonly kind: 'answer'; readonly answer: EndpointAnswer }
+  | {
+      readonly kind: 'failure';
+      readonly failure: FailureError;
+      /** Set when the request was not run. */
+      readonly retryAfter: number | undefined;
+    };
+
+/** Time after which a caller may come back when endpoints refused or shed its request. */
+const SHED_RETRY_MILLISECONDS = 200;
+/** An attempt with less time than this before the deadline is not worth its slot. */
+const SHORTEST_ATTEMPT_MILLISECONDS = 15;
+
+/** Attempts that found no endpoint listening, beyond those that a route allows to send. */
+const MAXIMUM_UNSENT_TRIES = 4;
+
+type TryEnd =
+  | { readonly kind: 'refused'; readonly decision: Extract<SlotDecision, { kind: 'refused' }> }
+  | { readonly kind: 'ended'; readonly result: AttemptResult };
+
+interface Try {
+  readonly number: number;
+  readonly done: Promise<{ readonly number: number; readonly end: TryEnd }>;
+  /** Resolves when the endpoint has been silent for too long. */
+  readonly silent: Promise<'silent'>;
+  readonly abort: AbortController;
+}
+
+const outcomeByEnd: Readonly<Record<Exclude<AttemptEnd['kind'], 'answer'>, Outcome>> = {
+  shed: 'shed',
+  misdirected: 'misdirected',
+  refused: 'refused',
+  broken: 'reset',
+  abandoned: 'abandoned',
+};
+
+const resultByReason: Readonly<
+  Record<Extract<SlotDecision, { kind: 'refused' }>['reason'], ResultName>
+> = {
+  'no-endpoint': 'NoEndpoint',
+  overload: 'DeadlineUnreachable',
+  'retry-budget': 'RetryBudgetExhausted',
+  crashing: 'CrashingRequestHeld',
+  stopping: 'NotReady',
+};
+
+function describeEnd({ end, elapsed, load, silent }: AttemptResult): SlotEnd {
+  if (end.kind === 'answer') {
+    const outcome = end.answer.status >= 500 ? 'error' : 'success';
+    return { outcome, elapsed, load, silent };
+  }
+  const outcome = end.kind === 'abandoned' && !end.sent ? 'unused' : outcomeByEnd[end.kind];
+  return { outcome, elapsed, load, silent };
+}
+
+/** Runs the attempts of one request. */
+class RequestRun {
+  private readonly excluded: string[] = [];
+
+  private tries = 0;
+
+  /** Attempts that reached an endpoint or may have. */
+  private sends = 0;
+
+  private mayHaveRun = false;
+
+  private endpointFailure: EndpointAnswer | undefined;
+
+  private failure: FailureError | undefined;
+
+  private retryAfter = SHED_RETRY_MILLISECONDS;
+
+  constructor(private readonly options: RunOptions) {}
+
+  async run(): Promise<RunEnd> {
+    const running = new Map<number, Try>();
+    const start = (): void => {
+      const started = this.start();
+      running.set(started.number, started);
+    };
+    start();
+    while (running.size > 0) {
+      const event = await this.nextEvent(running);
+      if (event === 'silent') {
+        start();
+      } else {
+        running.delete(event.number);
+        const answer = this.judge(event.end);
+        if (answer !== undefined) {
+          for (const { abort } of running.values()) {
+            abort.abort();
+          }
+          return { kind: 'answer', answer };
+        }
+        if (running.size === 0 && this.mayTryAgain(event.end)) {
+          start();
+        }
+      }
+    }
+    return this.conclude();
+  }
+
+  private nextEvent(running: ReadonlyMap<number, Try>): Promise<Awaited<Try['done']> | 'silent'> {
+    const events: Promise<Awaited<Try['done']> | 'silent'>[] = [];
+    for (const { done, silent } of running.values()) {
+      events.push(done);
+      if (running.size === 1 && this.maySendAgain()) {
+        events.push(silent);
+      }
+    }
+    return Promise.race(events);
+  }
+
+  private start(): Try {
+    this.tries += 1;
+    const number = this.tries;
+    const abort = new AbortController();
+    const signal = AbortSignal.any([this.options.signal, abort.signal]);
+    let becomeSilent = (): void => {};
+    const silent = new Promise<'silent'>((resolve) => {
+      becomeSilent = () => resolve('silent');
+    });
+    const done = this.attempt(signal, becomeSilent).then((end) => ({ number, end }));
+    return { number, done, silent, abort };
+  }
+
+  private async attempt(signal: AbortSignal, becomeSilent: () => void): Promise<TryEnd> {
+    const { facts, slots } = this.options;
+    const decision = await slots.acquire(
+      {
+        requestId: facts.requestId ?? '',
+        service: facts.service,
+        route: facts.route,
+        deadlineAt: facts.deadlineAt,
+        repeated: this.sends > 0,
+        fingerprint: facts.fingerprint,
+        excluded: this.excluded,
+      },
+      signal,
+    );
+    if (decision.kind === 'refused') {
+      return { kind: 'refused', decision };
+    }
+    const { slot } = decision;
+    this.excluded.push(slot.endpoint);
+    this.sends += 1;
+    const silence = new AbortController();
+    if (slot.hedgeAfter !== undefined && facts.route.idempotent) {
+      delay(slot.hedgeAfter, undefined, { signal: silence.signal }).then(becomeSilent, () => {
+        // The attempt ended before.
+      });
+    }
+    const result = await sendAttempt({
+      ...this.options.attempt,
+      address: slot.address,
+      facts: {
+        requestId: facts.requestId,
+        endpoint: slot.endpoint,
+        remainingMilliseconds: Math.max(1, facts.deadlineAt - performance.now()),
+      },
+      method: facts.method,
+      target: facts.target,
+      headers: facts.headers,
+      body: facts.body,
+      signal,
+    });
+    silence.abort();
+    if (result.end.kind === 'refused') {
+      this.sends -= 1;
+    }
+    const end = describeEnd(result);
+    slot.report(end);
+    this.options.note({
+      endpoint: slot.endpoint,
+      outcome: end.outcome,
+      milliseconds: Math.round(end.elapsed),
+    });
+    return { kind: 'ended', result };
+  }
+
+  /** Returns the answer that ends the request, and keeps what an attempt proved otherwise. */
+  private judge(end: TryEnd): EndpointAnswer | undefined {
+    if (end.kind === 'refused') {
+      this.retryAfter = Math.max(this.retryAfter, end.decision.retryAfter);
+      this.failure ??= new FailureError(resultByReason[end.decision.reason]);
+      return undefined;
+    }
+    const { end: attemptEnd } = end.result;
+    switch (attemptEnd.kind) {
+      case 'answer':
+        if (attemptEnd.answer.status < 500) {
+          return attemptEnd.answer;
+        }
+        this.mayHaveRun = true;
+        this.endpointFailure = attemptEnd.answer;
+        return undefined;
+      case 'shed':
+        this.failure = new FailureError('BackendShed');
+        return undefined;
+      case 'broken':
+        this.mayHaveRun = true;
+        this.failure = new FailureError('BackendReset', attemptEnd.reason);
+        return undefined;
+      case 'abandoned':
+        this.mayHaveRun ||= attemptEnd.sent;
+        return undefined;
+      default:
+        this.failure = new FailureError('NoEndpoint');
+        return undefined;
+    }
+  }
+
+  private maySendAgain(): boolean {
+    const { facts, signal } = this.options;
+    return (
+      !signal.aborted &&
+      this.sends < facts.route.maximumAttempts &&
+      this.tries < facts.route.maximumAttempts + MAXIMUM_UNSENT_TRIES &&
+      facts.deadlineAt - performance.now() > SHORTEST_ATTEMPT_MILLISECONDS
+    );
+  }
+
+  private mayTryAgain(end: TryEnd): boolean {
+    if (end.kind === 'refused' || !this.maySendAgain()) {
+      return false;
+    }
+    return this.options.facts.route.idempotent || !this.mayHaveRun;
+  }
+
+  private conclude(): RunEnd {
+    if (this.endpointFailure !== undefined) {
+      return { kind: 'answer', answer: this.endpointFailure };
+    }
+    const { signal } = this.options;
+    if (this.mayHaveRun) {
+      const timedOut = signal.aborted && signal.reason instanceof FailureError;
+      const failure = timedOut ? (signal.reason as FailureError) : this.failure;
+      const known = failure?.execution === 'not-known' ? failure : undefined;
+      return {
+        kind: 'failure',
+        failure: known ?? new FailureError('BackendReset'),
+        retryAfter: undefined,
+      };
+    }
+    return {
+      kind: 'failure',
+      failure: this.failure ?? new FailureError('DeadlineUnreachable'),
+      retryAfter: this.retryAfter,
+    };
+  }
+}
+
+/** Runs a request; resolves with the answer or the failure that its caller gets. */
+export function runRequest(options: RunOptions): Promise<RunEnd> {
+  return new RequestRun(options).run();
+}
--- /dev/null
+++ b/packages/routing/grants/src/service-dispatcher.ts
@@ -0,0 +1,365 @@
+/**
+ * The dispatcher of one service: endpoints, queue and retries.
+ */
+import type { Endpoint } from '@dogwoodstall/traffic';
+import { type Candidate, type ChoiceRequest, chooseCandidate, listCandidates } from './choice.js';
+import { CrashRecords } from './crash-records.js';
+import { EndpointState, type Flight, type FlightEnd } from './endpoint-state.js';
+import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
+import { ServiceTimes } from './service-times.js';
+
+/** A request for a slot. */
+export interface SlotRequest {
+  /** Unique in the fleet. */
+  readonly key: string;
+  readonly entry: string;
+  readonly zone: string;
+  readonly route: string;
+  readonly idempotent: boolean;
+  readonly priority: number;
+  readonly remaining: number;
+  readonly target: number;
+  readonly repeated: boolean;
+  readonly fingerprint: string;
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** What a dispatcher decides about a request. */
+export type Decision =
+  | {
+      readonly kind: 'grant';
+      readonly grantId: number;
+      readonly endpoint: Endpoint;
+      readonly hedgeAfter: number;
+      readonly risk: number;
+      readonly waited: number;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'no-endpoint' | 'overload' | 'retry-budget' | 'crashing' | 'stopping';
+      readonly retryAfter: number;
+    };
+
+/** Options of `ServiceDispatcher`. */
+export interface ServiceDispatcherOptions {
+  readonly now: () => number;
+  /** The budget at present; it changes when another daemon becomes the dispatcher. */
+  readonly retryBudget: () => RetryBudget;
+  /** Receives the decision about each request that was not withdrawn. */
+  readonly decide: (request: SlotRequest, decision: Decision) => void;
+  readonly nextGrantId: () => number;
+}
+
+interface Waiter {
+  readonly request: SlotRequest;
+  readonly arrivedAt: number;
+}
+
+/** Requests that wait at most; above it they are refused at once. */
+const MAXIMUM_WAITERS = 400;
+/** Longest wait, as a share of the target; callers rather hear early that a request was not run. */
+const LONGEST_WAIT_OF_TARGET = 0.5;
+/** Wait for a less risky endpoint, as a share of the target. */
+const RISK_WAIT_OF_TARGET = 0.12;
+/** Risk above which work that must not repeat waits a little for another endpoint. */
+const WAIT_RISK = 0.5;
+/** Silence after which a second endpoint is worth it, as a multiple of the mean service time. */
+const HEDGE_MULTIPLE = 2.3;
+const HEDGE_OF_TARGET = 0.55;
+/** Retries kept for hedges and failures; below it requests do not explore. */
+const EXPLORING_RESERVE = 8;
+/** Share of failed requests above which work is spread over all endpoints. */
+const SPREAD_FAILED_SHARE = 0.07;
+const FAILED_SHARE_WEIGHT = 0.04;
+/** A grant whose report never came is forgotten this long after the request's deadline. */
+const LOST_REPORT_MILLISECONDS = 300;
+const NO_ENDPOINT_RETRY_MILLISECONDS = 250;
+const SUSPECT_RISK = 0.5;
+/** Endpoints without a grant for this long take over what another dispatcher knows about them. */
+const ADOPTION_MILLISECONDS = 1000;
+const SUSPECT_ADOPTED_RISK = 0.85;
+const TRUSTED_ADOPTED_RISK = 0.1;
+
+/** Grants the slots of one service. */
+export class ServiceDispatcher {
+  private readonly states = new Map<string, EndpointState>();
+
+  private readonly grants = new Map<number, EndpointState>();
+
+  private readonly allowance: RetryAllowance;
+
+  private readonly crashes = new CrashRecords();
+
+  private readonly times = new ServiceTimes();
+
+  private waiters: Waiter[] = [];
+
+  private failedShare = 0;
+
+  constructor(private readonly options: ServiceDispatcherOptions) {
+    this.allowance = new RetryAllowance(options.retryBudget, options.now());
+  }
+
+  /** Follows the directory. */
+  updateEndpoints(endpoints: readonly Endpoint[]): void {
+    const now = this.options.now();
+    const known = new Set<string>();
+    for (const endpoint of endpoints) {
+      known.add(endpoint.id);
+      const state = this.states.get(endpoint.id);
+      if (state === undefined) {
+        this.states.set(endpoint.id, new EndpointState(endpoint, now));
+      } else {
+        state.update(endpoint, now);
+      }
+    }
+    for (const id of this.states.keys()) {
+      if (!known.has(id)) {
+        this.states.delete(id);
+      }
+    }
+    this.serveWaiters();
+  }
+
+  /** Decides about a request now or later. Returns whether it waits. */
+  ask(request: SlotRequest): boolean {
+    const now = this.options.now();
+    if (!request.repeated) {
+      this.allowance.countRequest(now);
+    }
+    if (this.crashes.isCrashing(request.fingerprint, now)) {
+      this.refuse(request, 'crashing', request.target);
+      return false;
+    }
+    if (this.isUnusable()) {
+      this.refuse(request, 'no-endpoint', NO_ENDPOINT_RETRY_MILLISECONDS);
+      return false;
+    }
+    if (request.repeated && this.allowance.remaining(now) < 1) {
+      this.refuse(request, 'retry-budget', request.target);
+      return false;
+    }
+    const expectedWait = this.estimateWait(request, now);
+    if (expectedWait > this.longestWait(request) || this.waiters.length >= MAXIMUM_WAITERS) {
+      this.refuse(request, 'overload', expectedWait);
+      return false;
+    }
+    const waiter = { request, arrivedAt: now };
+    if (!this.isAnyAhead(request) && this.tryGrant(waiter, now)) {
+      return false;
+    }
+    this.enqueue(waiter);
+    return true;
+  }
+
+  /** Withdraws a request that waits. */
+  withdraw(key: string): void {
+    this.waiters = this.waiters.filter(({ request }) => request.key !== key);
+  }
+
+  /** Refuses every request that waits, so that another dispatcher decides about it. */
+  stop(): void {
+    for (const { request } of this.waiters.splice(0)) {
+      this.refuse(request, 'stopping', 0);
+    }
+  }
+
+  /** Ends a granted attempt; returns whether the grant was known. */
+  report(grantId: number, end: FlightEnd): boolean {
+    const state = this.grants.get(grantId);
+    const flight = state?.flights.get(grantId);
+    this.grants.delete(grantId);
+    if (state === undefined || flight === undefined) {
+      return false;
+    }
+    const now = this.options.now();
+    state.end(grantId, end, now);
+    this.learn(state, flight, end, now);
+    this.serveWaiters();
+    return true;
+  }
+
+  /** Whether a grant has not ended. */
+  knows(grantId: number): boolean {
+    return this.grants.has(grantId);
+  }
+
+  /** Serves and expires waiting requests, and forgets grants whose reports were lost. */
+  tick(): void {
+    const now = this.options.now();
+    for (const [grantId, state] of this.grants) {
+      const flight = state.flights.get(grantId);
+      if (flight === undefined) {
+        this.grants.delete(grantId);
+      } else if (now > flight.expiresAt) {
+        const elapsed = now - flight.startedAt;
+        this.report(grantId, { outcome: 'unused', elapsed, load: -1, silent: true });
+      }
+    }
+    this.serveWaiters();
+  }
+
+  /** Ids of the endpoints that are probably in a gray failure or can't be reached. */
+  listSuspects(): string[] {
+    const now = this.options.now();
+    const suspects: string[] = [];
+    for (const [id, state] of this.states) {
+      if (state.isPaused(now) || state.risk(now) > SUSPECT_RISK) {
+        suspects.push(id);
+      }
+    }
+    return suspects;
+  }
+
+  /** Adopts the suspects of a dispatcher that served before this one. */
+  adoptSuspects(suspects: ReadonlySet<string>): void {
+    const now = this.options.now();
+    for (const [id, state] of this.states) {
+      if (now - state.lastGrantAt > ADOPTION_MILLISECONDS) {
+        state.adoptRisk(suspects.has(id) ? SUSPECT_ADOPTED_RISK : TRUSTED_ADOPTED_RISK, now);
+      }
+    }
+  }
+
+  private learn(state: EndpointState, flight: Flight, end: FlightEnd, now: number): void {
+    const { id } = state.endpoint;
+    if (end.outcome === 'success') {
+      this.times.add(flight.route, flight.target, end.elapsed);
+      this.crashes.clear(flight.fingerprint);
+    } else if (end.outcome === 'reset') {
+      this.crashes.add(flight.fingerprint, id, now);
+    }
+    if (end.outcome !== 'unused') {
+      const failed = end.outcome === 'success' ? 0 : 1;
+      this.failedShare += (failed - this.failedShare) * FAILED_SHARE_WEIGHT;
+    }
+  }
+
+  private isUnusable(): boolean {
+    for (const { endpoint } of this.states.values()) {
+      if (!endpoint.draining) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private longestWait({ target, remaining, route }: SlotRequest): number {
+    const service = this.times.expect(route, target);
+    return Math.min(target * LONGEST_WAIT_OF_TARGET, remaining - service);
+  }
+
+  private estimateWait(request: SlotRequest, now: number): number {
+    let slots = 0;
+    let free = 0;
+    for (const state of this.states.values()) {
+      if (!state.endpoint.draining && !state.isPaused(now) && state.risk(now) < SUSPECT_RISK) {
+        slots += state.endpoint.slots;
+        free += Math.max(0, state.freeSlots(now));
+      }
+    }
+    let ahead = 0;
+    for (const waiter of this.waiters) {
+      ahead += waiter.request.priority <= request.priority ? 1 : 0;
+    }
+    const excess = ahead + 1 - free;
+    if (excess <= 0 || slots === 0) {
+      return 0;
+    }
+    return (excess * this.times.expect(request.route, request.target)) / slots;
+  }
+
+  private isAnyAhead({ priority, repeated }: SlotRequest): boolean {
+    if (repeated) {
+      return false;
+    }
+    return this.waiters.some(
+      ({ request }) => request.priority <= priority && request.excluded.size === 0,
+    );
+  }
+
+  private enqueue(waiter: Waiter): void {
+    const rank = ({ request }: Waiter): number => (request.repeated ? -1 : request.priority);
+    let index = this.waiters.length;
+    while (index > 0 && rank(this.waiters[index - 1] as Waiter) > rank(waiter)) {
+      index -= 1;
+    }
+    this.waiters.splice(index, 0, waiter);
+  }
+
+  private serveWaiters(): void {
+    if (this.waiters.length === 0) {
+      return;
+    }
+    const now = this.options.now();
+    const waiting: Waiter[] = [];
+    for (const waiter of this.waiters) {
+      const { request, arrivedAt } = waiter;
+      if (now - arrivedAt > this.longestWait(request)) {
+        this.refuse(request, 'overload', this.estimateWait(request, now));
+      } else if (!this.tryGrant(waiter, now)) {
+        waiting.push(waiter);
+      }
+    }
+    this.waiters = waiting;
+  }
+
+  private tryGrant(waiter: Waiter, now: number): boolean {
+    const { request, arrivedAt } = waiter;
+    const choice: ChoiceRequest = {
+      ...request,
+      mayExplore:
+        request.idempotent &&
+        !request.repeated &&
+        this.allowance.remaining(now) > EXPLORING_RESERVE,
+      mustSpread: this.failedShare > SPREAD_FAILED_SHARE && !request.repeated,
+    };
+    const candidates = listCandidates(this.states.values(), choice, now);
+    const chosen = chooseCandidate(candidates, choice, now);
+    const waited = now - arrivedAt;
+    if (chosen === undefined) {
+      return false;
+    }
+    const mayWait = waited < request.target * RISK_WAIT_OF_TARGET;
+    if (!request.idempotent && chosen.risk > WAIT_RISK && mayWait) {
+      return false;
+    }
+    if (request.repeated && !this.allowance.take(now)) {
+      return false;
+    }
+    this.grant(request, chosen, waited, now);
+    return true;
+  }
+
+  private grant(request: SlotRequest, { state, risk }: Candidate, waited: number, now: number): void {
+    const grantId = this.options.nextGrantId();
+    const expected = this.times.expect(request.route, request.target);
+    state.begin(grantId, {
+      entry: request.entry,
+      route: request.route,
+      target: request.target,
+      idempotent: request.idempotent,
+      startedAt: now,
+      expected,
+      expiresAt: now + request.remaining - waited + LOST_REPORT_MILLISECONDS,
+      fingerprint: request.fingerprint,
+    });
+    this.grants.set(grantId, state);
+    this.options.decide(request, {
+      kind: 'grant',
+      grantId,
+      endpoint: state.endpoint,
+      hedgeAfter: Math.min(expected * HEDGE_MULTIPLE, request.target * HEDGE_OF_TARGET),
+      risk,
+      waited,
+    });
+  }
+
+  private refuse(
+    request: SlotRequest,
+    reason: Extract<Decision, { kind: 'refuse' }>['reason'],
+    retryAfter: number,
+  ): void {
+    this.options.decide(request, { kind: 'refuse', reason, retryAfter });
+  }
+}
--- /dev/null
+++ b/packages/routing/grants/src/sliding-count.ts
@@ -0,0 +1,45 @@
+/**
+ * Events in the last part of time, counted in buckets.
+ */
+const BUCKETS = 20;
+
+/** Counts events of a window of `windowMilliseconds`. */
+export class SlidingCount {
+  private readonly counts = new Array<number>(BUCKETS).fill(0);
+
+  private readonly bucketMilliseconds: number;
+
+  private current = 0;
+
+  private total = 0;
+
+  constructor(windowMilliseconds: number, now: number) {
+    this.bucketMilliseconds = windowMilliseconds / BUCKETS;
+    this.current = Math.floor(now / this.bucketMilliseconds);
+  }
+
+  /** Counts an event. */
+  add(now: number): void {
+    this.advance(now);
+    const index = this.current % BUCKETS;
+    this.counts[index] = (this.counts[index] as number) + 1;
+    this.total += 1;
+  }
+
+  /** Returns the events of the window. */
+  count(now: number): number {
+    this.advance(now);
+    return this.total;
+  }
+
+  private advance(now: number): void {
+    const bucket = Math.floor(now / this.bucketMilliseconds);
+    const steps = Math.min(BUCKETS, bucket - this.current);
+    for (let step = 0; step < steps; step += 1) {
+      const index = (bucket - step) % BUCKETS;
+      this.total -= this.counts[index] as number;
+      this.counts[index] = 0;
+    }
+    this.current = Math.max(this.current, bucket);
+  }
+}
--- a/packages/routing/proxy/src/index.ts
+++ b/packages/routing/proxy/src/index.ts
@@ -26,3 +26,6 @@
 export { RetryBudget } from './retry-budget.js';
 export { type Decision, type DecisionAttempt, DecisionRing } from './decision.js';
 export { KEPT_BODY_BYTES } from './caller-body.js';
+export { formatRawFailure, sendFailure } from './answer.js';
+export { selectAnswerHeaders, selectRequestHeaders } from './headers.js';
+export { type CheckedRequest, checkRequest, classifyParserError } from './request-check.js';
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,32 @@
+/**
+ * Bundles the program that the platform starts into target/, so that a start loads one file.
+ */
+import { readFileSync, readdirSync } from 'node:fs';
+import { dirname, join, resolve } from 'node:path';
+import { build } from 'esbuild';
+
+const root = resolve(import.meta.dirname, '..');
+const alias = {};
+for (const file of readdirSync(join(root, 'packages'), { recursive: true })) {
+  if (file.split(/[\\/]/).length === 3 && file.endsWith('package.json')) {
+    const { name } = JSON.parse(readFileSync(join(root, 'packages', file), 'utf8'));
+    alias[name] = join(root, 'packages', dirname(file), 'src', 'index.ts');
+  }
+}
+
+await build({
+  entryPoints: [join(root, 'platform', 'src', 'main.ts')],
+  outfile: join(root, 'target', 'dogwoodstall.mjs'),
+  alias,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  sourcemap: 'linked',
+  legalComments: 'none',
+  logLevel: 'warning',
+  // Packages in CommonJS load modules of Node.js by `require`.
+  banner: {
+    js: "import { createRequire as createNodeRequire } from 'node:module'; const require = createNodeRequire(import.meta.url);",
+  },
+});
