Hedge a request only within the attempts of its route

Cause: the silence of the first endpoint was raced from a moment at which the request had not been sent, so that a route of one attempt got a second one.

--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -58,8 +58,9 @@
     });
   }
 
-  private follow(socket: Socket | null): void {
-    if (socket !== null) {
+  // Without a connection, undici passes no socket at all.
+  private follow(socket: Socket | null | undefined): void {
+    if (socket) {
       this.established = true;
       socket.on('error', () => {
         this.broken = true;
--- a/packages/routing/gateway/src/request-run.ts
+++ b/packages/routing/gateway/src/request-run.ts
@@ -113,6 +113,9 @@
 
   private mayHaveRun = false;
 
+  /** Whether a silent endpoint has been given a second one. */
+  private hedged = false;
+
   private endpointFailure: EndpointAnswer | undefined;
 
   private failure: FailureError | undefined;
@@ -131,7 +134,10 @@
     while (running.size > 0) {
       const event = await this.nextEvent(running);
       if (event === 'silent') {
-        start();
+        this.hedged = true;
+        if (this.maySendAgain()) {
+          start();
+        }
       } else {
         running.delete(event.number);
         const answer = this.judge(event.end);
@@ -153,7 +159,7 @@
     const events: Promise<Awaited<Try['done']> | 'silent'>[] = [];
     for (const { done, silent } of running.values()) {
       events.push(done);
-      if (running.size === 1 && this.maySendAgain()) {
+      if (!this.hedged) {
         events.push(silent);
       }
     }
