Let a fleet that starts together dispatch at once

Entries of before the restart are now read first, and a daemon that reaches no dispatcher begins after 450 ms.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -36,6 +36,8 @@
 const JOIN_RETRY_MILLISECONDS = 800;
 /** A daemon that started just now does not dispatch, because it has no evidence about endpoints yet. */
 const SETTLE_MILLISECONDS = 1500;
+/** Without an answer of a dispatcher for this long after the start, there is none. */
+const ALONE_MILLISECONDS = 450;
 /** Entries without a dispatcher's work to do fetch changes of the endpoints at this interval. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 /**
@@ -91,6 +93,8 @@
 
   private malformed = 0;
 
+  private settled = false;
+
   private stopped: Promise<void> | undefined;
 
   private closed = false;
@@ -221,11 +225,7 @@
     return new Candidates({
       members: this.members,
       listServices: () => this.directory.listServices(),
-      isSelfAble: () =>
-        this.directory.hasEndpoints &&
-        !this.role.stopping &&
-        (performance.now() - this.startedAt > SETTLE_MILLISECONDS ||
-          !this.candidates.hasContact()),
+      isSelfAble: () => this.isSettled() && !this.role.stopping,
       describeKnowledge: () => ({
         configurationVersion: this.directory.configurationVersion,
         directoryRevision: this.directory.endpointRevision,
@@ -300,6 +300,17 @@
     return { ratio, slack: (slack * OTHER_BUDGET_SHARE) / others, windowMilliseconds };
   }
 
+  // While another daemon dispatches, one that started just now leaves the work to it. When all start together, somebody
+  // has to begin.
+  private isSettled(): boolean {
+    const elapsed = performance.now() - this.startedAt;
+    const alone = elapsed > ALONE_MILLISECONDS && !this.candidates.hasContact();
+    if (this.directory.hasEndpoints && (alone || elapsed > SETTLE_MILLISECONDS)) {
+      this.settled = true;
+    }
+    return this.settled;
+  }
+
   private isResponsibleForStore(): boolean {
     if (!this.directory.hasEndpoints || this.directory.routes === undefined) {
       return true;
@@ -345,14 +356,12 @@
   }
 
   private receivePing(ping: datagrams.Ping, from: datagrams.PeerAddress): void {
-    const settled =
-      this.directory.hasEndpoints && performance.now() - this.startedAt > SETTLE_MILLISECONDS;
     this.port.send(
       [
         'pong',
         {
           sequence: ping.sequence,
-          stopping: this.role.stopping || !settled,
+          stopping: this.role.stopping || !this.isSettled(),
           configurationVersion: this.directory.configurationVersion,
           directoryRevision: this.directory.endpointRevision,
           storeAge: Math.round(this.storeAge),
@@ -467,16 +476,13 @@
   private async join(): Promise<void> {
     const { source } = this.options;
     const limit = (): AbortSignal => AbortSignal.timeout(JOIN_CALL_MILLISECONDS);
-    let written = false;
     while (this.stopped === undefined) {
       try {
-        if (!written) {
+        // After a restart the entries of all daemons are still there.
+        if (!(await this.readMembers(limit()))) {
           await source.writeMember(this.members.self, limit());
-          written = true;
           await delay(JOIN_PAUSE_MILLISECONDS);
-        }
-        for (const member of await source.readMembers(limit())) {
-          this.addMember(member, 'store');
+          await this.readMembers(limit());
         }
         return;
       } catch (error) {
@@ -488,6 +494,17 @@
     }
   }
 
+  /** Reads the daemons from the store; returns whether this one is among them at its present address. */
+  private async readMembers(signal: AbortSignal): Promise<boolean> {
+    const { self } = this.members;
+    let found = false;
+    for (const member of await this.options.source.readMembers(signal)) {
+      this.addMember(member, 'store');
+      found ||= member.name === self.name && member.host === self.host;
+    }
+    return found;
+  }
+
   private async askSeeds(): Promise<void> {
     const own = this.options.settings.listen.peer;
     for (const seed of this.options.settings.seeds) {
