Keep watching the store while the dispatchers have no news from it

Cause: a daemon that took over the watch counted its own contact as news, left the watch and took it up again seconds later, so that a configuration could take longer than its bound.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -45,7 +45,7 @@
  * longest time between two answers of a store in which nothing changes.
  */
 const STORE_NEWS_MILLISECONDS = 1800;
-const STORE_NEWS_STEP_MILLISECONDS = 400;
+const STORE_NEWS_STEP_MILLISECONDS = 1500;
 const STORE_RANKING = 'store';
 /** Daemons that rank first for a service use its whole retry budget; each other one a small part. */
 const DISPATCHING_RANKS = 2;
@@ -321,7 +321,8 @@
     const ranking = this.members.rank(STORE_RANKING);
     const position = ranking.findIndex(({ name }) => name === this.options.settings.name);
     const patience = STORE_NEWS_MILLISECONDS + position * STORE_NEWS_STEP_MILLISECONDS;
-    return this.storeAge > patience;
+    // The daemon's own contact does not count: it would end the watch that it comes from.
+    return performance.now() - this.storeNewsAt > patience;
   }
 
   private get storeAge(): number {
