--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -66,6 +66,8 @@
       });
       socket.on('end', () => {
         this.ended = true;
+        // libuv reports a reset that arrives together with data as the regular end; only the missing peer tells it.
+        this.broken ||= socket.remoteAddress === undefined;
       });
     }
   }
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -66,6 +66,20 @@
   });
 });
 
+test('an answer without a length is not whole when the reset arrives together with its bytes', async () => {
+  const unframed: Script = (socket, request) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${readId(request)}\r\nSeal: s\r\n\r\npart`, () => {
+      socket.resetAndDestroy();
+      // Nothing is read until both have arrived.
+      const until = performance.now() + 30;
+      while (performance.now() < until);
+    });
+  };
+  await withGateway([unframed], {}, async ({ gateway }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 502);
+  });
+});
+
 test('an answer without a length that ends with its connection is passed on', async () => {
   const unframed: Script = (socket, request) => {
     socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${readId(request)}\r\nSeal: s\r\n\r\nall of it`);
