--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,10 +1,10 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettierConfiguration from 'eslint-config-prettier';
 
-const sources = ['packages/**/*.ts'];
+const sources = ['packages/**/*.ts', 'platform/**/*.ts'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -40,4 +40,9 @@
       'n/no-unpublished-import': 'off',
     },
   },
+  {
+    // A stopped process ends although callers keep idle connections open.
+    files: ['platform/src/main.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
 ];
--- a/packages/configuration/traffic/src/configuration.ts
+++ b/packages/configuration/traffic/src/configuration.ts
@@ -7,7 +7,10 @@
 const milliseconds = z.number().positive();
 
 /** One service that a route sends requests to, with its share of them. */
-export const destinationSchema = z.object({ service: z.string(), weight: z.number().nonnegative() });
+export const destinationSchema = z.object({
+  service: z.string(),
+  weight: z.number().nonnegative(),
+});
 
 /** A route: which requests it matches, where they go and what they may cost. */
 export const routeSchema = z.object({
--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -222,10 +222,7 @@
     }
     const { name } = this.options.members.self;
     this.options.send(
-      [
-        'ping',
-        { sequence: contact.sequence, name, standby, ...this.options.describeKnowledge() },
-      ],
+      ['ping', { sequence: contact.sequence, name, standby, ...this.options.describeKnowledge() }],
       this.describe(member),
     );
   }
--- a/packages/daemon/gateway-daemon/src/dispatcher-link.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-link.ts
@@ -18,6 +18,7 @@
 /** Dispatchers asked for one slot at most. */
 const MAXIMUM_DISPATCHERS = 3;
 const STOPPING_RETRY_MILLISECONDS = 200;
+const BYTES_PER_KILOBYTE = 1024;
 
 /** Options of `DispatcherLink`. */
 export interface DispatcherLinkOptions {
@@ -113,30 +114,25 @@
       remaining: Math.round(ask.deadlineAt - performance.now()),
       target: route.targetMilliseconds,
       repeated: ask.repeated,
+      kilobytes: Math.round(ask.bodyBytes / BYTES_PER_KILOBYTE),
       fingerprint: ask.fingerprint,
       excluded: [...ask.excluded],
     };
     return new Promise((resolve) => {
       let timer: NodeJS.Timeout | undefined;
+      let onAbort = (): void => {};
       const settle = (end: AskEnd): void => {
         clearTimeout(timer);
         this.asks.delete(askId);
         signal.removeEventListener('abort', onAbort);
         resolve(end);
       };
-      const withdraw = (): void => {
-        if (target.isSelf) {
-          this.options.local.withdraw(askId);
-        } else {
-          this.options.send(['withdraw', askId], target);
-        }
-      };
-      const onAbort = (): void => {
-        withdraw();
+      onAbort = () => {
+        this.withdraw(target, askId);
         settle({ kind: 'refused', reason: 'overload', retryAfter: STOPPING_RETRY_MILLISECONDS });
       };
       const passOver = (): void => {
-        withdraw();
+        this.withdraw(target, askId);
         settle('pass-over');
       };
       const resend = (): void => {
@@ -144,18 +140,13 @@
         timer = setTimeout(passOver, PASS_OVER_MILLISECONDS - RESEND_MILLISECONDS);
       };
       const onAnswer = (answer: Answer): void => {
-        if (answer[0] === 'queued') {
-          clearTimeout(timer);
-          if (!target.isSelf) {
-            timer = setTimeout(resend, WAITING_CHECK_MILLISECONDS);
-          }
-        } else if (answer[0] === 'grant') {
-          settle({ kind: 'slot', slot: this.createSlot(target, answer[1]) });
-        } else if (answer[1].reason === 'stopping') {
-          settle('pass-over');
-        } else {
-          const { reason, retryAfter } = answer[1];
-          settle({ kind: 'refused', reason, retryAfter });
+        if (answer[0] !== 'queued') {
+          settle(this.decide(target, answer));
+          return;
+        }
+        clearTimeout(timer);
+        if (!target.isSelf) {
+          timer = setTimeout(resend, WAITING_CHECK_MILLISECONDS);
         }
       };
       signal.addEventListener('abort', onAbort, { once: true });
@@ -169,6 +160,25 @@
     });
   }
 
+  private decide(
+    target: DispatcherTarget,
+    answer: Exclude<Answer, readonly ['queued', number]>,
+  ): AskEnd {
+    if (answer[0] === 'grant') {
+      return { kind: 'slot', slot: this.createSlot(target, answer[1]) };
+    }
+    const { reason, retryAfter } = answer[1];
+    return reason === 'stopping' ? 'pass-over' : { kind: 'refused', reason, retryAfter };
+  }
+
+  private withdraw(target: DispatcherTarget, askId: number): void {
+    if (target.isSelf) {
+      this.options.local.withdraw(askId);
+    } else {
+      this.options.send(['withdraw', askId], target);
+    }
+  }
+
   private createSlot(target: DispatcherTarget, grant: datagrams.Grant): gateway.Slot {
     return {
       endpoint: grant.endpoint,
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -118,6 +118,7 @@
       remaining: ask.remaining,
       target: ask.target,
       repeated: ask.repeated,
+      kilobytes: ask.kilobytes,
       fingerprint: ask.fingerprint,
       excluded: new Set(ask.excluded),
     });
@@ -183,11 +184,7 @@
     return dispatcher;
   }
 
-  private decide(
-    service: string,
-    request: grants.SlotRequest,
-    decision: grants.Decision,
-  ): void {
+  private decide(service: string, request: grants.SlotRequest, decision: grants.Decision): void {
     this.options.onDecision(service, request, decision);
     const remembered = this.remembered.get(request.key);
     if (remembered === undefined) {
@@ -199,7 +196,13 @@
       const { grantId, endpoint, hedgeAfter } = decision;
       remembered.answer = [
         'grant',
-        { askId, grantId, endpoint: endpoint.id, address: endpoint.address, hedgeAfter: Math.round(hedgeAfter) },
+        {
+          askId,
+          grantId,
+          endpoint: endpoint.id,
+          address: endpoint.address,
+          hedgeAfter: Math.round(hedgeAfter),
+        },
       ];
     } else {
       const { reason, retryAfter } = decision;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -267,11 +267,7 @@
     });
   }
 
-  private logGrant(
-    service: string,
-    request: grants.SlotRequest,
-    decision: grants.Decision,
-  ): void {
+  private logGrant(service: string, request: grants.SlotRequest, decision: grants.Decision): void {
     const { entry, route, repeated } = request;
     const common = { ask: request.key, entry, service, route, repeated };
     if (decision.kind === 'grant') {
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -1,7 +1,8 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { CountingEndpoint, Fleet, type FleetDaemon, ask, waitUntil } from './fleet.js';
+import { CountingEndpoint } from './counting-endpoint.js';
+import { Fleet, type FleetDaemon, ask, waitUntil } from './fleet.js';
 
 const READY_MILLISECONDS = 8000;
 /** Bounds of the platform for a change of the configuration and for a draining endpoint. */
@@ -67,7 +68,9 @@
     );
     const before = fleet.daemons.map(({ source }) => source.calls);
     await delay(OBSERVED_MILLISECONDS);
-    const callers = fleet.daemons.filter(({ source }, index) => source.calls > (before[index] ?? 0));
+    const callers = fleet.daemons.filter(
+      ({ source }, index) => source.calls > (before[index] ?? 0),
+    );
     assert.ok(callers.length <= 2, `${callers.length} daemons call the store`);
   });
 });
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -22,6 +22,8 @@
     target: milliseconds,
     /** Whether an endpoint may have received the request before. */
     repeated: z.boolean(),
+    /** Length of the body, for the cost of another zone. */
+    kilobytes: z.number().int(),
     /** Digest of caller, target and body. */
     fingerprint: z.string(),
     /** Ids of endpoints that were tried. */
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -94,7 +94,7 @@
       this.connection.dispatch(
         {
           path: target,
-          method: method as Dispatcher.HttpMethod,
+          method,
           headers: [...headers, ...contract.listAttemptHeaders(facts)],
           body,
           // Without it undici waits for the answer of a method that it takes for unsafe before it reuses.
--- a/packages/routing/gateway/src/held-bytes.ts
+++ b/packages/routing/gateway/src/held-bytes.ts
@@ -4,6 +4,10 @@
 import type { IncomingMessage } from 'node:http';
 import { FailureError } from '@dogwoodstall/results';
 
+function toError(reason: unknown): Error {
+  return reason instanceof Error ? reason : new FailureError('CallerCancelled');
+}
+
 /** Counts held bytes. */
 export class HeldBytes {
   private held = 0;
@@ -57,7 +61,7 @@
   const release = (): void => held.release(length);
   try {
     await new Promise<void>((resolve, reject) => {
-      const onAbort = (): void => reject(signal.reason as Error);
+      const onAbort = (): void => reject(toError(signal.reason));
       signal.addEventListener('abort', onAbort, { once: true });
       request.on('data', (chunk: Buffer) => {
         if (length + chunk.length > maximumBytes) {
--- a/packages/routing/gateway/src/request-run.ts
+++ b/packages/routing/gateway/src/request-run.ts
@@ -188,6 +188,7 @@
         route: facts.route,
         deadlineAt: facts.deadlineAt,
         repeated: this.sends > 0,
+        bodyBytes: facts.body?.length ?? 0,
         fingerprint: facts.fingerprint,
         excluded: this.excluded,
       },
@@ -289,7 +290,7 @@
     const { signal } = this.options;
     if (this.mayHaveRun) {
       const timedOut = signal.aborted && signal.reason instanceof FailureError;
-      const failure = timedOut ? (signal.reason as FailureError) : this.failure;
+      const failure = timedOut ? signal.reason : this.failure;
       const known = failure?.execution === 'not-known' ? failure : undefined;
       return {
         kind: 'failure',
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -10,7 +10,9 @@
   readonly service: string;
   readonly route: Route;
   readonly deadlineAt: number;
+  /** Whether an endpoint may have received the request before. */
   readonly repeated: boolean;
+  readonly bodyBytes: number;
   readonly fingerprint: string;
   readonly excluded: readonly string[];
 }
@@ -34,11 +36,7 @@
 
 /** Why no slot was given. */
 export type SlotRefusalReason =
-  | 'no-endpoint'
-  | 'overload'
-  | 'retry-budget'
-  | 'crashing'
-  | 'stopping';
+  'no-endpoint' | 'overload' | 'retry-budget' | 'crashing' | 'stopping';
 
 /** A slot or the refusal of one. */
 export type SlotDecision =
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -2,14 +2,9 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Route } from '@dogwoodstall/traffic';
-import {
-  ScriptedEndpoint,
-  type Script,
-  SlotsInTurn,
-  TestGateway,
-  formatAnswer,
-  readId,
-} from './fixture.js';
+import { TestGateway, formatAnswer, readId } from './fixture.js';
+import { ScriptedEndpoint, type Script } from './scripted-endpoint.js';
+import { SlotsInTurn } from './slots-in-turn.js';
 
 interface Setup {
   readonly gateway: TestGateway;
@@ -23,7 +18,9 @@
   check: (setup: Setup) => Promise<void>,
 ): Promise<void> {
   const { hedgeAfter, ...changes } = options;
-  const endpoints = await Promise.all(scripts.map((script) => new ScriptedEndpoint(script).listen()));
+  const endpoints = await Promise.all(
+    scripts.map((script) => new ScriptedEndpoint(script).listen()),
+  );
   const slots = new SlotsInTurn(
     endpoints.map(({ address }) => address),
     hedgeAfter,
@@ -96,8 +93,7 @@
   await withGateway([cut], {}, async ({ gateway }) => {
     assert.equal((await gateway.send({ body: 'x' }))?.status, 502);
   });
-  const whole: Script = (socket, request) =>
-    socket.end(`${head(request)}4\r\npart\r\n0\r\n\r\n`);
+  const whole: Script = (socket, request) => socket.end(`${head(request)}4\r\npart\r\n0\r\n\r\n`);
   await withGateway([whole], {}, async ({ gateway }) => {
     assert.equal((await gateway.send({ body: 'x' }))?.body, 'part');
   });
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -1,72 +1,10 @@
 /**
  * A gateway on loopback before scripted endpoints.
  */
-import * as net from 'node:net';
 import * as http from 'node:http';
 import { type Route, RouteIndex } from '@dogwoodstall/traffic';
 import * as gateway from '../src/index.js';
 
-/** What a scripted endpoint does with the text of one request. */
-export type Script = (socket: net.Socket, request: string, number: number) => void;
-
-/** An endpoint that answers with bytes of the test's choice. */
-export class ScriptedEndpoint {
-  readonly requests: string[] = [];
-
-  readonly sockets = new Set<net.Socket>();
-
-  readonly server: net.Server;
-
-  connections = 0;
-
-  constructor(script: Script) {
-    this.server = net.createServer((socket) => {
-      this.connections += 1;
-      this.sockets.add(socket);
-      let pending = '';
-      socket.on('error', () => {});
-      socket.on('close', () => this.sockets.delete(socket));
-      socket.on('data', (chunk) => {
-        pending += chunk.toString('latin1');
-        for (let end = this.findEnd(pending); end > 0; end = this.findEnd(pending)) {
-          const request = pending.slice(0, end);
-          pending = pending.slice(end);
-          this.requests.push(request);
-          script(socket, request, this.requests.length);
-        }
-      });
-    });
-  }
-
-  get address(): string {
-    return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
-  }
-
-  async listen(): Promise<this> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
-    return this;
-  }
-
-  close(): void {
-    this.server.close();
-    for (const socket of this.sockets) {
-      socket.destroy();
-    }
-  }
-
-  private findEnd(text: string): number {
-    const head = text.indexOf('\r\n\r\n');
-    if (head < 0) {
-      return 0;
-    }
-    const length = Number(/content-length: (\d+)/i.exec(text.slice(0, head))?.[1] ?? 0);
-    const end = head + 4 + length;
-    return text.length >= end ? end : 0;
-  }
-}
-
 /** Returns the request id in the text of a request. */
 export function readId(request: string): string {
   return /request-id: (\S+)/i.exec(request)?.[1] ?? '';
@@ -122,32 +60,6 @@
   priority: 1,
 };
 
-/** Gives the endpoints in turn, without any choice. */
-export class SlotsInTurn implements gateway.SlotSource {
-  readonly asks: gateway.SlotAsk[] = [];
-
-  readonly ends: gateway.SlotEnd[] = [];
-
-  constructor(
-    private readonly addresses: readonly string[],
-    private readonly hedgeAfter = 5000,
-  ) {}
-
-  acquire(ask: gateway.SlotAsk): Promise<gateway.SlotDecision> {
-    this.asks.push(ask);
-    const index = (this.asks.length - 1) % this.addresses.length;
-    return Promise.resolve({
-      kind: 'slot',
-      slot: {
-        endpoint: String(index),
-        address: this.addresses[index] as string,
-        hedgeAfter: this.hedgeAfter,
-        report: (end) => this.ends.push(end),
-      },
-    });
-  }
-}
-
 /** A gateway with its caller. */
 export class TestGateway {
   readonly decisions: gateway.RequestDecision[] = [];
--- /dev/null
+++ b/packages/routing/gateway/test/slots-in-turn.ts
@@ -0,0 +1,30 @@
+/**
+ * A source of slots without any choice.
+ */
+import type * as gateway from '../src/index.js';
+
+/** Gives the endpoints in turn, without any choice. */
+export class SlotsInTurn implements gateway.SlotSource {
+  readonly asks: gateway.SlotAsk[] = [];
+
+  readonly ends: gateway.SlotEnd[] = [];
+
+  constructor(
+    private readonly addresses: readonly string[],
+    private readonly hedgeAfter = 5000,
+  ) {}
+
+  acquire(ask: gateway.SlotAsk): Promise<gateway.SlotDecision> {
+    this.asks.push(ask);
+    const index = (this.asks.length - 1) % this.addresses.length;
+    return Promise.resolve({
+      kind: 'slot',
+      slot: {
+        endpoint: String(index),
+        address: this.addresses[index] as string,
+        hedgeAfter: this.hedgeAfter,
+        report: (end) => this.ends.push(end),
+      },
+    });
+  }
+}
--- a/packages/routing/grants/src/choice.ts
+++ b/packages/routing/grants/src/choice.ts
@@ -9,6 +9,8 @@
   readonly entry: string;
   readonly zone: string;
   readonly idempotent: boolean;
+  /** Length of the body. */
+  readonly kilobytes: number;
   readonly excluded: ReadonlySet<string>;
   /** Whether the request may test endpoints of unknown health. */
   readonly mayExplore: boolean;
@@ -18,6 +20,10 @@
 
 /** Costs beside the probability of a failure, in the same unit. */
 const OTHER_ZONE_COST = 0.01;
+/** Bytes between zones are paid for: 60 KB weigh as much as a risk of 0.24. */
+const OTHER_ZONE_COST_PER_KILOBYTE = 0.004;
+/** Tests in another zone wait longer than those in the zone of the entry, which cost less. */
+const OTHER_ZONE_TEST_WEIGHT = 0.6;
 const NEW_CONNECTION_COST = 0.012;
 const USED_SLOT_COST = 0.02;
 const WARM_UP_COST = 0.08;
@@ -49,13 +55,18 @@
   return risk < FAILING_RISK ? SUSPECT_TEST_MILLISECONDS : FAILING_TEST_MILLISECONDS;
 }
 
-function findDueTest(candidates: readonly Candidate[], now: number): Candidate | undefined {
+function findDueTest(
+  candidates: readonly Candidate[],
+  zone: string,
+  now: number,
+): Candidate | undefined {
   let best: Candidate | undefined;
   let bestOverdue = 1;
   for (const candidate of candidates) {
     const { state, risk } = candidate;
     const untested = state.flights.size === 0 || risk < SUSPECT_RISK;
-    const overdue = (now - state.lastGrantAt) / testInterval(risk);
+    const weight = state.endpoint.zone === zone ? 1 : OTHER_ZONE_TEST_WEIGHT;
+    const overdue = (weight * (now - state.lastGrantAt)) / testInterval(risk);
     if (untested && overdue > bestOverdue) {
       best = candidate;
       bestOverdue = overdue;
@@ -80,7 +91,7 @@
   const lastUse = state.usedByEntry.get(request.entry) ?? -Infinity;
   let cost = risk + (USED_SLOT_COST * state.flights.size) / state.endpoint.slots;
   if (state.endpoint.zone !== request.zone) {
-    cost += OTHER_ZONE_COST;
+    cost += OTHER_ZONE_COST + OTHER_ZONE_COST_PER_KILOBYTE * request.kilobytes;
   }
   if (now - lastUse > CONNECTION_KEPT_MILLISECONDS) {
     cost += NEW_CONNECTION_COST;
@@ -112,7 +123,7 @@
   request: ChoiceRequest,
   now: number,
 ): Candidate | undefined {
-  const due = request.mayExplore ? findDueTest(candidates, now) : undefined;
+  const due = request.mayExplore ? findDueTest(candidates, request.zone, now) : undefined;
   const spread = due ?? (request.mustSpread ? findLeastRecent(candidates, now) : undefined);
   if (spread !== undefined) {
     return spread;
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -27,14 +27,7 @@
 /** The end of an attempt. */
 export interface FlightEnd {
   readonly outcome:
-    | 'success'
-    | 'error'
-    | 'shed'
-    | 'reset'
-    | 'refused'
-    | 'misdirected'
-    | 'abandoned'
-    | 'unused';
+    'success' | 'error' | 'shed' | 'reset' | 'refused' | 'misdirected' | 'abandoned' | 'unused';
   /** From sending to the answer or the end. */
   readonly elapsed: number;
   /** Running and waiting requests that the endpoint told; negative when it told nothing. */
@@ -174,7 +167,7 @@
       case 'refused':
       case 'misdirected':
         this.pause(now);
-        return;
+        break;
       default:
     }
   }
--- a/packages/routing/grants/src/service-dispatcher.ts
+++ b/packages/routing/grants/src/service-dispatcher.ts
@@ -19,7 +19,10 @@
   readonly priority: number;
   readonly remaining: number;
   readonly target: number;
+  /** Whether an endpoint may have received the request before. */
   readonly repeated: boolean;
+  /** Length of the body. */
+  readonly kilobytes: number;
   readonly fingerprint: string;
   readonly excluded: ReadonlySet<string>;
 }
@@ -336,7 +339,12 @@
     return true;
   }
 
-  private grant(request: SlotRequest, { state, risk }: Candidate, waited: number, now: number): void {
+  private grant(
+    request: SlotRequest,
+    { state, risk }: Candidate,
+    waited: number,
+    now: number,
+  ): void {
     const grantId = this.options.nextGrantId();
     const expected = this.times.expect(request.route, request.target);
     state.begin(grantId, {
--- a/packages/routing/grants/test/belief.test.ts
+++ b/packages/routing/grants/test/belief.test.ts
@@ -25,9 +25,13 @@
 
 test('silence becomes more suspicious with time and never less', () => {
   fc.assert(
-    fc.property(fc.double({ min: 0, max: 30, noNaN: true }), fc.double({ min: 0, max: 5, noNaN: true }), (at, more) => {
-      assert.ok(belief.rateSilence(at + more) >= belief.rateSilence(at) - 1e-9);
-    }),
+    fc.property(
+      fc.double({ min: 0, max: 30, noNaN: true }),
+      fc.double({ min: 0, max: 5, noNaN: true }),
+      (at, more) => {
+        assert.ok(belief.rateSilence(at + more) >= belief.rateSilence(at) - 1e-9);
+      },
+    ),
   );
   assert.equal(belief.rateSilence(1), 1);
 });
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -60,6 +60,7 @@
       remaining: 1500,
       target: 400,
       repeated: false,
+      kilobytes: 0,
       fingerprint: key,
       excluded: new Set(),
       ...changes,
--- a/packages/routing/grants/test/service-dispatcher.test.ts
+++ b/packages/routing/grants/test/service-dispatcher.test.ts
@@ -132,3 +132,20 @@
   const decision = service.decisions.get(service.ask());
   assert.ok(decision?.kind === 'refuse' && decision.reason === 'no-endpoint');
 });
+
+test('a large body stays in its zone unless the endpoints there probably fail', () => {
+  const service = new VirtualService([
+    createEndpoint('near', { slots: 8 }),
+    createEndpoint('other', { zone: 'b', slots: 8 }),
+  ]);
+  const upload = { kilobytes: 60, route: 'uploads' };
+  service.run('success', 100, service.ask({ excluded: new Set(['other']) }));
+  for (let count = 0; count < 5; count += 1) {
+    const far = service.ask({ excluded: new Set(['near']) });
+    service.run('success', 100, far);
+  }
+  assert.equal(service.run('success', 100, service.ask(upload)).endpoint.id, 'near');
+  const near = service.ask({ excluded: new Set(['other']) });
+  service.run('reset', 10, near);
+  assert.equal(service.grantOf(service.ask(upload)).endpoint.id, 'other');
+});
--- a/packages/testing/workspace-checks/src/index.ts
+++ b/packages/testing/workspace-checks/src/index.ts
@@ -6,6 +6,7 @@
 import * as path from 'node:path';
 
 const SCOPE = '@dogwoodstall/';
+const ADAPTER_FOLDER = 'platform';
 
 /** One package of the workspace with what it imports from the workspace. */
 export interface WorkspacePackage {
@@ -55,7 +56,7 @@
   };
 }
 
-/** Reads every package below the folder `packages` of the workspace. */
+/** Reads every package below the folder `packages` of the workspace, and the adapter. */
 export async function readPackages(root: string): Promise<WorkspacePackage[]> {
   const packages: WorkspacePackage[] = [];
   for (const domain of await fs.readdir(path.join(root, 'packages'))) {
@@ -63,9 +64,31 @@
       packages.push(await readPackage(path.join(root, 'packages', domain, name)));
     }
   }
+  packages.push(await readPackage(path.join(root, ADAPTER_FOLDER)));
   return packages;
 }
 
+/** Names that only the adapter to the users' platform may know. */
+const PLATFORM_NAMES =
+  /Server-Seal|Not-Executed|Expect-Instance|Server-Load|Deadline-Ms|traffic_split|resource_kind|target_latency_ms|warmup_left_ms|kv-(key|range|watch|txn|lease|keep)|op\/config|DOGWOODSTALL_SETTINGS/i;
+
+/** Returns one sentence for each source file outside the adapter that holds a name of the platform. */
+export async function findPlatformNames(root: string): Promise<string[]> {
+  const problems: string[] = [];
+  const folder = path.join(root, 'packages');
+  for (const entry of await fs.readdir(folder, { recursive: true })) {
+    const isSource = entry.endsWith('.ts') && /[\\/]src[\\/]/.test(entry);
+    if (!isSource || entry.includes('node_modules') || entry.includes('workspace-checks')) {
+      continue;
+    }
+    const match = PLATFORM_NAMES.exec(await fs.readFile(path.join(folder, entry), 'utf8'));
+    if (match !== null) {
+      problems.push(`packages/${entry} holds the platform's name ${match[0]}`);
+    }
+  }
+  return problems;
+}
+
 /** Returns one sentence for each import that goes the wrong way or is not declared. */
 export function findProblems(
   order: readonly string[],
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -23,8 +23,8 @@
 }
 
 function findTestFiles(filter) {
-  return readdirSync('packages', { recursive: true })
-    .map((file) => join('packages', file))
+  return ['packages', 'platform']
+    .flatMap((folder) => readdirSync(folder, { recursive: true }).map((file) => join(folder, file)))
     .filter((file) => !file.includes('node_modules'))
     .filter((file) => /[\\/]dist[\\/]test[\\/].*\.test\.js$/.test(file))
     .filter((file) => file.includes(filter))
