Take no request that could outlast a planned stop; spare new connections

From 2.9 s on, after the balancer has turned away, idle connections are closed and what still arrives is refused as not run. A caller's request that crosses a close now fails at once; before, the connection stayed half open, and the new test hung.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -50,11 +50,12 @@
 /** Daemons that rank first for a service use its whole retry budget; each other one a small part. */
 const DISPATCHING_RANKS = 2;
 const OTHER_BUDGET_SHARE = 0.3;
-/** Connections without a request are closed this long before the end of the grace time. */
-const CLOSE_IDLE_BEFORE_END_MILLISECONDS = 1300;
+/**
+ * Time after SIGTERM for which requests are taken: until the balancer has taken the daemon out of rotation, by two
+ * readiness checks and a connection on its way. A request that came later could outlast the process.
+ */
+const TAKING_MILLISECONDS = 2900;
 const EXIT_BEFORE_END_MILLISECONDS = 250;
-/** Time for the balancer to take the daemon out of rotation: two readiness checks and a connection on its way. */
-const ROTATION_MILLISECONDS = 3000;
 const STOP_CHECK_MILLISECONDS = 50;
 
 /** A daemon that serves transparent traffic. */
@@ -522,17 +523,14 @@
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
     this.role.beginStop();
     this.server.beginStop();
-    let idleClosed = false;
     while (elapsed() < graceMilliseconds - EXIT_BEFORE_END_MILLISECONDS) {
       await delay(STOP_CHECK_MILLISECONDS);
-      if (elapsed() > graceMilliseconds - CLOSE_IDLE_BEFORE_END_MILLISECONDS) {
+      if (elapsed() > TAKING_MILLISECONDS) {
         // Repeated, because connections become idle when their last answer has left.
         this.server.closeIdle();
-        idleClosed = true;
-      }
-      const empty = this.server.inFlight === 0 && this.server.connections === 0;
-      if (empty && (idleClosed || elapsed() > ROTATION_MILLISECONDS)) {
-        break;
+        if (this.server.inFlight === 0 && this.server.connections === 0) {
+          break;
+        }
       }
     }
     this.logger.info('daemon has stopped', {
--- a/packages/routing/gateway/src/caller-sockets.ts
+++ b/packages/routing/gateway/src/caller-sockets.ts
@@ -8,6 +8,9 @@
 /** Beyond the configured time, for requests that callers send just before its end. */
 const IDLE_MARGIN_MILLISECONDS = 1000;
 
+/** Time that a caller gets to close its own side. */
+const LINGER_MILLISECONDS = 100;
+
 interface CallerSocket {
   requests: number;
   idleSince: number;
@@ -72,6 +75,8 @@
     for (const [socket, { requests, idleSince, bytesAtRest }] of this.sockets) {
       if (requests === 0 && idleSince < limit && socket.bytesRead === bytesAtRest) {
         socket.end();
+        // A request that crosses the close must fail at once, so that its caller sends it elsewhere.
+        setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
       }
     }
   }
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -74,6 +74,8 @@
 
   private stopping = false;
 
+  private refusing = false;
+
   private running = 0;
 
   constructor(private readonly options: GatewayServerOptions) {
@@ -108,8 +110,9 @@
     this.stopping = true;
   }
 
-  /** Stops to accept connections and closes those without a request. */
+  /** Stops to accept connections, refuses further requests, and closes connections without one. */
   closeIdle(): void {
+    this.refusing = true;
     if (this.server.listening) {
       // `http.Server.close` would also destroy connections on which a request is arriving.
       net.Server.prototype.close.call(this.server);
@@ -198,7 +201,7 @@
     const { contract, slots } = this.options;
     const checked = proxy.checkRequest(request);
     const routes = this.options.findRoutes();
-    if (routes === undefined) {
+    if (routes === undefined || this.refusing) {
       this.sendFailure(arrival, results.createFailure('NotReady'), NOT_READY_RETRY_MILLISECONDS);
       return;
     }
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -280,3 +280,19 @@
     assert.equal(answer?.body, 'well');
   });
 });
+
+test('requests that arrive too late in a planned stop are refused as not run, running ones end', async () => {
+  const slow: Script = (socket, request) =>
+    setTimeout(() => socket.write(formatAnswer(request, 'slow')), 150);
+  await withGateway([slow], {}, async ({ gateway, slots }) => {
+    const running = gateway.send({ id: 'r1', body: 'x' });
+    const second = gateway.send({ id: 'r2', body: 'x' });
+    await delay(50);
+    gateway.server.beginStop();
+    assert.equal((await second)?.body, 'slow');
+    assert.equal((await running)?.body, 'slow');
+    gateway.server.closeIdle();
+    assert.equal(slots.asks.length, 2);
+    assert.equal(await gateway.send({ id: 'r3', body: 'x' }), undefined);
+  });
+});
--- a/packages/routing/grants/src/choice.ts
+++ b/packages/routing/grants/src/choice.ts
@@ -24,7 +24,9 @@
 const OTHER_ZONE_COST_PER_KILOBYTE = 0.004;
 /** Tests in another zone wait longer than those in the zone of the entry, which cost less. */
 const OTHER_ZONE_TEST_WEIGHT = 0.6;
-const NEW_CONNECTION_COST = 0.012;
+/** Tests that need a new connection wait longer for an entry that has one. */
+const NEW_CONNECTION_TEST_WEIGHT = 0.5;
+const NEW_CONNECTION_COST = 0.02;
 const USED_SLOT_COST = 0.02;
 const WARM_UP_COST = 0.08;
 /** Time after which an entry's connection to an endpoint has probably been closed. */
@@ -55,9 +57,14 @@
   return risk < FAILING_RISK ? SUSPECT_TEST_MILLISECONDS : FAILING_TEST_MILLISECONDS;
 }
 
+function isConnected(state: EndpointState, entry: string, now: number): boolean {
+  const lastUse = state.usedByEntry.get(entry) ?? -Infinity;
+  return now - lastUse < CONNECTION_KEPT_MILLISECONDS;
+}
+
 function findDueTest(
   candidates: readonly Candidate[],
-  zone: string,
+  { zone, entry }: ChoiceRequest,
   now: number,
 ): Candidate | undefined {
   let best: Candidate | undefined;
@@ -65,7 +72,10 @@
   for (const candidate of candidates) {
     const { state, risk } = candidate;
     const untested = state.flights.size === 0 || risk < SUSPECT_RISK;
-    const weight = state.endpoint.zone === zone ? 1 : OTHER_ZONE_TEST_WEIGHT;
+    let weight = state.endpoint.zone === zone ? 1 : OTHER_ZONE_TEST_WEIGHT;
+    if (!isConnected(state, entry, now)) {
+      weight *= NEW_CONNECTION_TEST_WEIGHT;
+    }
     const overdue = (weight * (now - state.lastGrantAt)) / testInterval(risk);
     if (untested && overdue > bestOverdue) {
       best = candidate;
@@ -88,12 +98,11 @@
 }
 
 function rateCost({ state, risk }: Candidate, request: ChoiceRequest, now: number): number {
-  const lastUse = state.usedByEntry.get(request.entry) ?? -Infinity;
   let cost = risk + (USED_SLOT_COST * state.flights.size) / state.endpoint.slots;
   if (state.endpoint.zone !== request.zone) {
     cost += OTHER_ZONE_COST + OTHER_ZONE_COST_PER_KILOBYTE * request.kilobytes;
   }
-  if (now - lastUse > CONNECTION_KEPT_MILLISECONDS) {
+  if (!isConnected(state, request.entry, now)) {
     cost += NEW_CONNECTION_COST;
   }
   if (state.isWarmingUp(now)) {
@@ -123,7 +132,7 @@
   request: ChoiceRequest,
   now: number,
 ): Candidate | undefined {
-  const due = request.mayExplore ? findDueTest(candidates, request.zone, now) : undefined;
+  const due = request.mayExplore ? findDueTest(candidates, request, now) : undefined;
   const spread = due ?? (request.mustSpread ? findLeastRecent(candidates, now) : undefined);
   if (spread !== undefined) {
     return spread;
