--- /dev/null
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -0,0 +1,81 @@
+import * as assert from 'node:assert/strict';
+import * as dgram from 'node:dgram';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import * as fc from 'fast-check';
+import * as datagrams from '../src/index.js';
+
+const ask: datagrams.Message = [
+  'ask',
+  {
+    askId: 7,
+    service: 'valuation',
+    route: 'offers',
+    zone: 'a',
+    idempotent: true,
+    priority: 1,
+    remaining: 1500,
+    target: 400,
+    repeated: false,
+    kilobytes: 60,
+    fingerprint: '1x',
+    excluded: ['i-1'],
+  },
+];
+
+const messages: datagrams.Message[] = [
+  ask,
+  ['grant', { askId: 7, grantId: 9, endpoint: 'i-1', address: '10.1.0.1:80', hedgeAfter: 200 }],
+  ['queued', 7],
+  ['refuse', { askId: 7, reason: 'overload', retryAfter: 120 }],
+  ['withdraw', 7],
+  ['report', { grantId: 9, outcome: 'success', elapsed: 80, load: -1, silent: false }],
+  ['acknowledge', 9],
+];
+
+test('every message arrives as it was sent', () => {
+  for (const message of messages) {
+    assert.deepEqual(datagrams.decodeMessage(datagrams.encodeMessage(message)), message);
+  }
+});
+
+test('an ask fits one datagram between zones', () => {
+  assert.ok(datagrams.encodeMessage(ask).length < 150);
+});
+
+test('bytes that hold no message are dropped, whatever they are', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+      const decoded = datagrams.decodeMessage(bytes);
+      assert.ok(decoded === undefined || typeof decoded[0] === 'string');
+    }),
+  );
+  const whole = datagrams.encodeMessage(ask);
+  assert.equal(datagrams.decodeMessage(whole.subarray(0, whole.length - 3)), undefined);
+});
+
+test('a port receives messages and tells of malformed datagrams', async () => {
+  const received: datagrams.Message[] = [];
+  let malformed = 0;
+  const port = new datagrams.DatagramPort({
+    onMessage: (message) => received.push(message),
+    onMalformed: () => {
+      malformed += 1;
+    },
+    onSendError: (error) => {
+      throw error;
+    },
+  });
+  await port.bind({ host: '127.0.0.1', port: 0 });
+  const sender = dgram.createSocket('udp4');
+  try {
+    sender.send(datagrams.encodeMessage(ask), port.address.port, '127.0.0.1');
+    sender.send('nonsense', port.address.port, '127.0.0.1');
+    await delay(100);
+    assert.deepEqual(received, [ask]);
+    assert.equal(malformed, 1);
+  } finally {
+    sender.close();
+    port.close();
+  }
+});
