Serve counters and latency histograms on the metrics port of the settings

The daemon loads the library only when listen.metricsPort is set; the template of the platform leaves it out until its cost is measured there.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -13,6 +13,7 @@
 import { DispatcherLink } from './dispatcher-link.js';
 import { DispatcherRole } from './dispatcher-role.js';
 import { type Member, MemberTable } from './member.js';
+import { MetricsPage, type MetricsReadings } from './metrics-page.js';
 import { ReadinessPage } from './readiness-page.js';
 import { type GatewaySettings, splitAddress } from './settings.js';
 import type { DirectorySource } from './sources.js';
@@ -80,6 +81,8 @@
 
   private readonly readinessPage: ReadinessPage;
 
+  private metricsPage: MetricsPage | undefined;
+
   private readonly logger: observability.PartLogger;
 
   private readonly decisions: { readonly entry: DecisionLog; readonly dispatch: DecisionLog };
@@ -148,6 +151,10 @@
     await this.statePage.listen(peer.host, peer.port);
     await this.readinessPage.listen(readiness.host, readiness.port);
     await this.server.listen(caller.host, caller.port);
+    if (listen.metricsPort !== undefined) {
+      this.metricsPage = await MetricsPage.create(() => this.readMetrics());
+      await this.metricsPage.listen(peer.host, listen.metricsPort);
+    }
     this.role.start();
     this.candidates.start();
     this.watcher.start();
@@ -176,6 +183,7 @@
     this.port.close();
     this.statePage.close();
     this.readinessPage.close();
+    this.metricsPage?.close();
     this.server.close();
     this.decisions.entry.close();
     this.decisions.dispatch.close();
@@ -260,7 +268,10 @@
       slots: this.link,
       findRoutes: () => this.directory.routes,
       heldBytes: settings.limits.memoryMegabytes * MEGABYTE * HELD_SHARE_OF_MEMORY,
-      onDecision: (decision) => this.decisions.entry.write('request ended', { ...decision }),
+      onDecision: (decision) => {
+        this.metricsPage?.countRequest(decision);
+        this.decisions.entry.write('request ended', { ...decision });
+      },
       onUnexpectedError: (requestId, error) => {
         const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
         log.part('entry').error('request failed unexpectedly', { requestId, reason });
@@ -268,7 +279,18 @@
     });
   }
 
+  private readMetrics(): MetricsReadings {
+    return {
+      inFlight: this.server.inFlight,
+      connections: this.server.connections,
+      configurationVersion: this.directory.configurationVersion,
+      endpoints: this.directory.listAll().length,
+      storeAgeMilliseconds: this.storeAge,
+    };
+  }
+
   private logGrant(service: string, request: grants.SlotRequest, decision: grants.Decision): void {
+    this.metricsPage?.countSlot(service, decision.kind === 'grant' ? 'grant' : decision.reason);
     const { entry, route, repeated } = request;
     const common = { ask: request.key, entry, service, route, repeated };
     if (decision.kind === 'grant') {
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/listen-http.ts
@@ -0,0 +1,15 @@
+/**
+ * Binds the port of an HTTP server.
+ */
+import type * as http from 'node:http';
+import { FailureError } from '@dogwoodstall/results';
+
+/** Resolves when the port is bound; throws `ListenFailed`. */
+export async function listenHttp(server: http.Server, host: string, port: number): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (cause) =>
+      reject(new FailureError('ListenFailed', cause.message, { cause })),
+    );
+    server.listen(port, host, resolve);
+  });
+}
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/metrics-page.ts
@@ -0,0 +1,122 @@
+/**
+ * Counters and latency histograms in the text format of Prometheus.
+ */
+import * as http from 'node:http';
+import type { RequestDecision } from '@dogwoodstall/gateway';
+import type * as promClient from 'prom-client';
+import { listenHttp } from './listen-http.js';
+
+/** Upper bounds of the latency buckets: below the shortest work to beyond the longest deadline of the sites. */
+const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/** Figures that are read when the page is asked for. */
+export interface MetricsReadings {
+  readonly inFlight: number;
+  readonly connections: number;
+  readonly configurationVersion: number;
+  readonly endpoints: number;
+  readonly storeAgeMilliseconds: number;
+}
+
+/** The metrics of one daemon and the page that shows them. */
+export class MetricsPage {
+  private readonly registry: promClient.Registry;
+
+  private readonly requests: promClient.Histogram<'service' | 'result' | 'status'>;
+
+  private readonly attempts: promClient.Counter<'outcome'>;
+
+  private readonly slots: promClient.Counter<'service' | 'decision'>;
+
+  private readonly server: http.Server;
+
+  private constructor(library: typeof promClient, read: () => MetricsReadings) {
+    this.registry = new library.Registry();
+    const registers = [this.registry];
+    this.requests = new library.Histogram({
+      name: 'dogwoodstall_request_seconds',
+      help: 'Time from the head of a request to its answer',
+      labelNames: ['service', 'result', 'status'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    });
+    this.attempts = new library.Counter({
+      name: 'dogwoodstall_attempts_total',
+      help: 'Attempts at endpoints by outcome',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.slots = new library.Counter({
+      name: 'dogwoodstall_slot_decisions_total',
+      help: 'Slots that this daemon granted or refused as a dispatcher',
+      labelNames: ['service', 'decision'],
+      registers,
+    });
+    MetricsPage.addGauges(library, registers, read);
+    this.server = http.createServer((_request, response) => {
+      this.answer(response).catch(() => response.destroy());
+    });
+  }
+
+  /** Loads the library, which a daemon without this page does not pay for. */
+  static async create(read: () => MetricsReadings): Promise<MetricsPage> {
+    return new MetricsPage(await import('prom-client'), read);
+  }
+
+  private static addGauges(
+    library: typeof promClient,
+    registers: promClient.Registry[],
+    read: () => MetricsReadings,
+  ): void {
+    const gauges: readonly (readonly [string, string, (readings: MetricsReadings) => number])[] = [
+      ['requests_in_flight', 'Requests without an answer', ({ inFlight }) => inFlight],
+      ['caller_connections', 'Open connections of callers', ({ connections }) => connections],
+      ['configuration_version', 'Version in force', (readings) => readings.configurationVersion],
+      ['endpoints', 'Known endpoints of all services', ({ endpoints }) => endpoints],
+      [
+        'store_age_seconds',
+        'Time since the last news from the store',
+        ({ storeAgeMilliseconds }) => storeAgeMilliseconds / 1000,
+      ],
+    ];
+    for (const [name, help, pick] of gauges) {
+      const gauge: promClient.Gauge = new library.Gauge({
+        name: `dogwoodstall_${name}`,
+        help,
+        registers,
+        collect: () => {
+          gauge.set(pick(read()));
+        },
+      });
+    }
+  }
+
+  /** Counts a request that ended. */
+  countRequest({ service, result, status, milliseconds, attempts }: RequestDecision): void {
+    this.requests.observe({ service, result, status: String(status) }, milliseconds / 1000);
+    for (const { outcome } of attempts) {
+      this.attempts.inc({ outcome });
+    }
+  }
+
+  /** Counts the decision about a slot. */
+  countSlot(service: string, decision: string): void {
+    this.slots.inc({ service, decision });
+  }
+
+  /** Binds the port; throws `ListenFailed`. */
+  async listen(host: string, port: number): Promise<void> {
+    await listenHttp(this.server, host, port);
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(response: http.ServerResponse): Promise<void> {
+    const text = await this.registry.metrics();
+    response.writeHead(200, { 'Content-Type': this.registry.contentType });
+    response.end(text);
+  }
+}
--- a/packages/daemon/gateway-daemon/src/readiness-page.ts
+++ b/packages/daemon/gateway-daemon/src/readiness-page.ts
@@ -2,7 +2,7 @@
  * The readiness check of the platform's balancer.
  */
 import * as http from 'node:http';
-import { FailureError } from '@dogwoodstall/results';
+import { listenHttp } from './listen-http.js';
 
 /** Answers 200 while the daemon takes callers, else 503. */
 export class ReadinessPage {
@@ -22,12 +22,7 @@
 
   /** Binds the port; throws `ListenFailed`. */
   async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', (cause) =>
-        reject(new FailureError('ListenFailed', cause.message, { cause })),
-      );
-      this.server.listen(port, host, resolve);
-    });
+    await listenHttp(this.server, host, port);
   }
 
   close(): void {
--- a/packages/daemon/gateway-daemon/src/state-page.ts
+++ b/packages/daemon/gateway-daemon/src/state-page.ts
@@ -7,6 +7,7 @@
 import * as undici from 'undici';
 import * as z from 'zod';
 import { type State, stateSchema } from './directory.js';
+import { listenHttp } from './listen-http.js';
 import { type Member, memberSchema } from './member.js';
 
 const STATE_PATH = '/state';
@@ -55,12 +56,7 @@
 
   /** Binds the port; throws `ListenFailed`. */
   async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', (cause) =>
-        reject(new FailureError('ListenFailed', cause.message, { cause })),
-      );
-      this.server.listen(port, host, resolve);
-    });
+    await listenHttp(this.server, host, port);
   }
 
   close(): void {
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -1,8 +1,9 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import * as undici from 'undici';
 import { CountingEndpoint } from './counting-endpoint.js';
-import { Fleet, type FleetDaemon, ask, waitUntil } from './fleet.js';
+import { Fleet, type FleetDaemon, METRICS_PORT, ask, waitUntil } from './fleet.js';
 
 const READY_MILLISECONDS = 8000;
 /** Bounds of the platform for a change of the configuration and for a draining endpoint. */
@@ -219,3 +220,16 @@
     fleet.close();
   }
 });
+
+test('the metrics page shows requests by result, attempts by outcome and the version in force', async () => {
+  await withFleet(1, async (fleet) => {
+    const host = fleet.daemons[0]?.host ?? '';
+    await ask(host);
+    const { body } = await undici.request(`http://${host}:${METRICS_PORT}/metrics`);
+    const page = await body.text();
+    assert.match(page, /dogwoodstall_request_seconds_count\{.*result="answered".*\} 1/);
+    assert.match(page, /dogwoodstall_attempts_total\{outcome="success"\} 1/);
+    assert.match(page, /dogwoodstall_slot_decisions_total\{.*decision="grant"\} 1/);
+    assert.match(page, /dogwoodstall_configuration_version 1/);
+  });
+});
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -26,6 +26,8 @@
 const READINESS_PORT = 18_081;
 const PEER_PORT = 18_082;
 const DATAGRAM_PORT = 18_083;
+/** Port of the metrics page. */
+export const METRICS_PORT = 18_084;
 
 /** A daemon with its source. */
 export interface FleetDaemon {
@@ -57,6 +59,7 @@
           readiness: `${host}:${READINESS_PORT}`,
           peer: `${host}:${PEER_PORT}`,
           datagramPort: DATAGRAM_PORT,
+          metricsPort: METRICS_PORT,
         },
         store: { address: '127.0.0.1:1' },
         retries: { ratio: 0.2, slack: 20, windowSeconds: 10 },
