Split the gateway daemon and the service dispatcher by their jobs

Duties, exchange of state and reports of decisions, and the queue of waiting requests, have modules of their own; no behaviour changes. The tests of both packages pass.

--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -0,0 +1,55 @@
+/**
+ * Reports decisions to the log and to the metrics page.
+ */
+import type * as gateway from '@dogwoodstall/gateway';
+import type * as grants from '@dogwoodstall/grants';
+import type * as observability from '@dogwoodstall/observability';
+import { DecisionLog } from './decision-log.js';
+import type { MetricsPage } from './metrics-page.js';
+
+/** Receives the decisions of one daemon. */
+export class DecisionReporter {
+  /** Set when the settings name a port for metrics. */
+  metricsPage: MetricsPage | undefined;
+
+  private readonly entryLog: DecisionLog;
+
+  private readonly dispatchLog: DecisionLog;
+
+  constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
+    this.entryLog = new DecisionLog(log.part('entry'), decisionsPerSecond);
+    this.dispatchLog = new DecisionLog(log.part('dispatch'), decisionsPerSecond);
+  }
+
+  /** Notes a request that ended. */
+  noteRequest(decision: gateway.RequestDecision): void {
+    this.metricsPage?.countRequest(decision);
+    this.entryLog.write('request ended', { ...decision });
+  }
+
+  /** Notes the decision about a slot. */
+  noteSlot(service: string, request: grants.SlotRequest, decision: grants.Decision): void {
+    this.metricsPage?.countSlot(service, decision.kind === 'grant' ? 'grant' : decision.reason);
+    const { entry, route, repeated } = request;
+    const common = { ask: request.key, entry, service, route, repeated };
+    if (decision.kind === 'grant') {
+      const { grantId, endpoint, risk, waited } = decision;
+      this.dispatchLog.write('slot granted', {
+        ...common,
+        grantId,
+        endpoint: endpoint.id,
+        risk: Number(risk.toFixed(3)),
+        waited: Math.round(waited),
+      });
+    } else {
+      const { reason, retryAfter } = decision;
+      this.dispatchLog.write('slot refused', { ...common, reason, retryAfter });
+    }
+  }
+
+  close(): void {
+    this.entryLog.close();
+    this.dispatchLog.close();
+    this.metricsPage?.close();
+  }
+}
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -4,20 +4,20 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as datagrams from '@dogwoodstall/datagrams';
 import * as gateway from '@dogwoodstall/gateway';
-import type * as grants from '@dogwoodstall/grants';
 import type * as observability from '@dogwoodstall/observability';
-import * as results from '@dogwoodstall/results';
 import { Candidates, type DispatcherTarget } from './candidates.js';
-import { DecisionLog } from './decision-log.js';
-import { Directory, type State } from './directory.js';
+import { DecisionReporter } from './decision-reporter.js';
+import { Directory } from './directory.js';
+import { DispatchDuty } from './dispatch-duty.js';
 import { DispatcherLink } from './dispatcher-link.js';
 import { DispatcherRole } from './dispatcher-role.js';
 import { type Member, MemberTable } from './member.js';
 import { MetricsPage, type MetricsReadings } from './metrics-page.js';
+import { PeerState } from './peer-state.js';
 import { ReadinessPage } from './readiness-page.js';
 import { type GatewaySettings, splitAddress } from './settings.js';
 import type { DirectorySource } from './sources.js';
-import { StatePage, type StateRequest, requestState } from './state-page.js';
+import { StatePage } from './state-page.js';
 import { StoreWatcher } from './store-watcher.js';
 
 /** Options of `GatewayDaemon`. */
@@ -31,26 +31,6 @@
 /** Part of the memory for request bodies. */
 const HELD_SHARE_OF_MEMORY = 0.3;
 const MEGABYTE = 1_048_576;
-/** Daemons that start together have all written their entries by then. */
-const JOIN_PAUSE_MILLISECONDS = 700;
-const JOIN_CALL_MILLISECONDS = 700;
-const JOIN_RETRY_MILLISECONDS = 800;
-/** A daemon that started just now does not dispatch, because it has no evidence about endpoints yet. */
-const SETTLE_MILLISECONDS = 1500;
-/** Without an answer of a dispatcher for this long after the start, there is none. */
-const ALONE_MILLISECONDS = 450;
-/** Entries without a dispatcher's work to do fetch changes of the endpoints at this interval. */
-const LAZY_FETCH_MILLISECONDS = 2000;
-/**
- * Without news from the store for this long, further daemons ask it themselves, one after the other. Longer than the
- * longest time between two answers of a store in which nothing changes.
- */
-const STORE_NEWS_MILLISECONDS = 1800;
-const STORE_NEWS_STEP_MILLISECONDS = 1500;
-const STORE_RANKING = 'store';
-/** Daemons that rank first for a service use its whole retry budget; each other one a small part. */
-const DISPATCHING_RANKS = 2;
-const OTHER_BUDGET_SHARE = 0.3;
 /**
  * Time after SIGTERM for which requests are taken: until the balancer has taken the daemon out of rotation, by two
  * readiness checks and a connection on its way. A request that came later could outlast the process.
@@ -81,24 +61,16 @@
 
   private readonly readinessPage: ReadinessPage;
 
-  private metricsPage: MetricsPage | undefined;
-
   private readonly logger: observability.PartLogger;
 
-  private readonly decisions: { readonly entry: DecisionLog; readonly dispatch: DecisionLog };
-
-  private readonly startedAt = performance.now();
-
-  private storeNewsAt = performance.now();
+  private readonly reporter: DecisionReporter;
 
-  private fetching = false;
+  private readonly peerState: PeerState;
 
-  private lastFetchAt = -Infinity;
+  private readonly duty: DispatchDuty;
 
   private malformed = 0;
 
-  private settled = false;
-
   private stopped: Promise<void> | undefined;
 
   private closed = false;
@@ -106,17 +78,31 @@
   constructor(private readonly options: GatewayDaemonOptions) {
     const { settings, log } = options;
     this.logger = log.part('daemon');
-    const { decisionsPerSecond } = settings.log;
-    this.decisions = {
-      entry: new DecisionLog(log.part('entry'), decisionsPerSecond),
-      dispatch: new DecisionLog(log.part('dispatch'), decisionsPerSecond),
-    };
+    this.reporter = new DecisionReporter(log, settings.log.decisionsPerSecond);
     this.members = new MemberTable(this.describeSelf());
     this.directory = this.createDirectory();
+    this.duty = new DispatchDuty({
+      members: this.members,
+      directory: this.directory,
+      retries: settings.retries,
+      candidates: () => this.candidates,
+      isRoleActive: () => this.role.isActive,
+      lastStoreContactAt: () => this.watcher.lastContactAt,
+    });
     this.role = new DispatcherRole({
       directory: this.directory,
-      retryBudget: (service) => this.findRetryBudget(service),
-      onDecision: (service, request, decision) => this.logGrant(service, request, decision),
+      retryBudget: (service) => this.duty.findRetryBudget(service),
+      onDecision: (service, request, decision) =>
+        this.reporter.noteSlot(service, request, decision),
+    });
+    this.peerState = new PeerState({
+      members: this.members,
+      directory: this.directory,
+      source: options.source,
+      seeds: settings.seeds,
+      isDispatching: () => this.duty.isDispatching(),
+      isStopping: () => this.stopped !== undefined,
+      logger: log.part('membership'),
     });
     this.port = this.createPort();
     this.candidates = this.createCandidates();
@@ -125,10 +111,10 @@
     this.watcher = new StoreWatcher({
       source: options.source,
       directory: this.directory,
-      isResponsible: () => this.isResponsibleForStore(),
+      isResponsible: () => this.duty.isResponsibleForStore(),
       logger: log.part('store'),
     });
-    this.statePage = new StatePage((request) => this.answerState(request));
+    this.statePage = new StatePage((request) => this.peerState.answerState(request));
     this.readinessPage = new ReadinessPage(options.contract.readinessPath, () => this.isReady);
   }
 
@@ -152,14 +138,14 @@
     await this.readinessPage.listen(readiness.host, readiness.port);
     await this.server.listen(caller.host, caller.port);
     if (listen.metricsPort !== undefined) {
-      this.metricsPage = await MetricsPage.create(() => this.readMetrics());
-      await this.metricsPage.listen(peer.host, listen.metricsPort);
+      this.reporter.metricsPage = await MetricsPage.create(() => this.readMetrics());
+      await this.reporter.metricsPage.listen(peer.host, listen.metricsPort);
     }
     this.role.start();
     this.candidates.start();
     this.watcher.start();
     this.logger.info('daemon has started', { name, zone, seeds: this.options.settings.seeds });
-    this.join().catch((error: unknown) => {
+    this.peerState.join().catch((error: unknown) => {
       this.logger.error('joining the fleet ended', { reason: String(error) });
     });
   }
@@ -183,10 +169,8 @@
     this.port.close();
     this.statePage.close();
     this.readinessPage.close();
-    this.metricsPage?.close();
     this.server.close();
-    this.decisions.entry.close();
-    this.decisions.dispatch.close();
+    this.reporter.close();
   }
 
   private describeSelf(): Member {
@@ -234,7 +218,7 @@
     return new Candidates({
       members: this.members,
       listServices: () => this.directory.listServices(),
-      isSelfAble: () => this.isSettled() && !this.role.stopping,
+      isSelfAble: () => this.duty.isSettled() && !this.role.stopping,
       describeKnowledge: () => ({
         configurationVersion: this.directory.configurationVersion,
         directoryRevision: this.directory.endpointRevision,
@@ -268,10 +252,7 @@
       slots: this.link,
       findRoutes: () => this.directory.routes,
       heldBytes: settings.limits.memoryMegabytes * MEGABYTE * HELD_SHARE_OF_MEMORY,
-      onDecision: (decision) => {
-        this.metricsPage?.countRequest(decision);
-        this.decisions.entry.write('request ended', { ...decision });
-      },
+      onDecision: (decision) => this.reporter.noteRequest(decision),
       onUnexpectedError: (requestId, error) => {
         const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
         log.part('entry').error('request failed unexpectedly', { requestId, reason });
@@ -285,69 +266,10 @@
       connections: this.server.connections,
       configurationVersion: this.directory.configurationVersion,
       endpoints: this.directory.listAll().length,
-      storeAgeMilliseconds: this.storeAge,
+      storeAgeMilliseconds: this.duty.storeAge,
     };
   }
 
-  private logGrant(service: string, request: grants.SlotRequest, decision: grants.Decision): void {
-    this.metricsPage?.countSlot(service, decision.kind === 'grant' ? 'grant' : decision.reason);
-    const { entry, route, repeated } = request;
-    const common = { ask: request.key, entry, service, route, repeated };
-    if (decision.kind === 'grant') {
-      const { grantId, endpoint, risk, waited } = decision;
-      this.decisions.dispatch.write('slot granted', {
-        ...common,
-        grantId,
-        endpoint: endpoint.id,
-        risk: Number(risk.toFixed(3)),
-        waited: Math.round(waited),
-      });
-    } else {
-      const { reason, retryAfter } = decision;
-      this.decisions.dispatch.write('slot refused', { ...common, reason, retryAfter });
-    }
-  }
-
-  private findRetryBudget(service: string): grants.RetryBudget {
-    const { ratio, slack, windowSeconds } = this.options.settings.retries;
-    const windowMilliseconds = windowSeconds * 1000;
-    const first = this.members.rank(service).slice(0, DISPATCHING_RANKS);
-    if (first.some(({ name }) => name === this.options.settings.name)) {
-      return { ratio, slack, windowMilliseconds };
-    }
-    const others = Math.max(1, this.members.list().length);
-    return { ratio, slack: (slack * OTHER_BUDGET_SHARE) / others, windowMilliseconds };
-  }
-
-  // While another daemon dispatches, one that started just now leaves the work to it. When all start together, somebody
-  // has to begin.
-  private isSettled(): boolean {
-    const elapsed = performance.now() - this.startedAt;
-    const alone = elapsed > ALONE_MILLISECONDS && !this.candidates.hasContact();
-    if (this.directory.hasEndpoints && (alone || elapsed > SETTLE_MILLISECONDS)) {
-      this.settled = true;
-    }
-    return this.settled;
-  }
-
-  private isResponsibleForStore(): boolean {
-    if (!this.directory.hasEndpoints || this.directory.routes === undefined) {
-      return true;
-    }
-    if (this.candidates.isSelfFirst() || this.role.isActive) {
-      return true;
-    }
-    const ranking = this.members.rank(STORE_RANKING);
-    const position = ranking.findIndex(({ name }) => name === this.options.settings.name);
-    const patience = STORE_NEWS_MILLISECONDS + position * STORE_NEWS_STEP_MILLISECONDS;
-    // The daemon's own contact does not count: it would end the watch that it comes from.
-    return performance.now() - this.storeNewsAt > patience;
-  }
-
-  private get storeAge(): number {
-    return performance.now() - Math.max(this.storeNewsAt, this.watcher.lastContactAt);
-  }
-
   private receive(message: datagrams.Message, from: datagrams.PeerAddress): void {
     const target: DispatcherTarget = { name: '', isSelf: false, ...from };
     switch (message[0]) {
@@ -381,17 +303,17 @@
         'pong',
         {
           sequence: ping.sequence,
-          stopping: this.role.stopping || !this.isSettled(),
+          stopping: this.role.stopping || !this.duty.isSettled(),
           configurationVersion: this.directory.configurationVersion,
           directoryRevision: this.directory.endpointRevision,
-          storeAge: Math.round(this.storeAge),
+          storeAge: Math.round(this.duty.storeAge),
           memberDigest: this.members.digest,
           suspects: ping.standby ? this.role.listSuspects() : [],
         },
       ],
       from,
     );
-    this.considerFetch(ping, from.host, false);
+    this.peerState.considerFetch(ping, from.host, false);
   }
 
   private receivePong(pong: datagrams.Pong, from: datagrams.PeerAddress): void {
@@ -400,142 +322,11 @@
       return;
     }
     this.candidates.receivePong(member.name, pong);
-    this.storeNewsAt = Math.max(this.storeNewsAt, performance.now() - pong.storeAge);
+    this.duty.noteStoreNews(pong.storeAge);
     if (pong.suspects.length > 0 && !this.role.isActive) {
       this.role.adoptSuspects(pong.suspects);
     }
-    this.considerFetch(pong, from.host, pong.memberDigest !== this.members.digest);
-  }
-
-  private considerFetch(
-    known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'>,
-    host: string,
-    membersDiffer: boolean,
-  ): void {
-    const lateEndpoints = known.directoryRevision > this.directory.endpointRevision;
-    const mayWait = this.directory.hasEndpoints && !this.isDispatching();
-    const due = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
-    const wanted =
-      known.configurationVersion > this.directory.configurationVersion ||
-      (lateEndpoints && (!mayWait || due)) ||
-      (membersDiffer && due);
-    const member = this.members.list().find((candidate) => candidate.host === host);
-    if (wanted && !this.fetching && member !== undefined) {
-      this.fetchState(member.peerAddress).catch((error: unknown) => {
-        const { kind, message } = results.toFailure(error);
-        this.logger.warn('state of a daemon could not be read', {
-          from: member.name,
-          result: kind,
-          reason: message,
-        });
-      });
-    }
-  }
-
-  private isDispatching(): boolean {
-    if (this.role.isActive) {
-      return true;
-    }
-    for (const service of this.directory.listServices()) {
-      if (this.candidates.isSelfStandby(service)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private async fetchState(address: string): Promise<void> {
-    this.fetching = true;
-    this.lastFetchAt = performance.now();
-    try {
-      const state = await requestState(address, {
-        configurationVersion: this.directory.configurationVersion,
-        directoryRevision: this.directory.endpointRevision,
-        members: this.members.list(),
-      });
-      this.adoptState(state, address);
-    } finally {
-      this.fetching = false;
-    }
-  }
-
-  private adoptState(state: State, source: string): void {
-    for (const member of state.members) {
-      this.addMember(member, source);
-    }
-    if (state.configuration !== undefined) {
-      this.directory.putConfiguration(state.configuration, source);
-    }
-    if (state.endpoints !== undefined) {
-      this.directory.replaceEndpoints(state.endpoints, state.directoryRevision, source);
-    }
-  }
-
-  private addMember(member: Member, source: string): void {
-    if (this.members.add(member)) {
-      const { name, host } = member;
-      this.options.log.part('membership').info('daemon is known', { name, host, source });
-    }
-  }
-
-  private answerState(request: StateRequest): State {
-    for (const member of request.members) {
-      this.addMember(member, 'peer');
-    }
-    const { routes, endpointRevision, configurationVersion } = this.directory;
-    const newer = configurationVersion > request.configurationVersion;
-    return {
-      ...(newer && routes !== undefined && { configuration: routes.configuration }),
-      ...(endpointRevision > request.directoryRevision && { endpoints: this.directory.listAll() }),
-      directoryRevision: endpointRevision,
-      members: this.members.list(),
-    };
-  }
-
-  // A daemon finds the others in the store, or through its seeds while the store does not answer.
-  private async join(): Promise<void> {
-    const { source } = this.options;
-    const limit = (): AbortSignal => AbortSignal.timeout(JOIN_CALL_MILLISECONDS);
-    while (this.stopped === undefined) {
-      try {
-        // After a restart the entries of all daemons are still there.
-        if (!(await this.readMembers(limit()))) {
-          await source.writeMember(this.members.self, limit());
-          await delay(JOIN_PAUSE_MILLISECONDS);
-          await this.readMembers(limit());
-        }
-        return;
-      } catch (error) {
-        const { kind, message } = results.toFailure(error);
-        this.logger.warn('store could not be reached to join', { result: kind, reason: message });
-        await this.askSeeds();
-        await delay(JOIN_RETRY_MILLISECONDS);
-      }
-    }
-  }
-
-  /** Reads the daemons from the store; returns whether this one is among them at its present address. */
-  private async readMembers(signal: AbortSignal): Promise<boolean> {
-    const { self } = this.members;
-    let found = false;
-    for (const member of await this.options.source.readMembers(signal)) {
-      this.addMember(member, 'store');
-      found ||= member.name === self.name && member.host === self.host;
-    }
-    return found;
-  }
-
-  private async askSeeds(): Promise<void> {
-    const own = this.options.settings.listen.peer;
-    for (const seed of this.options.settings.seeds) {
-      if (seed !== own) {
-        try {
-          await this.fetchState(seed);
-        } catch (error) {
-          this.logger.info('seed did not answer', { seed, result: results.toFailure(error).kind });
-        }
-      }
-    }
+    this.peerState.considerFetch(pong, from.host, pong.memberDigest !== this.members.digest);
   }
 
   private async stopPlanned(): Promise<void> {
--- a/packages/routing/grants/src/service-dispatcher.ts
+++ b/packages/routing/grants/src/service-dispatcher.ts
@@ -7,25 +7,8 @@
 import { EndpointState, type Flight, type FlightEnd } from './endpoint-state.js';
 import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
 import { ServiceTimes } from './service-times.js';
-
-/** A request for a slot. */
-export interface SlotRequest {
-  /** Unique in the fleet. */
-  readonly key: string;
-  readonly entry: string;
-  readonly zone: string;
-  readonly route: string;
-  readonly idempotent: boolean;
-  readonly priority: number;
-  readonly remaining: number;
-  readonly target: number;
-  /** Whether an endpoint may have received the request before. */
-  readonly repeated: boolean;
-  /** Length of the body. */
-  readonly kilobytes: number;
-  readonly fingerprint: string;
-  readonly excluded: ReadonlySet<string>;
-}
+import type { SlotRequest } from './slot-request.js';
+import { type Waiter, WaitingQueue } from './waiting-queue.js';
 
 /** What a dispatcher decides about a request. */
 export type Decision =
@@ -53,11 +36,6 @@
   readonly nextGrantId: () => number;
 }
 
-interface Waiter {
-  readonly request: SlotRequest;
-  readonly arrivedAt: number;
-}
-
 /** Requests that wait at most; above it they are refused at once. */
 const MAXIMUM_WAITERS = 400;
 /** Longest wait, as a share of the target; callers rather hear early that a request was not run. */
@@ -95,7 +73,7 @@
 
   private readonly times = new ServiceTimes();
 
-  private waiters: Waiter[] = [];
+  private readonly waiting = new WaitingQueue();
 
   private failedShare = 0;
 
@@ -143,26 +121,26 @@
       return false;
     }
     const expectedWait = this.estimateWait(request, now);
-    if (expectedWait > this.longestWait(request) || this.waiters.length >= MAXIMUM_WAITERS) {
+    if (expectedWait > this.longestWait(request) || this.waiting.size >= MAXIMUM_WAITERS) {
       this.refuse(request, 'overload', expectedWait);
       return false;
     }
     const waiter = { request, arrivedAt: now };
-    if (!this.isAnyAhead(request) && this.tryGrant(waiter, now)) {
+    if (!this.waiting.isAnyAhead(request) && this.tryGrant(waiter, now)) {
       return false;
     }
-    this.enqueue(waiter);
+    this.waiting.add(waiter);
     return true;
   }
 
   /** Withdraws a request that waits. */
   withdraw(key: string): void {
-    this.waiters = this.waiters.filter(({ request }) => request.key !== key);
+    this.waiting.remove(key);
   }
 
   /** Refuses every request that waits, so that another dispatcher decides about it. */
   stop(): void {
-    for (const { request } of this.waiters.splice(0)) {
+    for (const { request } of this.waiting.clear()) {
       this.refuse(request, 'stopping', 0);
     }
   }
@@ -184,7 +162,7 @@
 
   /** Whether any request waits for a slot. */
   get hasWaiting(): boolean {
-    return this.waiters.length > 0;
+    return this.waiting.size > 0;
   }
 
   /** Whether a grant has not ended. */
@@ -266,50 +244,26 @@
         free += Math.max(0, state.freeSlots(now));
       }
     }
-    let ahead = 0;
-    for (const waiter of this.waiters) {
-      ahead += waiter.request.priority <= request.priority ? 1 : 0;
-    }
-    const excess = ahead + 1 - free;
+    const excess = this.waiting.countAhead(request.priority) + 1 - free;
     if (excess <= 0 || slots === 0) {
       return 0;
     }
     return (excess * this.times.expect(request.route, request.target)) / slots;
   }
 
-  private isAnyAhead({ priority, repeated }: SlotRequest): boolean {
-    if (repeated) {
-      return false;
-    }
-    return this.waiters.some(
-      ({ request }) => request.priority <= priority && request.excluded.size === 0,
-    );
-  }
-
-  private enqueue(waiter: Waiter): void {
-    const rank = ({ request }: Waiter): number => (request.repeated ? -1 : request.priority);
-    let index = this.waiters.length;
-    while (index > 0 && rank(this.waiters[index - 1] as Waiter) > rank(waiter)) {
-      index -= 1;
-    }
-    this.waiters.splice(index, 0, waiter);
-  }
-
   private serveWaiters(): void {
-    if (this.waiters.length === 0) {
+    if (this.waiting.size === 0) {
       return;
     }
     const now = this.options.now();
-    const waiting: Waiter[] = [];
-    for (const waiter of this.waiters) {
+    this.waiting.retain((waiter) => {
       const { request, arrivedAt } = waiter;
       if (now - arrivedAt > this.longestWait(request)) {
         this.refuse(request, 'overload', this.estimateWait(request, now));
-      } else if (!this.tryGrant(waiter, now)) {
-        waiting.push(waiter);
+        return false;
       }
-    }
-    this.waiters = waiting;
+      return !this.tryGrant(waiter, now);
+    });
   }
 
   private tryGrant(waiter: Waiter, now: number): boolean {
