Take over the store's watch at once when the dispatchers lose it

Others noticed the missing news after 1.8 s, read the change 1.8 s after its acknowledgement, and told it by the next pings, in force after 2.1 to 2.6 s. A daemon whose calls to the store fail now says so in its pongs, others take over one after the other, and a new configuration is announced at once in both directions.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -112,6 +112,15 @@
     return false;
   }
 
+  /** Pings every followed daemon now, to tell it what this one has just learned. */
+  pingAll(): void {
+    for (const contact of this.contacts.values()) {
+      contact.lastPingAt = -Infinity;
+      contact.openSince = undefined;
+    }
+    this.tick();
+  }
+
   /** Notes that a daemon did not answer an ask. */
   markSilent(name: string): void {
     this.setResponsive(name, false);
--- a/packages/daemon/gateway-daemon/src/dispatch-duty.ts
+++ b/packages/daemon/gateway-daemon/src/dispatch-duty.ts
@@ -17,6 +17,9 @@
  */
 const STORE_NEWS_MILLISECONDS = 1800;
 const STORE_NEWS_STEP_MILLISECONDS = 1500;
+/** Age that a daemon tells when its calls to the store fail: others then take over at once, one after the other. */
+const LOST_AGE_MILLISECONDS = 100_000;
+const LOST_STEP_MILLISECONDS = 400;
 const STORE_RANKING = 'store';
 /** Daemons that rank first for a service use its whole retry budget; each other one a small part. */
 const DISPATCHING_RANKS = 2;
@@ -30,21 +33,24 @@
   readonly candidates: () => Candidates;
   readonly isRoleActive: () => boolean;
   readonly lastStoreContactAt: () => number;
+  /** Whether this daemon watches the store and gets no answer. */
+  readonly isStoreLost: () => boolean;
 }
 
 /** The duties of one daemon. */
 export class DispatchDuty {
   private readonly startedAt = performance.now();
 
-  private storeNewsAt = performance.now();
+  /** When each daemon that this one hears from had its last news. */
+  private readonly newsBySender = new Map<string, number>();
 
   private settled = false;
 
   constructor(private readonly options: DispatchDutyOptions) {}
 
-  /** Notes how long ago another daemon had news from the store. */
-  noteStoreNews(ageMilliseconds: number): void {
-    this.storeNewsAt = Math.max(this.storeNewsAt, performance.now() - ageMilliseconds);
+  /** Notes how long ago another daemon had news from the store, as it tells now. */
+  noteStoreNews(sender: string, ageMilliseconds: number): void {
+    this.newsBySender.set(sender, performance.now() - ageMilliseconds);
   }
 
   /**
@@ -82,14 +88,24 @@
     }
     const ranking = this.options.members.rank(STORE_RANKING);
     const position = ranking.findIndex(({ name }) => name === this.options.members.self.name);
-    const patience = STORE_NEWS_MILLISECONDS + position * STORE_NEWS_STEP_MILLISECONDS;
     // The daemon's own contact does not count: it would end the watch that it comes from.
-    return performance.now() - this.storeNewsAt > patience;
+    const newsAge = performance.now() - this.othersNewsAt;
+    return newsAge > LOST_AGE_MILLISECONDS
+      ? newsAge > LOST_AGE_MILLISECONDS + position * LOST_STEP_MILLISECONDS
+      : newsAge > STORE_NEWS_MILLISECONDS + position * STORE_NEWS_STEP_MILLISECONDS;
+  }
+
+  private get othersNewsAt(): number {
+    return this.newsBySender.size === 0 ? this.startedAt : Math.max(...this.newsBySender.values());
   }
 
   /** Milliseconds since this daemon or one that it hears from reached the store. */
   get storeAge(): number {
-    return performance.now() - Math.max(this.storeNewsAt, this.options.lastStoreContactAt());
+    const contactAt = this.options.lastStoreContactAt();
+    if (this.options.isStoreLost()) {
+      return LOST_AGE_MILLISECONDS + Math.min(performance.now() - contactAt, LOST_AGE_MILLISECONDS);
+    }
+    return performance.now() - Math.max(this.othersNewsAt, contactAt);
   }
 
   /** Whether this daemon dispatches a service or would be the next to do so. */
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -37,6 +37,10 @@
  */
 const TAKING_MILLISECONDS = 2900;
 const EXIT_BEFORE_END_MILLISECONDS = 250;
+/** A daemon that pinged within this time follows this one. */
+const PINGER_MILLISECONDS = 3000;
+/** Sequence of a pong that answers no ping. */
+const UNASKED_SEQUENCE = 0;
 const STOP_CHECK_MILLISECONDS = 50;
 
 /** A daemon that serves transparent traffic. */
@@ -69,6 +73,12 @@
 
   private readonly duty: DispatchDuty;
 
+  /** Daemons that pinged this one lately, by host. */
+  private readonly pingers = new Map<
+    string,
+    { readonly from: datagrams.PeerAddress; readonly standby: boolean; readonly at: number }
+  >();
+
   private malformed = 0;
 
   private stopped: Promise<void> | undefined;
@@ -88,6 +98,7 @@
       candidates: () => this.candidates,
       isRoleActive: () => this.role.isActive,
       lastStoreContactAt: () => this.watcher.lastContactAt,
+      isStoreLost: () => this.watcher.isLost,
     });
     this.role = new DispatcherRole({
       directory: this.directory,
@@ -188,8 +199,10 @@
   private createDirectory(): Directory {
     const logger = this.options.log.part('directory');
     return new Directory({
-      onConfiguration: ({ version, routes }, source) =>
-        logger.info('configuration is in force', { version, routes: routes.length, source }),
+      onConfiguration: ({ version, routes }, source) => {
+        logger.info('configuration is in force', { version, routes: routes.length, source });
+        this.announce();
+      },
       onEndpoints: (source) => {
         this.role.updateEndpoints();
         logger.info('endpoints changed', {
@@ -298,22 +311,40 @@
   }
 
   private receivePing(ping: datagrams.Ping, from: datagrams.PeerAddress): void {
+    this.pingers.set(from.host, { from, standby: ping.standby, at: performance.now() });
+    this.sendPong(from, ping.sequence, ping.standby);
+    this.peerState.considerFetch(ping, from.host, false);
+  }
+
+  private sendPong(to: datagrams.PeerAddress, sequence: number, standby: boolean): void {
     this.port.send(
       [
         'pong',
         {
-          sequence: ping.sequence,
+          sequence,
           stopping: this.role.stopping || !this.duty.isSettled(),
           configurationVersion: this.directory.configurationVersion,
           directoryRevision: this.directory.endpointRevision,
           storeAge: Math.round(this.duty.storeAge),
           memberDigest: this.members.digest,
-          suspects: ping.standby ? this.role.listSuspects() : [],
+          suspects: standby ? this.role.listSuspects() : [],
         },
       ],
-      from,
+      to,
     );
-    this.peerState.considerFetch(ping, from.host, false);
+  }
+
+  // A new configuration does not wait for the next ping, in either direction.
+  private announce(): void {
+    const limit = performance.now() - PINGER_MILLISECONDS;
+    for (const [host, { from, standby, at }] of this.pingers) {
+      if (at < limit) {
+        this.pingers.delete(host);
+      } else {
+        this.sendPong(from, UNASKED_SEQUENCE, standby);
+      }
+    }
+    this.candidates.pingAll();
   }
 
   private receivePong(pong: datagrams.Pong, from: datagrams.PeerAddress): void {
@@ -322,7 +353,7 @@
       return;
     }
     this.candidates.receivePong(member.name, pong);
-    this.duty.noteStoreNews(pong.storeAge);
+    this.duty.noteStoreNews(member.name, pong.storeAge);
     if (pong.suspects.length > 0 && !this.role.isActive) {
       this.role.adoptSuspects(pong.suspects);
     }
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -50,6 +50,11 @@
     return this.contactAt;
   }
 
+  /** Whether the last call failed. */
+  get isLost(): boolean {
+    return this.lost;
+  }
+
   /** Runs until `stop`. */
   start(): void {
     for (const follow of [this.followEndpoints, this.followConfiguration]) {
