--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -112,7 +112,7 @@
       source: options.source,
       seeds: settings.seeds,
       isDispatching: () => this.duty.isDispatching(),
-      isStopping: () => this.stopped !== undefined,
+      isStopping: () => this.closed || this.stopped !== undefined,
       logger: log.part('membership'),
     });
     this.port = this.createPort();
