Let daemons that start learn the state from the first two

Each of 87 daemons read the pages of all endpoints at its start, and all daemons twice. A daemon that has not settled can follow the store, so that settling is told apart from stopping.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -3,7 +3,7 @@
  * and, more rarely, those that rank before them.
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
-import type { Duty, Member, MemberTable } from './member.js';
+import { type Duty, type Member, type MemberTable, STORE_DUTY } from './member.js';
 
 /** A daemon that may be asked. */
 export interface DispatcherTarget {
@@ -17,9 +17,10 @@
   /** When the last ping left that was not answered yet; undefined when none is open. */
   openSince: number | undefined;
   lastPingAt: number;
-  lastPongAt: number;
-  /** Whether the daemon answers and takes asks. */
+  /** Whether the daemon answers and does not stop. */
   responsive: boolean;
+  /** Whether the daemon may dispatch. */
+  settled: boolean;
   sequence: number;
 }
 
@@ -73,7 +74,7 @@
   /** Returns the first daemon that answers, or this daemon. */
   choose(duty: Duty, passed: ReadonlySet<string>): DispatcherTarget {
     for (const member of this.options.members.rank(duty)) {
-      if (!passed.has(member.name) && this.isUsable(member)) {
+      if (!passed.has(member.name) && this.isUsable(member, duty)) {
         return this.describe(member);
       }
     }
@@ -85,7 +86,7 @@
     const { self } = this.options.members;
     const followed: string[] = [];
     for (const member of this.options.members.rank(duty)) {
-      if (member.name === self.name || this.isUsable(member)) {
+      if (member.name === self.name || this.isUsable(member, duty)) {
         followed.push(member.name);
       }
       if (followed.length >= FOLLOWED) {
@@ -110,10 +111,10 @@
     return false;
   }
 
-  /** Whether any other daemon answered lately. */
+  /** Whether any other daemon answers that may dispatch. */
   hasContact(): boolean {
-    for (const [name, { responsive }] of this.contacts) {
-      if (responsive && name !== this.options.members.self.name) {
+    for (const [name, { responsive, settled }] of this.contacts) {
+      if (responsive && settled && name !== this.options.members.self.name) {
         return true;
       }
     }
@@ -145,7 +146,7 @@
       return;
     }
     contact.openSince = undefined;
-    contact.lastPongAt = performance.now();
+    contact.settled = pong.settled;
     this.setResponsive(name, !pong.stopping);
   }
 
@@ -154,11 +155,12 @@
     return { name, host, port: datagramPort, isSelf: name === this.options.members.self.name };
   }
 
-  private isUsable(member: Member): boolean {
+  private isUsable(member: Member, duty: Duty): boolean {
     if (member.name === this.options.members.self.name) {
       return this.options.isSelfAble();
     }
-    return this.contacts.get(member.name)?.responsive ?? false;
+    const contact = this.contacts.get(member.name);
+    return contact !== undefined && contact.responsive && (contact.settled || duty === STORE_DUTY);
   }
 
   private setResponsive(name: string, responsive: boolean): void {
@@ -197,7 +199,7 @@
     let answering = 0;
     for (const member of members.rank(duty)) {
       const isSelf = member.name === members.self.name;
-      const responsive = isSelf || this.contacts.get(member.name)?.responsive === true;
+      const responsive = isSelf || this.isUsable(member, duty);
       let interval = SILENT_PING_MILLISECONDS;
       if (responsive) {
         interval = answering === 0 ? FIRST_PING_MILLISECONDS : STANDBY_PING_MILLISECONDS;
@@ -219,8 +221,8 @@
       contact = {
         openSince: undefined,
         lastPingAt: -Infinity,
-        lastPongAt: -Infinity,
         responsive: false,
+        settled: false,
         sequence: 0,
       };
       this.contacts.set(member.name, contact);
--- a/packages/daemon/gateway-daemon/src/dispatch-duty.ts
+++ b/packages/daemon/gateway-daemon/src/dispatch-duty.ts
@@ -4,7 +4,7 @@
 import type * as grants from '@dogwoodstall/grants';
 import type { Candidates } from './candidates.js';
 import type { Directory } from './directory.js';
-import type { Duty, MemberTable } from './member.js';
+import { type MemberTable, STORE_DUTY } from './member.js';
 import type { GatewaySettings } from './settings.js';
 import { STORE_NEWS_MILLISECONDS, type StoreNews } from './store-news.js';
 
@@ -17,8 +17,12 @@
 /** Age that a daemon tells when its calls to the store fail: others then take over at once, one after the other. */
 const LOST_AGE_MILLISECONDS = 100_000;
 const LOST_STEP_MILLISECONDS = 400;
-/** The duty of following the store. Names of cells begin with a service's name. */
-export const STORE_DUTY: Duty = { name: '@store', zone: undefined };
+/** Daemons that read the whole state from the store when all start together. */
+const READING_RANKS = 2;
+/** Time for which a daemon that knows the others waits for their state; some round trips and a first reading. */
+const PEER_STATE_MILLISECONDS = 500;
+/** Time after the start at which a daemon that could not join reads the state itself. */
+const UNJOINED_READ_MILLISECONDS = 1500;
 /** Daemons that rank first for a cell use its whole retry budget; each other one a small part. */
 const DISPATCHING_RANKS = 2;
 const OTHER_BUDGET_SHARE = 0.3;
@@ -30,6 +34,8 @@
   readonly news: StoreNews;
   readonly retries: GatewaySettings['retries'];
   readonly candidates: () => Candidates;
+  /** Monotonic milliseconds at which this daemon learned of the others; undefined before. */
+  readonly joinedAt: () => number | undefined;
   readonly isRoleActive: () => boolean;
   readonly lastStoreContactAt: () => number;
   /** Whether this daemon watches the store and gets no answer. */
@@ -85,8 +91,9 @@
 
   /** Whether this daemon follows the store. */
   isResponsibleForStore(): boolean {
-    if (!this.options.directory.hasEndpoints || this.options.directory.routes === undefined) {
-      return true;
+    const atStart = this.followsStoreAtStart();
+    if (atStart !== undefined) {
+      return atStart;
     }
     if (this.options.candidates().isSelfFollowed(STORE_DUTY)) {
       return true;
@@ -100,6 +107,25 @@
       : newsAge > STORE_NEWS_MILLISECONDS + position * STORE_NEWS_STEP_MILLISECONDS;
   }
 
+  /**
+   * Whether this daemon follows the store although it has just started; undefined when it has not. A whole reading is
+   * many calls, so that the first daemons read and the others ask them, unless these are silent.
+   */
+  private followsStoreAtStart(): boolean | undefined {
+    const now = performance.now();
+    const isEmpty =
+      !this.options.directory.hasEndpoints || this.options.directory.routes === undefined;
+    const joinedAt = this.options.joinedAt();
+    if (joinedAt === undefined) {
+      return isEmpty ? now - this.startedAt > UNJOINED_READ_MILLISECONDS : undefined;
+    }
+    if (now - joinedAt > PEER_STATE_MILLISECONDS) {
+      return isEmpty || undefined;
+    }
+    const first = this.options.members.rank(STORE_DUTY).slice(0, READING_RANKS);
+    return first.some(({ name }) => name === this.options.members.self.name);
+  }
+
   /** Monotonic milliseconds of the last news of the daemons that follow the store, as far as they told. */
   private get othersNewsAt(): number {
     let newsAt: number | undefined;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -9,10 +9,10 @@
 import { CellChoice } from './cell-choice.js';
 import { DecisionReporter } from './decision-reporter.js';
 import { Directory } from './directory.js';
-import { DispatchDuty, STORE_DUTY } from './dispatch-duty.js';
+import { DispatchDuty } from './dispatch-duty.js';
 import { DispatcherLink } from './dispatcher-link.js';
 import { DispatcherRole } from './dispatcher-role.js';
-import { type Member, MemberTable } from './member.js';
+import { type Member, MemberTable, STORE_DUTY } from './member.js';
 import { MetricsPage, type MetricsReadings } from './metrics-page.js';
 import { PeerState } from './peer-state.js';
 import { ReadinessPage } from './readiness-page.js';
@@ -48,6 +48,8 @@
 interface Pinger {
   readonly from: datagrams.PeerAddress;
   readonly standby: boolean;
+  /** Whether the daemon knows no endpoints yet. */
+  readonly isNew: boolean;
   readonly at: number;
 }
 
@@ -104,6 +106,7 @@
       news: this.news,
       retries: settings.retries,
       candidates: () => this.candidates,
+      joinedAt: () => this.peerState.joinedAt,
       isRoleActive: () => this.role.isActive,
       lastStoreContactAt: () => this.watcher.lastContactAt,
       isStoreLost: () => this.watcher.isLost,
@@ -215,7 +218,7 @@
       },
       onEndpoints: (source) => {
         this.role.updateEndpoints();
-        this.announceToPingers(({ standby }) => standby);
+        this.announceToPingers(({ standby, isNew }) => standby || isNew);
         logger.info('endpoints changed', {
           revision: this.directory.endpointRevision,
           endpoints: this.directory.listAll().length,
@@ -330,7 +333,12 @@
   }
 
   private receivePing(ping: datagrams.Ping, from: datagrams.PeerAddress): void {
-    this.pingers.set(from.host, { from, standby: ping.standby, at: performance.now() });
+    this.pingers.set(from.host, {
+      from,
+      standby: ping.standby,
+      isNew: ping.directoryRevision === 0,
+      at: performance.now(),
+    });
     this.sendPong(from, ping.sequence, ping.standby);
     this.peerState.considerFetch(ping, from.host, false);
   }
@@ -341,7 +349,8 @@
         'pong',
         {
           sequence,
-          stopping: this.role.stopping || !this.duty.isSettled(),
+          stopping: this.role.stopping,
+          settled: this.duty.isSettled(),
           configurationVersion: this.directory.configurationVersion,
           directoryRevision: this.directory.endpointRevision,
           storeAge: Math.round(this.duty.storeAge),
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -20,6 +20,8 @@
 
 export type Member = z.infer<typeof memberSchema>;
 
+const RADIX = 36;
+
 /** What daemons are ranked for. */
 export interface Duty {
   readonly name: string;
@@ -27,7 +29,8 @@
   readonly zone: string | undefined;
 }
 
-const RADIX = 36;
+/** The duty of following the store. Names of cells begin with a service's name. */
+export const STORE_DUTY: Duty = { name: '@store', zone: undefined };
 
 // Machines of about the same strength share the duties.
 function rateStrength({ cores }: Member): number {
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -38,11 +38,18 @@
 
   private lastFetchAt = -Infinity;
 
+  private joined: number | undefined;
+
   /** States by what they hold, so that daemons that ask for the same get the same object. */
   private readonly states = new Map<string, State>();
 
   constructor(private readonly options: PeerStateOptions) {}
 
+  /** Monotonic milliseconds at which the store had told the other daemons; undefined before. */
+  get joinedAt(): number | undefined {
+    return this.joined;
+  }
+
   /** Fetches the state of a daemon that told about newer knowledge. */
   considerFetch(
     known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'>,
@@ -144,11 +151,12 @@
     while (!this.options.isStopping()) {
       try {
         // After a restart the entries of all daemons are still there.
-        if (!(await this.readMembers(limit()))) {
+        if (!(await this.readMembers(true, limit()))) {
           await source.writeMember(this.options.members.self, limit());
           await delay(JOIN_PAUSE_MILLISECONDS);
-          await this.readMembers(limit());
+          await this.readMembers(false, limit());
         }
+        this.joined = performance.now();
         return;
       } catch (error) {
         const { kind, message } = results.toFailure(error);
@@ -163,10 +171,10 @@
   }
 
   /** Reads the daemons from the store; returns whether this one is among them at its present address. */
-  private async readMembers(signal: AbortSignal): Promise<boolean> {
+  private async readMembers(mayBeOld: boolean, signal: AbortSignal): Promise<boolean> {
     const { self } = this.options.members;
     let found = false;
-    for (const member of await this.options.source.readMembers(signal)) {
+    for (const member of await this.options.source.readMembers({ mayBeOld }, signal)) {
       this.addMember(member, 'store');
       found ||= member.name === self.name && member.host === self.host;
     }
--- a/packages/daemon/gateway-daemon/src/sources.ts
+++ b/packages/daemon/gateway-daemon/src/sources.ts
@@ -40,7 +40,10 @@
     waitMilliseconds: number,
     signal: AbortSignal,
   ): Promise<ConfigurationReading>;
-  /** May return a list that is some seconds old. */
-  readMembers(signal: AbortSignal): Promise<readonly Member[]>;
+  /** Reads the daemons; a list that may be some seconds old costs the store less. */
+  readMembers(
+    options: { readonly mayBeOld: boolean },
+    signal: AbortSignal,
+  ): Promise<readonly Member[]>;
   writeMember(member: Member, signal: AbortSignal): Promise<void>;
 }
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -17,7 +17,7 @@
 const CALL_MILLISECONDS = 600;
 const FIRST_RETRY_MILLISECONDS = 250;
 const LONGEST_RETRY_MILLISECONDS = 1500;
-const IDLE_CHECK_MILLISECONDS = 250;
+const IDLE_CHECK_MILLISECONDS = 100;
 
 /** Options of `StoreWatcher`. */
 export interface StoreWatcherOptions {
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -84,6 +84,14 @@
   });
 });
 
+test('of daemons that start together few read all endpoints from the store', async () => {
+  await withFleet(5, (fleet) => {
+    const readers = fleet.daemons.filter(({ source }) => source.readings > 0);
+    assert.ok(readers.length <= 2, `${readers.length} daemons read all endpoints`);
+    return Promise.resolve();
+  });
+});
+
 test('requests go on when the dispatcher is gone without a word', async () => {
   await withFleet(4, async (fleet) => {
     const [dispatcher] = await findDispatchers(fleet);
--- a/packages/daemon/gateway-daemon/test/memory-source.ts
+++ b/packages/daemon/gateway-daemon/test/memory-source.ts
@@ -13,9 +13,13 @@
 
   calls = 0;
 
+  /** Calls that read all endpoints. */
+  readings = 0;
+
   constructor(private readonly store: MemoryStore) {}
 
   readEndpoints(): ReturnType<gatewayDaemon.DirectorySource['readEndpoints']> {
+    this.readings += 1;
     return this.answer(() => ({
       endpoints: [...this.store.endpoints.values()],
       revision: this.store.revision,
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -114,6 +114,8 @@
   z.object({
     sequence: z.number().int(),
     stopping: z.boolean(),
+    /** Whether the sender knows enough to dispatch. */
+    settled: z.boolean(),
     configurationVersion: z.number().int(),
     directoryRevision: z.number(),
     /** Time since anybody whom the sender hears from reached the store. */
