Rest connections for a shorter time when endpoints forget them

Cause: endpoints may forget resting connections without notice and reset what is sent next. A request that must not repeat is lost by that, and the reset counted as strong evidence of a gray failure. Reports now tell how long the connection had rested; two endpoints that reset rested connections limit the rest in their cell, and each grant carries the limit. An endpoint that also resets busy connections fails and sets no limit.

--- a/packages/daemon/gateway-daemon/src/dispatcher-link.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-link.ts
@@ -119,6 +119,7 @@
         elapsed: 0,
         load: undefined,
         silent: true,
+        restedMilliseconds: 0,
       });
     }
   }
@@ -228,6 +229,7 @@
       endpoint: grant.endpoint,
       address: grant.address,
       hedgeAfter: grant.hedgeAfter,
+      reuseWithinMilliseconds: grant.reuseWithin,
       report: (end) => this.sendReport(target, grant.grantId, end),
     };
   }
@@ -239,6 +241,7 @@
       elapsed: Math.round(end.elapsed),
       load: end.load ?? -1,
       silent: end.silent,
+      rested: Math.round(end.restedMilliseconds),
     };
     if (target.isSelf) {
       this.options.local.report(report);
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -211,7 +211,7 @@
     const askId = Number(request.key.slice(request.key.lastIndexOf('/') + 1));
     if (decision.kind === 'grant') {
       this.cellByGrant.set(decision.grantId, dispatcher);
-      const { grantId, endpoint, hedgeAfter } = decision;
+      const { grantId, endpoint, hedgeAfter, reuseWithin } = decision;
       remembered.answer = [
         'grant',
         {
@@ -220,6 +220,7 @@
           endpoint: endpoint.id,
           address: endpoint.address,
           hedgeAfter: Math.round(hedgeAfter),
+          reuseWithin: Math.round(reuseWithin),
           load,
         },
       ];
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -46,6 +46,8 @@
     address: z.string(),
     /** Silence after which an idempotent request is worth a second endpoint. */
     hedgeAfter: milliseconds,
+    /** Connections to the endpoint that rested for longer are not used again. */
+    reuseWithin: milliseconds,
     load,
   }),
 ]);
@@ -89,6 +91,8 @@
     load: z.number().int(),
     /** Whether the endpoint was still processing when the caller or the deadline ended the attempt. */
     silent: z.boolean(),
+    /** How long the connection had rested before; 0 for a new one. */
+    rested: milliseconds,
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -34,13 +34,14 @@
       endpoint: 'i-1',
       address: '10.1.0.1:80',
       hedgeAfter: 200,
+      reuseWithin: 60_000,
       load: 40,
     },
   ],
   ['queued', 7],
   ['refuse', { askId: 7, reason: 'overload', retryAfter: 120, load: 130 }],
   ['withdraw', 7],
-  ['report', { grantId: 9, outcome: 'success', elapsed: 80, load: -1, silent: false }],
+  ['report', { grantId: 9, outcome: 'success', elapsed: 80, load: -1, silent: false, rested: 0 }],
   ['acknowledge', 9],
 ];
 
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -39,6 +39,8 @@
   readonly load: number | undefined;
   /** Whether no byte of an answer came. */
   readonly silent: boolean;
+  /** How long the connection had rested before; 0 for a new one. */
+  readonly restedMilliseconds: number;
 }
 
 /** Options of `sendAttempt`. */
@@ -46,6 +48,8 @@
   readonly pool: ConnectionPool;
   readonly contract: WireContract;
   readonly address: string;
+  /** Connections that rested for longer are not used again. */
+  readonly reuseWithinMilliseconds: number;
   readonly facts: AttemptFacts;
   readonly method: string;
   /** Path and query. */
@@ -61,6 +65,8 @@
 
   private readonly connection: EndpointConnection;
 
+  private readonly restedMilliseconds: number;
+
   private startedAt = performance.now();
 
   private status = 0;
@@ -79,7 +85,8 @@
     private readonly options: AttemptOptions,
     private readonly resolve: (result: AttemptResult) => void,
   ) {
-    this.connection = options.pool.take(options.address);
+    this.connection = options.pool.take(options.address, options.reuseWithinMilliseconds);
+    this.restedMilliseconds = this.connection.restedMilliseconds;
   }
 
   start(): void {
@@ -198,6 +205,7 @@
       elapsed: performance.now() - this.startedAt,
       load: this.options.contract.readLoad(this.headers),
       silent: this.status === 0,
+      restedMilliseconds: this.restedMilliseconds,
     });
   }
 }
--- a/packages/routing/gateway/src/connection-pool.ts
+++ b/packages/routing/gateway/src/connection-pool.ts
@@ -10,13 +10,14 @@
 export class ConnectionPool {
   private readonly idle = new Map<string, EndpointConnection[]>();
 
-  /** Returns an idle connection or opens one. */
-  take(address: string): EndpointConnection {
+  /** Returns a connection that has rested for a limited time, or opens one. */
+  take(address: string, reuseWithinMilliseconds: number): EndpointConnection {
     const connections = this.idle.get(address);
     for (let next = connections?.pop(); next !== undefined; next = connections?.pop()) {
-      if (!next.closed) {
+      if (!next.closed && next.restedMilliseconds <= reuseWithinMilliseconds) {
         return next;
       }
+      next.destroy();
     }
     return new EndpointConnection(address, (closed) => this.remove(address, closed));
   }
@@ -27,6 +28,7 @@
       connection.destroy();
       return;
     }
+    connection.rest();
     const connections = this.idle.get(address) ?? [];
     connections.push(connection);
     this.idle.set(address, connections);
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -25,6 +25,8 @@
 
   private readonly client: Client;
 
+  private restingSince: number | undefined;
+
   constructor(address: string, onClosed: (connection: EndpointConnection) => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -45,6 +47,16 @@
     });
   }
 
+  /** Notes that the last answer has ended. */
+  rest(): void {
+    this.restingSince = performance.now();
+  }
+
+  /** Time since the last answer; 0 for a connection that carried none. */
+  get restedMilliseconds(): number {
+    return this.restingSince === undefined ? 0 : performance.now() - this.restingSince;
+  }
+
   /** Sends a request. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.client.dispatch(options, handler);
--- a/packages/routing/gateway/src/request-run.ts
+++ b/packages/routing/gateway/src/request-run.ts
@@ -93,13 +93,13 @@
   stopping: 'NotReady',
 };
 
-function describeEnd({ end, elapsed, load, silent }: AttemptResult): SlotEnd {
+function describeEnd({ end, ...facts }: AttemptResult): SlotEnd {
   if (end.kind === 'answer') {
     const outcome = end.answer.status >= 500 ? 'error' : 'success';
-    return { outcome, elapsed, load, silent };
+    return { outcome, ...facts };
   }
   const outcome = end.kind === 'abandoned' && !end.sent ? 'unused' : outcomeByEnd[end.kind];
-  return { outcome, elapsed, load, silent };
+  return { outcome, ...facts };
 }
 
 /** Runs the attempts of one request. */
@@ -209,6 +209,7 @@
     const result = await sendAttempt({
       ...this.options.attempt,
       address: slot.address,
+      reuseWithinMilliseconds: slot.reuseWithinMilliseconds,
       facts: {
         requestId: facts.requestId,
         endpoint: slot.endpoint,
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -23,6 +23,8 @@
   readonly address: string;
   /** Silence after which a second endpoint is worth it; undefined when none may be asked for. */
   readonly hedgeAfter: number | undefined;
+  /** Connections that rested for longer are not used again; endpoints may have forgotten them. */
+  readonly reuseWithinMilliseconds: number;
   readonly report: (end: SlotEnd) => void;
 }
 
@@ -32,6 +34,8 @@
   readonly elapsed: number;
   readonly load: number | undefined;
   readonly silent: boolean;
+  /** How long the connection had rested before; 0 for a new one. */
+  readonly restedMilliseconds: number;
 }
 
 /** Why no slot was given. */
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -14,16 +14,17 @@
 
 async function withGateway(
   scripts: readonly Script[],
-  options: Partial<Route> & { hedgeAfter?: number },
+  options: Partial<Route> & { hedgeAfter?: number; reuseWithin?: number },
   check: (setup: Setup) => Promise<void>,
 ): Promise<void> {
-  const { hedgeAfter, ...changes } = options;
+  const { hedgeAfter, reuseWithin, ...changes } = options;
   const endpoints = await Promise.all(
     scripts.map((script) => new ScriptedEndpoint(script).listen()),
   );
   const slots = new SlotsInTurn(
     endpoints.map(({ address }) => address),
     hedgeAfter,
+    reuseWithin,
   );
   const gateway = await new TestGateway(slots, changes).listen();
   try {
@@ -296,3 +297,38 @@
     assert.equal(await gateway.send({ id: 'r3', body: 'x' }), undefined);
   });
 });
+
+const forgetAfterFirst: Script = (socket, request, number) => {
+  if (number === 1) {
+    socket.write(formatAnswer(request, 'well'), () => {
+      // What is sent next on this connection is reset.
+      socket.removeAllListeners('data');
+      socket.once('data', () => socket.resetAndDestroy());
+    });
+    return;
+  }
+  socket.write(formatAnswer(request, 'well'));
+};
+const REST_MILLISECONDS = 60;
+
+test('a reset tells how long the connection had rested, so that a forgotten connection is not taken for a failure', async () => {
+  await withGateway([forgetAfterFirst], {}, async ({ gateway, slots }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    await delay(REST_MILLISECONDS);
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 502);
+    const [first, second] = slots.ends;
+    assert.equal(first?.restedMilliseconds, 0);
+    assert.equal(second?.outcome, 'reset');
+    assert.ok((second?.restedMilliseconds ?? 0) >= REST_MILLISECONDS * 0.8);
+  });
+});
+
+test('a request that must not repeat is not sent on a connection that rested for longer than allowed', async () => {
+  const options = { reuseWithin: REST_MILLISECONDS / 2 };
+  await withGateway([forgetAfterFirst], options, async ({ gateway, endpoints }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    await delay(REST_MILLISECONDS);
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    assert.equal(endpoints[0]?.connections, 2);
+  });
+});
--- a/packages/routing/gateway/test/slots-in-turn.ts
+++ b/packages/routing/gateway/test/slots-in-turn.ts
@@ -12,6 +12,7 @@
   constructor(
     private readonly addresses: readonly string[],
     private readonly hedgeAfter = 5000,
+    private readonly reuseWithinMilliseconds = 60_000,
   ) {}
 
   acquire(ask: gateway.SlotAsk): Promise<gateway.SlotDecision> {
@@ -23,6 +24,7 @@
         endpoint: String(index),
         address: this.addresses[index] as string,
         hedgeAfter: this.hedgeAfter,
+        reuseWithinMilliseconds: this.reuseWithinMilliseconds,
         report: (end) => this.ends.push(end),
       },
     });
--- a/packages/routing/grants/src/belief.ts
+++ b/packages/routing/grants/src/belief.ts
@@ -29,6 +29,8 @@
   error: 12,
   shed: 2,
   reset: 25,
+  /** A reset of a connection that had rested; most endpoints that do so are healthy. */
+  forgotten: 2,
 } as const;
 
 /** Shape of the service times of a healthy endpoint, as multiples of their mean. */
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -5,6 +5,7 @@
 import { type Candidate, type ChoiceRequest, chooseCandidate, listCandidates } from './choice.js';
 import { CrashRecords } from './crash-records.js';
 import { EndpointState, type Flight, type FlightEnd } from './endpoint-state.js';
+import { ReuseLimit } from './reuse-limit.js';
 import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
 import { ServiceTimes } from './service-times.js';
 import type { SlotRequest } from './slot-request.js';
@@ -17,6 +18,8 @@
       readonly grantId: number;
       readonly endpoint: Endpoint;
       readonly hedgeAfter: number;
+      /** Connections that rested for longer are not used again. */
+      readonly reuseWithin: number;
       readonly risk: number;
       readonly waited: number;
     }
@@ -75,6 +78,8 @@
 
   private readonly times = new ServiceTimes();
 
+  private readonly reuse = new ReuseLimit();
+
   private readonly waiting = new WaitingQueue();
 
   private failedShare = 0;
@@ -156,7 +161,11 @@
       return false;
     }
     const now = this.options.now();
-    state.end(grantId, end, now);
+    const forgotten =
+      end.outcome === 'reset' &&
+      end.silent &&
+      this.reuse.noteReset(state.endpoint.id, end.rested, now);
+    state.end(grantId, forgotten ? { ...end, outcome: 'forgotten' } : end, now);
     this.learn(state, flight, end, now);
     this.serveWaiters();
     return true;
@@ -187,7 +196,7 @@
         this.grants.delete(grantId);
       } else if (now > flight.expiresAt) {
         const elapsed = now - flight.startedAt;
-        this.report(grantId, { outcome: 'unused', elapsed, load: -1, silent: true });
+        this.report(grantId, { outcome: 'unused', elapsed, load: -1, silent: true, rested: 0 });
       }
     }
     this.serveWaiters();
@@ -330,6 +339,7 @@
       kind: 'grant',
       grantId,
       endpoint: state.endpoint,
+      reuseWithin: this.reuse.at(now),
       hedgeAfter: Math.min(expected * HEDGE_MULTIPLE, request.target * HEDGE_OF_TARGET),
       risk,
       waited,
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -24,16 +24,27 @@
   readonly fingerprint: string;
 }
 
+/** How an attempt ended, as its entry tells. */
+export type FlightOutcome =
+  'success' | 'error' | 'shed' | 'reset' | 'refused' | 'misdirected' | 'abandoned' | 'unused';
+
 /** The end of an attempt. */
 export interface FlightEnd {
-  readonly outcome:
-    'success' | 'error' | 'shed' | 'reset' | 'refused' | 'misdirected' | 'abandoned' | 'unused';
+  readonly outcome: FlightOutcome;
   /** From sending to the answer or the end. */
   readonly elapsed: number;
   /** Running and waiting requests that the endpoint told; negative when it told nothing. */
   readonly load: number;
   /** Whether no byte of an answer had come. */
   readonly silent: boolean;
+  /** How long the connection had rested before; 0 for a new one. */
+  readonly rested: number;
+}
+
+/** The end of an attempt after the dispatcher has judged it. */
+export interface JudgedEnd extends Omit<FlightEnd, 'outcome'> {
+  /** `forgotten`: the endpoint had probably only forgotten the connection. */
+  readonly outcome: FlightOutcome | 'forgotten';
 }
 
 /** The state of one endpoint. */
@@ -126,7 +137,7 @@
   }
 
   /** Ends an attempt and counts its outcome. */
-  end(grantId: number, end: FlightEnd, now: number): void {
+  end(grantId: number, end: JudgedEnd, now: number): void {
     const flight = this.flights.get(grantId);
     if (flight === undefined) {
       return;
@@ -140,7 +151,7 @@
     }
   }
 
-  private countOutcome(flight: Flight, end: FlightEnd, now: number): void {
+  private countOutcome(flight: Flight, end: JudgedEnd, now: number): void {
     const multiple = end.elapsed / flight.expected;
     switch (end.outcome) {
       case 'success':
@@ -151,6 +162,9 @@
           now,
         );
         return;
+      case 'forgotten':
+        this.belief.observe(likelihoodRatios.forgotten, now);
+        return;
       case 'error':
       case 'shed':
         this.noteContact();
--- a/packages/routing/grants/test/service-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -23,6 +23,7 @@
     elapsed: 50,
     load: -1,
     silent: false,
+    rested: 0,
   });
   assert.equal(service.decisions.get(keys[4] as string)?.kind, 'grant');
 });
@@ -149,3 +150,23 @@
   service.run('reset', 10, near);
   assert.equal(service.grantOf(service.ask(upload)).endpoint.id, 'other');
 });
+
+test('endpoints that forget resting connections keep getting work, on connections that rested less', () => {
+  const ids = ['one', 'other', 'third'];
+  const service = new VirtualService(ids.map((id) => createEndpoint(id)));
+  const forgetting = new Set<string>();
+  while (forgetting.size < 2) {
+    const { grantId, endpoint } = service.grantOf(service.ask());
+    forgetting.add(endpoint.id);
+    service.dispatcher.report(grantId, {
+      outcome: 'reset',
+      elapsed: 3,
+      load: -1,
+      silent: true,
+      rested: 900,
+    });
+  }
+  const granted = service.grantOf(service.ask());
+  assert.ok(granted.reuseWithin < 900);
+  assert.deepEqual(service.dispatcher.listSuspects(), []);
+});
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -82,7 +82,13 @@
   run(outcome: grants.FlightEnd['outcome'], elapsed: number, key = this.ask()): Granted {
     const granted = this.grantOf(key);
     this.now += elapsed;
-    this.dispatcher.report(granted.grantId, { outcome, elapsed, load: -1, silent: false });
+    this.dispatcher.report(granted.grantId, {
+      outcome,
+      elapsed,
+      load: -1,
+      silent: false,
+      rested: 0,
+    });
     return granted;
   }
 }
--- /dev/null
+++ b/packages/routing/grants/test/reuse-limit.test.ts
@@ -0,0 +1,32 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ReuseLimit } from '../src/reuse-limit.js';
+
+const UNLIMITED = new ReuseLimit().at(0);
+
+test('two endpoints that forget resting connections limit the rest for all, one alone does not', () => {
+  const limit = new ReuseLimit();
+  assert.equal(limit.noteReset('one', 900, 0), true);
+  assert.equal(limit.at(0), UNLIMITED);
+  assert.equal(limit.noteReset('two', 800, 100), true);
+  assert.ok(limit.at(100) < 400);
+});
+
+test('the limit is lowered by shorter rests and ends some time after the last reset', () => {
+  const limit = new ReuseLimit();
+  limit.noteReset('one', 4000, 0);
+  limit.noteReset('two', 4000, 0);
+  const before = limit.at(0);
+  limit.noteReset('three', before / 2, 10);
+  assert.ok(limit.at(10) < before);
+  assert.equal(limit.at(30_000), UNLIMITED);
+});
+
+test('an endpoint that also resets busy connections fails and sets no limit', () => {
+  const limit = new ReuseLimit();
+  for (const endpoint of ['one', 'two', 'three']) {
+    assert.equal(limit.noteReset(endpoint, 0, 0), false);
+    assert.equal(limit.noteReset(endpoint, 900, 100), false);
+  }
+  assert.equal(limit.at(100), UNLIMITED);
+});
