--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -38,6 +38,8 @@
  * readiness checks and a connection on its way. A request that came later could outlast the process.
  */
 const TAKING_MILLISECONDS = 2900;
+/** Time after that for which the process waits for the rest of a request that has begun to arrive. */
+const ARRIVING_MILLISECONDS = 1000;
 const EXIT_BEFORE_END_MILLISECONDS = 250;
 /** A daemon that pinged within this time follows this one. */
 const PINGER_MILLISECONDS = 3000;
@@ -399,7 +401,8 @@
       if (elapsed() > TAKING_MILLISECONDS) {
         // Repeated, because connections become idle when their last answer has left.
         this.server.closeIdle();
-        if (this.server.inFlight === 0 && this.server.connections === 0) {
+        const isOver = elapsed() > TAKING_MILLISECONDS + ARRIVING_MILLISECONDS;
+        if (this.server.inFlight === 0 && (this.server.connections === 0 || isOver)) {
           break;
         }
       }
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -1,9 +1,10 @@
 import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import * as undici from 'undici';
 import { CountingEndpoint } from './counting-endpoint.js';
-import { Fleet, type FleetDaemon, METRICS_PORT, ask, waitUntil } from './fleet.js';
+import { CALLER_PORT, Fleet, type FleetDaemon, METRICS_PORT, ask, waitUntil } from './fleet.js';
 
 const READY_MILLISECONDS = 8000;
 /** Bounds of the platform for a change of the configuration and for a draining endpoint. */
@@ -129,6 +130,25 @@
   });
 });
 
+test('a request that never arrives whole does not hold up a planned stop', async () => {
+  lastNetwork += 1;
+  const fleet = new Fleet(lastNetwork);
+  const graceSeconds = 8;
+  const { host, daemon } = await fleet.start([], false, graceSeconds);
+  const socket = net.connect(CALLER_PORT, host);
+  try {
+    socket.on('error', () => {});
+    socket.write('GET / HTTP/1.1\r\nHost: shop.exa');
+    await delay(100);
+    const begunAt = performance.now();
+    await daemon.stop();
+    assert.ok(performance.now() - begunAt < (graceSeconds - 2) * 1000);
+  } finally {
+    socket.destroy();
+    fleet.close();
+  }
+});
+
 test('a configuration reaches daemons that the store turns away', async () => {
   await withFleet(3, async (fleet, _endpoints, open) => {
     await open('new', 'archive');
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -22,7 +22,8 @@
   formatRetryAfter: String,
 };
 
-const CALLER_PORT = 18_080;
+/** Port of callers. */
+export const CALLER_PORT = 18_080;
 const READINESS_PORT = 18_081;
 const PEER_PORT = 18_082;
 const DATAGRAM_PORT = 18_083;
@@ -45,7 +46,7 @@
   constructor(private readonly network: number) {}
 
   /** Starts a daemon. */
-  async start(seeds: readonly string[] = [], away = false): Promise<FleetDaemon> {
+  async start(seeds: readonly string[] = [], away = false, graceSeconds = 3): Promise<FleetDaemon> {
     const host = `127.0.${this.network}.${this.daemons.length + 1}`;
     const source = new MemorySource(this.store);
     source.away = away;
@@ -63,7 +64,7 @@
         },
         store: { address: '127.0.0.1:1' },
         retries: { ratio: 0.2, slack: 20, windowSeconds: 10 },
-        stop: { graceSeconds: 3 },
+        stop: { graceSeconds },
         limits: { memoryMegabytes: 100 },
       }),
       contract,
