Read changed settings of a running gateway daemon

Cause: settings were read at the start only, although the platform changes the file with SIGHUP and without.

--- a/packages/daemon/gateway-daemon/src/dispatch-duty.ts
+++ b/packages/daemon/gateway-daemon/src/dispatch-duty.ts
@@ -32,7 +32,7 @@
   readonly members: MemberTable;
   readonly directory: Directory;
   readonly news: StoreNews;
-  readonly retries: GatewaySettings['retries'];
+  readonly retries: () => GatewaySettings['retries'];
   readonly candidates: () => Candidates;
   /** Monotonic milliseconds at which this daemon learned of the others; undefined before. */
   readonly joinedAt: () => number | undefined;
@@ -77,9 +77,8 @@
 
   /** Returns this daemon's part of a service's retry budget for one of its cells. */
   findRetryBudget(cell: grants.Cell): grants.RetryBudget {
-    const { ratio, windowSeconds } = this.options.retries;
-    const slack =
-      this.options.retries.slack / this.options.directory.listCellsOf(cell.service).length;
+    const { ratio, slack: fleetSlack, windowSeconds } = this.options.retries();
+    const slack = fleetSlack / this.options.directory.listCellsOf(cell.service).length;
     const windowMilliseconds = windowSeconds * 1000;
     const first = this.options.members.rank(cell).slice(0, DISPATCHING_RANKS);
     if (first.some(({ name }) => name === this.options.members.self.name)) {
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -96,8 +96,12 @@
 
   private closed = false;
 
+  /** The settings in force; what only counts at the start stays as it was. */
+  private settings: GatewaySettings;
+
   constructor(private readonly options: GatewayDaemonOptions) {
     const { settings, log } = options;
+    this.settings = settings;
     this.logger = log.part('daemon');
     this.reporter = new DecisionReporter(log, settings.log.decisionsPerSecond);
     this.members = new MemberTable(this.describeSelf());
@@ -106,7 +110,7 @@
       members: this.members,
       directory: this.directory,
       news: this.news,
-      retries: settings.retries,
+      retries: () => this.settings.retries,
       candidates: () => this.candidates,
       joinedAt: () => this.peerState.joinedAt,
       isRoleActive: () => this.role.isActive,
@@ -122,7 +126,7 @@
       members: this.members,
       directory: this.directory,
       source: options.source,
-      seeds: settings.seeds,
+      seeds: () => this.settings.seeds,
       isDispatching: () => this.duty.isDispatching(),
       isStopping: () => this.closed || this.stopped !== undefined,
       logger: log.part('membership'),
@@ -175,6 +179,18 @@
     });
   }
 
+  /** Puts changed settings in force: seeds, retry budget and grace time. Names, ports and limits need a restart. */
+  applySettings(settings: GatewaySettings): void {
+    const { seeds, retries, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, stop };
+    this.logger.info('settings are in force', {
+      seeds,
+      retries,
+      stop,
+      needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
+    });
+  }
+
   /** Performs a planned stop; resolves when the last request ended or the grace time is over. */
   stop(): Promise<void> {
     this.stopped ??= this.stopPlanned();
@@ -390,7 +406,7 @@
   }
 
   private async stopPlanned(): Promise<void> {
-    const graceMilliseconds = this.options.settings.stop.graceSeconds * 1000;
+    const graceMilliseconds = this.settings.stop.graceSeconds * 1000;
     const begunAt = performance.now();
     const elapsed = (): number => performance.now() - begunAt;
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
--- a/packages/daemon/gateway-daemon/src/index.ts
+++ b/packages/daemon/gateway-daemon/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * The daemon for transparent traffic.
  */
+export { SettingsFile } from './settings-file.js';
 export { type GatewayDaemonOptions, GatewayDaemon } from './gateway-daemon.js';
 export { type GatewaySettings, gatewaySettingsSchema, loadGatewaySettings } from './settings.js';
 export { type Member, memberSchema } from './member.js';
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -25,7 +25,7 @@
   readonly directory: Directory;
   readonly source: DirectorySource;
   /** Peer addresses that are asked while the store does not answer. */
-  readonly seeds: readonly string[];
+  readonly seeds: () => readonly string[];
   /** Whether this daemon dispatches or would be the next to do so. */
   readonly isDispatching: () => boolean;
   readonly isStopping: () => boolean;
@@ -196,7 +196,7 @@
 
   private async askSeeds(): Promise<void> {
     const own = this.options.members.self.peerAddress;
-    for (const seed of this.options.seeds) {
+    for (const seed of this.options.seeds()) {
       if (seed !== own) {
         try {
           await this.fetchState(seed);
