--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -1,7 +1,6 @@
 /**
  * One daemon for transparent traffic: entry, dispatcher, watcher of the store and peer.
  */
-import { setTimeout as delay } from 'node:timers/promises';
 import * as datagrams from '@dogwoodstall/datagrams';
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
@@ -15,6 +14,8 @@
 import { type Member, MemberTable, STORE_DUTY } from './member.js';
 import { MetricsPage, type MetricsReadings } from './metrics-page.js';
 import { PeerState } from './peer-state.js';
+import { PingExchange } from './ping-exchange.js';
+import { waitForLastRequest } from './planned-stop.js';
 import { ReadinessPage } from './readiness-page.js';
 import { type GatewaySettings, splitAddress } from './settings.js';
 import type { DirectorySource } from './sources.js';
@@ -33,27 +34,6 @@
 /** Part of the memory for request bodies. */
 const HELD_SHARE_OF_MEMORY = 0.3;
 const MEGABYTE = 1_048_576;
-/**
- * Time after SIGTERM for which requests are taken: until the balancer has taken the daemon out of rotation, by two
- * readiness checks and a connection on its way. A request that came later could outlast the process.
- */
-const TAKING_MILLISECONDS = 2900;
-/** Time after that for which the process waits for the rest of a request that has begun to arrive. */
-const ARRIVING_MILLISECONDS = 1000;
-const EXIT_BEFORE_END_MILLISECONDS = 250;
-/** A daemon that pinged within this time follows this one. */
-const PINGER_MILLISECONDS = 3000;
-/** Sequence of a pong that answers no ping. */
-const UNASKED_SEQUENCE = 0;
-const STOP_CHECK_MILLISECONDS = 50;
-
-interface Pinger {
-  readonly from: datagrams.PeerAddress;
-  readonly standby: boolean;
-  /** Whether the daemon knows no endpoints yet. */
-  readonly isNew: boolean;
-  readonly at: number;
-}
 
 /** A daemon that serves transparent traffic. */
 export class GatewayDaemon {
@@ -87,8 +67,7 @@
 
   private readonly news = new StoreNews();
 
-  /** Daemons that pinged this one lately, by host. */
-  private readonly pingers = new Map<string, Pinger>();
+  private readonly pings: PingExchange;
 
   private malformed = 0;
 
@@ -131,6 +110,15 @@
       isStopping: () => this.closed || this.stopped !== undefined,
       logger: log.part('membership'),
     });
+    this.pings = new PingExchange({
+      members: this.members,
+      directory: this.directory,
+      role: this.role,
+      duty: this.duty,
+      peerState: this.peerState,
+      candidates: () => this.candidates,
+      send: (message, to) => this.port.send(message, to),
+    });
     this.port = this.createPort();
     this.candidates = this.createCandidates();
     this.link = this.createLink();
@@ -140,7 +128,7 @@
       directory: this.directory,
       news: this.news,
       isResponsible: () => this.duty.isResponsibleForStore(),
-      onLost: () => this.announceToPingers(() => true),
+      onLost: () => this.pings.announceToAll(),
       logger: log.part('store'),
     });
     this.statePage = new StatePage((request) => this.peerState.answerState(request));
@@ -233,12 +221,12 @@
     return new Directory({
       onConfiguration: ({ version, routes }, source) => {
         logger.info('configuration is in force', { version, routes: routes.length, source });
-        this.announceToPingers(() => true);
+        this.pings.announceToAll();
         this.candidates.pingAll();
       },
       onEndpoints: (source) => {
         this.role.updateEndpoints();
-        this.announceToPingers(({ standby, isNew }) => standby || isNew);
+        this.pings.announceEndpoints();
         logger.info('endpoints changed', {
           revision: this.directory.endpointRevision,
           endpoints: this.directory.listAll().length,
@@ -342,90 +330,24 @@
         this.link.acknowledge(message[1], target);
         return;
       case 'ping':
-        this.receivePing(message[1], from);
+        this.pings.receivePing(message[1], from);
         return;
       case 'pong':
-        this.receivePong(message[1], from);
+        this.pings.receivePong(message[1], from);
         return;
       default:
         this.link.receive(message, target);
     }
   }
 
-  private receivePing(ping: datagrams.Ping, from: datagrams.PeerAddress): void {
-    this.pingers.set(from.host, {
-      from,
-      standby: ping.standby,
-      isNew: ping.directoryRevision === 0,
-      at: performance.now(),
-    });
-    this.sendPong(from, ping.sequence, ping.standby);
-    this.peerState.considerFetch(ping, from.host, false);
-  }
-
-  private sendPong(to: datagrams.PeerAddress, sequence: number, standby: boolean): void {
-    this.port.send(
-      [
-        'pong',
-        {
-          sequence,
-          stopping: this.role.stopping,
-          settled: this.duty.isSettled(),
-          configurationVersion: this.directory.configurationVersion,
-          directoryRevision: this.directory.endpointRevision,
-          storeAge: Math.round(this.duty.storeAge),
-          memberDigest: this.members.digest,
-          cells: standby ? this.role.listBeliefs() : [],
-        },
-      ],
-      to,
-    );
-  }
-
-  // News does not wait for the next ping.
-  private announceToPingers(concerns: (pinger: Pinger) => boolean): void {
-    const limit = performance.now() - PINGER_MILLISECONDS;
-    for (const [host, pinger] of this.pingers) {
-      if (pinger.at < limit) {
-        this.pingers.delete(host);
-      } else if (concerns(pinger)) {
-        this.sendPong(pinger.from, UNASKED_SEQUENCE, pinger.standby);
-      }
-    }
-  }
-
-  private receivePong(pong: datagrams.Pong, from: datagrams.PeerAddress): void {
-    const member = this.members.list().find(({ host }) => host === from.host);
-    if (member === undefined) {
-      return;
-    }
-    this.candidates.receivePong(member.name, pong);
-    this.duty.noteStoreNews(member.name, pong.storeAge);
-    this.role.adoptBeliefs(pong.cells);
-    this.peerState.considerFetch(pong, from.host, pong.memberDigest !== this.members.digest);
-  }
-
   private async stopPlanned(): Promise<void> {
-    const graceMilliseconds = this.settings.stop.graceSeconds * 1000;
-    const begunAt = performance.now();
-    const elapsed = (): number => performance.now() - begunAt;
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
     this.role.beginStop();
     this.server.beginStop();
-    while (elapsed() < graceMilliseconds - EXIT_BEFORE_END_MILLISECONDS) {
-      await delay(STOP_CHECK_MILLISECONDS);
-      if (elapsed() > TAKING_MILLISECONDS) {
-        // Repeated, because connections become idle when their last answer has left.
-        this.server.closeIdle();
-        const isOver = elapsed() > TAKING_MILLISECONDS + ARRIVING_MILLISECONDS;
-        if (this.server.inFlight === 0 && (this.server.connections === 0 || isOver)) {
-          break;
-        }
-      }
-    }
+    const elapsed = await waitForLastRequest(this.server, this.settings.stop.graceSeconds * 1000);
     this.logger.info('daemon has stopped', {
       inFlight: this.server.inFlight,
-      milliseconds: Math.round(elapsed()),
+      milliseconds: Math.round(elapsed),
     });
     this.close();
   }
