Let requests wait for the routes of a daemon that has just started

Such a request now waits up to 500 ms and three tenths of its time. The first three daemons read the state, and look for it every 20 ms. A refusal for want of routes has its log line.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -48,6 +48,9 @@
 
   private revision = 0;
 
+  /** Called when configuration and endpoints are known for the first time. */
+  private readonly completion: (() => void)[] = [];
+
   private readonly cellsByName = new Map<string, grants.Cell>();
 
   private readonly cellsByService = new Map<string, readonly grants.Cell[]>();
@@ -72,6 +75,33 @@
     return this.revision > 0;
   }
 
+  /** Whether configuration and endpoints are known. */
+  get isComplete(): boolean {
+    return this.routeIndex !== undefined && this.hasEndpoints;
+  }
+
+  /** Resolves when configuration and endpoints are known, at the latest after a time. */
+  async waitUntilComplete(milliseconds: number): Promise<void> {
+    if (this.isComplete) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, milliseconds);
+      this.completion.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private noteCompletion(): void {
+    if (this.isComplete) {
+      for (const resolve of this.completion.splice(0)) {
+        resolve();
+      }
+    }
+  }
+
   listAll(): Endpoint[] {
     return [...this.endpoints.values()];
   }
@@ -102,6 +132,7 @@
       this.routeIndex = new RouteIndex(configuration);
       this.divide();
       this.options.onConfiguration(configuration, source);
+      this.noteCompletion();
     }
   }
 
@@ -159,6 +190,7 @@
     this.revision = revision;
     this.divide();
     this.options.onEndpoints(source);
+    this.noteCompletion();
   }
 
   private divide(): void {
--- a/packages/daemon/gateway-daemon/src/dispatch-duty.ts
+++ b/packages/daemon/gateway-daemon/src/dispatch-duty.ts
@@ -18,7 +18,7 @@
 const LOST_AGE_MILLISECONDS = 100_000;
 const LOST_STEP_MILLISECONDS = 400;
 /** Daemons that read the whole state from the store when all start together. */
-const READING_RANKS = 2;
+const READING_RANKS = 3;
 /** Time for which a daemon that knows the others waits for their state; some round trips and a first reading. */
 const PEER_STATE_MILLISECONDS = 500;
 /** Time after the start at which a daemon that could not join reads the state itself. */
@@ -112,8 +112,7 @@
    */
   private followsStoreAtStart(): boolean | undefined {
     const now = performance.now();
-    const isEmpty =
-      !this.options.directory.hasEndpoints || this.options.directory.routes === undefined;
+    const isEmpty = !this.options.directory.isComplete;
     const joinedAt = this.options.joinedAt();
     if (joinedAt === undefined) {
       return isEmpty ? now - this.startedAt > UNJOINED_READ_MILLISECONDS : undefined;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -137,11 +137,7 @@
 
   /** Whether the daemon takes callers. */
   get isReady(): boolean {
-    return (
-      this.stopped === undefined &&
-      this.directory.routes !== undefined &&
-      this.directory.hasEndpoints
-    );
+    return this.stopped === undefined && this.directory.isComplete;
   }
 
   /** Binds every port and begins to serve; throws `ListenFailed`. */
@@ -293,7 +289,8 @@
     return new gateway.GatewayServer({
       contract,
       slots: this.link,
-      findRoutes: () => this.directory.routes,
+      findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
+      waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
       heldBytes: settings.limits.memoryMegabytes * MEGABYTE * HELD_SHARE_OF_MEMORY,
       onDecision: (decision) => this.reporter.noteRequest(decision),
       onUnexpectedError: (requestId, error) => {
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -18,6 +18,8 @@
 const FIRST_RETRY_MILLISECONDS = 250;
 const LONGEST_RETRY_MILLISECONDS = 1500;
 const IDLE_CHECK_MILLISECONDS = 100;
+/** Interval of the same check while nothing is known, when each moment counts for callers. */
+const START_CHECK_MILLISECONDS = 20;
 
 /** Options of `StoreWatcher`. */
 export interface StoreWatcherOptions {
@@ -71,7 +73,10 @@
     while (!this.closing.signal.aborted) {
       try {
         while (!this.options.isResponsible()) {
-          await delay(IDLE_CHECK_MILLISECONDS, undefined, { signal: this.closing.signal });
+          const pause = this.options.directory.isComplete
+            ? IDLE_CHECK_MILLISECONDS
+            : START_CHECK_MILLISECONDS;
+          await delay(pause, undefined, { signal: this.closing.signal });
         }
         await follow();
         retry = FIRST_RETRY_MILLISECONDS;
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -33,8 +33,10 @@
 export interface GatewayServerOptions {
   readonly contract: WireContract;
   readonly slots: SlotSource;
-  /** Routes in force; undefined until a configuration is known. */
+  /** Routes in force; undefined until configuration and endpoints are known. */
   readonly findRoutes: () => RouteIndex | undefined;
+  /** Resolves when routes are in force, at the latest after a time. */
+  readonly waitForRoutes: (milliseconds: number) => Promise<void>;
   /** Bytes of request bodies held at a time. */
   readonly heldBytes: number;
   readonly onDecision: (decision: RequestDecision) => void;
@@ -51,6 +53,10 @@
 /** The answer leaves this long before the deadline, so that it arrives in time. */
 const ANSWER_MARGIN_MILLISECONDS = 4;
 const NOT_READY_RETRY_MILLISECONDS = 300;
+/** A daemon that has just started learns the routes within this time; a request then waits rather than comes back. */
+const ROUTES_WAIT_MILLISECONDS = 500;
+/** Share of a caller's time that its request waits for the routes. */
+const ROUTES_WAIT_SHARE = 0.3;
 const SLOW_HEADER_CHECK_MILLISECONDS = 1000;
 const RADIX = 36;
 const BODILESS_STATUS = new Set([204, 304]);
@@ -200,9 +206,9 @@
     const { request, response, requestId, arrivedAt } = arrival;
     const { contract, slots } = this.options;
     const checked = proxy.checkRequest(request);
-    const routes = this.options.findRoutes();
+    const routes = await this.findRoutes(request);
     if (routes === undefined || this.refusing) {
-      this.sendFailure(arrival, results.createFailure('NotReady'), NOT_READY_RETRY_MILLISECONDS);
+      this.refuseNotReady(arrival, routes);
       return;
     }
     const route = routes.find(checked.host, checked.path);
@@ -266,6 +272,30 @@
     }
   }
 
+  private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
+    if (this.options.findRoutes() === undefined && !this.refusing) {
+      const deadline = this.options.contract.readDeadline(request.headers) ?? Infinity;
+      const wait = Math.min(ROUTES_WAIT_MILLISECONDS, deadline * ROUTES_WAIT_SHARE);
+      await this.options.waitForRoutes(wait);
+    }
+    return this.options.findRoutes();
+  }
+
+  private refuseNotReady(arrival: Arrival, routes: RouteIndex | undefined): void {
+    this.sendFailure(arrival, results.createFailure('NotReady'), NOT_READY_RETRY_MILLISECONDS);
+    this.options.onDecision({
+      requestId: arrival.requestId ?? '',
+      route: '',
+      service: '',
+      configurationVersion: routes?.configuration.version ?? 0,
+      attempts: [],
+      result: 'NotReady',
+      status: results.findResult('NotReady').httpStatus,
+      milliseconds: Math.round(performance.now() - arrival.arrivedAt),
+      remainingMilliseconds: 0,
+    });
+  }
+
   private selectHeaders(request: http.IncomingMessage): string[] {
     const { ownedRequestHeaders } = this.options.contract;
     const all = proxy.selectRequestHeaders(request.rawHeaders);
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -2,6 +2,7 @@
  * A gateway on loopback before scripted endpoints.
  */
 import * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import { type Route, RouteIndex } from '@dogwoodstall/traffic';
 import * as gateway from '../src/index.js';
 
@@ -68,6 +69,9 @@
 
   readonly agent = new http.Agent({ keepAlive: true });
 
+  /** Whether the daemon has learned the routes. */
+  knowsRoutes = true;
+
   private port = 0;
 
   constructor(slots: gateway.SlotSource, changes: Partial<Route> = {}, idleMilliseconds = 15_000) {
@@ -85,7 +89,13 @@
     this.server = new gateway.GatewayServer({
       contract: testContract,
       slots,
-      findRoutes: () => routes,
+      findRoutes: () => (this.knowsRoutes ? routes : undefined),
+      waitForRoutes: async (milliseconds) => {
+        const until = performance.now() + milliseconds;
+        while (!this.knowsRoutes && performance.now() < until) {
+          await delay(5);
+        }
+      },
       heldBytes: 10_000_000,
       onDecision: (decision) => this.decisions.push(decision),
       onUnexpectedError: (_id, error) => {
