--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -11,7 +11,7 @@
 import { DispatchDuty } from './dispatch-duty.js';
 import { DispatcherLink } from './dispatcher-link.js';
 import { DispatcherRole } from './dispatcher-role.js';
-import { type Member, MemberTable, STORE_DUTY } from './member.js';
+import { MemberTable, STORE_DUTY, describeMember } from './member.js';
 import { MetricsPage, type MetricsReadings } from './metrics-page.js';
 import { PeerState } from './peer-state.js';
 import { PingExchange } from './ping-exchange.js';
@@ -83,7 +83,7 @@
     this.settings = settings;
     this.logger = log.part('daemon');
     this.reporter = new DecisionReporter(log, settings.log.decisionsPerSecond);
-    this.members = new MemberTable(this.describeSelf());
+    this.members = new MemberTable(describeMember(settings));
     this.directory = this.createDirectory();
     this.duty = new DispatchDuty({
       members: this.members,
@@ -199,19 +199,6 @@
     this.reporter.close();
   }
 
-  private describeSelf(): Member {
-    const { name, zone, listen, limits } = this.options.settings;
-    return {
-      name,
-      zone,
-      host: splitAddress(listen.peer).host,
-      datagramPort: listen.datagramPort,
-      peerAddress: listen.peer,
-      cores: limits.cores * limits.coreShare,
-      startedAt: Date.now(),
-    };
-  }
-
   private createDirectory(): Directory {
     const logger = this.options.log.part('directory');
     return new Directory({
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -3,6 +3,7 @@
  */
 import * as hashing from '@dogwoodstall/hashing';
 import * as z from 'zod';
+import { type GatewaySettings, splitAddress } from './settings.js';
 
 /** A daemon as others reach it. */
 export const memberSchema = z.object({
@@ -20,6 +21,19 @@
 
 export type Member = z.infer<typeof memberSchema>;
 
+/** Describes the daemon with the given settings, which starts now. */
+export function describeMember({ name, zone, listen, limits }: GatewaySettings): Member {
+  return {
+    name,
+    zone,
+    host: splitAddress(listen.peer).host,
+    datagramPort: listen.datagramPort,
+    peerAddress: listen.peer,
+    cores: limits.cores * limits.coreShare,
+    startedAt: Date.now(),
+  };
+}
+
 const RADIX = 36;
 
 /** What daemons are ranked for. */
--- /dev/null
+++ b/packages/routing/gateway/src/caller-answers.ts
@@ -0,0 +1,80 @@
+/**
+ * Writes answers and failures to callers.
+ */
+import type * as http from 'node:http';
+import * as proxy from '@dogwoodstall/proxy';
+import * as results from '@dogwoodstall/results';
+import type { EndpointAnswer } from './attempt.js';
+import type { WireContract } from './contract.js';
+import type { RunEnd } from './request-run.js';
+
+/** Time after which a caller may come back to a daemon that is not ready. */
+export const NOT_READY_RETRY_MILLISECONDS = 300;
+const BODILESS_STATUS = new Set([204, 304]);
+
+/** A request of a caller. */
+export interface Arrival {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly requestId: string | undefined;
+  readonly arrivedAt: number;
+}
+
+/** Answers callers; after the begin of a planned stop, each answer closes its connection. */
+export class CallerAnswers {
+  constructor(
+    private readonly contract: WireContract,
+    private readonly isStopping: () => boolean,
+  ) {}
+
+  /** Answers with the end of a run; returns status and result for the log. */
+  finish(arrival: Arrival, end: RunEnd): { status: number; result: string } {
+    if (end.kind === 'answer') {
+      this.sendAnswer(arrival, end.answer);
+      return { status: end.answer.status, result: 'answered' };
+    }
+    const { failure } = end.failure;
+    this.sendFailure(arrival, failure, end.retryAfter);
+    return { status: results.findResult(failure.kind).httpStatus, result: failure.kind };
+  }
+
+  private sendAnswer({ response, request, requestId }: Arrival, answer: EndpointAnswer): void {
+    if (response.destroyed) {
+      return;
+    }
+    const headers: http.OutgoingHttpHeaders = proxy.selectAnswerHeaders(answer.headers);
+    const bodiless = request.method === 'HEAD' || BODILESS_STATUS.has(answer.status);
+    if (!bodiless) {
+      headers['content-length'] = String(answer.body.length);
+    }
+    if (requestId !== undefined) {
+      headers[this.contract.requestIdHeader] = requestId;
+    }
+    this.prepareClose(response);
+    response.writeHead(answer.status, headers);
+    response.end(bodiless ? undefined : answer.body);
+  }
+
+  /** Answers with a failure of the gateway. */
+  sendFailure(
+    { response, requestId }: Arrival,
+    failure: results.Failure,
+    retryAfter: number | undefined,
+  ): void {
+    this.prepareClose(response);
+    const { contract } = this;
+    const extra: Record<string, string> = {};
+    const { httpStatus } = results.findResult(failure.kind);
+    if (retryAfter !== undefined || httpStatus === 503) {
+      const wait = retryAfter ?? NOT_READY_RETRY_MILLISECONDS;
+      extra[contract.retryAfterHeader] = contract.formatRetryAfter(wait);
+    }
+    proxy.sendFailure(response, failure, requestId ?? '', extra);
+  }
+
+  private prepareClose(response: http.ServerResponse): void {
+    if (this.isStopping() && !response.headersSent) {
+      Object.assign(response, { shouldKeepAlive: false });
+    }
+  }
+}
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -8,12 +8,12 @@
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
 import { type Limits, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
-import type { EndpointAnswer } from './attempt.js';
+import { type Arrival, CallerAnswers, NOT_READY_RETRY_MILLISECONDS } from './caller-answers.js';
 import { CallerSockets } from './caller-sockets.js';
 import { ConnectionPool } from './connection-pool.js';
 import type { WireContract } from './contract.js';
 import { type HeldBody, HeldBytes, readBody } from './held-bytes.js';
-import { type AttemptNote, type RunEnd, type RunFacts, runRequest } from './request-run.js';
+import { type AttemptNote, type RunFacts, runRequest } from './request-run.js';
 import type { SlotSource } from './slots.js';
 
 /** The decision about one request, for the log. */
@@ -52,21 +52,12 @@
 };
 /** The answer leaves this long before the deadline, so that it arrives in time. */
 const ANSWER_MARGIN_MILLISECONDS = 4;
-const NOT_READY_RETRY_MILLISECONDS = 300;
 /** A daemon that has just started learns the routes within this time; a request then waits rather than comes back. */
 const ROUTES_WAIT_MILLISECONDS = 500;
 /** Share of a caller's time that its request waits for the routes. */
 const ROUTES_WAIT_SHARE = 0.3;
 const SLOW_HEADER_CHECK_MILLISECONDS = 1000;
 const RADIX = 36;
-const BODILESS_STATUS = new Set([204, 304]);
-
-interface Arrival {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  readonly requestId: string | undefined;
-  readonly arrivedAt: number;
-}
 
 /** Serves callers. */
 export class GatewayServer {
@@ -78,6 +69,8 @@
 
   private readonly held: HeldBytes;
 
+  private readonly answers: CallerAnswers;
+
   private stopping = false;
 
   private refusing = false;
@@ -86,6 +79,7 @@
 
   constructor(private readonly options: GatewayServerOptions) {
     this.held = new HeldBytes(options.heldBytes);
+    this.answers = new CallerAnswers(options.contract, () => this.stopping);
     this.sockets = new CallerSockets(() => this.limits.idleMilliseconds);
     this.server = this.createServer();
   }
@@ -198,7 +192,7 @@
       if (!(error instanceof results.FailureError)) {
         this.options.onUnexpectedError(requestId ?? '', error);
       }
-      this.sendFailure(arrival, results.toFailure(error), undefined);
+      this.answers.sendFailure(arrival, results.toFailure(error), undefined);
     }
   }
 
@@ -253,7 +247,7 @@
         note: (note) => attempts.push(note),
       });
       response.off('close', onClose);
-      const { status, result } = this.finish(arrival, end);
+      const { status, result } = this.answers.finish(arrival, end);
       this.options.onDecision({
         requestId: requestId ?? '',
         route: route.name,
@@ -282,7 +276,11 @@
   }
 
   private refuseNotReady(arrival: Arrival, routes: RouteIndex | undefined): void {
-    this.sendFailure(arrival, results.createFailure('NotReady'), NOT_READY_RETRY_MILLISECONDS);
+    this.answers.sendFailure(
+      arrival,
+      results.createFailure('NotReady'),
+      NOT_READY_RETRY_MILLISECONDS,
+    );
     this.options.onDecision({
       requestId: arrival.requestId ?? '',
       route: '',
@@ -320,53 +318,4 @@
     }
     return hash.digest().toString(RADIX);
   }
-
-  private finish(arrival: Arrival, end: RunEnd): { status: number; result: string } {
-    if (end.kind === 'answer') {
-      this.sendAnswer(arrival, end.answer);
-      return { status: end.answer.status, result: 'answered' };
-    }
-    const { failure } = end.failure;
-    this.sendFailure(arrival, failure, end.retryAfter);
-    return { status: results.findResult(failure.kind).httpStatus, result: failure.kind };
-  }
-
-  private sendAnswer({ response, request, requestId }: Arrival, answer: EndpointAnswer): void {
-    if (response.destroyed) {
-      return;
-    }
-    const headers: http.OutgoingHttpHeaders = proxy.selectAnswerHeaders(answer.headers);
-    const bodiless = request.method === 'HEAD' || BODILESS_STATUS.has(answer.status);
-    if (!bodiless) {
-      headers['content-length'] = String(answer.body.length);
-    }
-    if (requestId !== undefined) {
-      headers[this.options.contract.requestIdHeader] = requestId;
-    }
-    this.prepareClose(response);
-    response.writeHead(answer.status, headers);
-    response.end(bodiless ? undefined : answer.body);
-  }
-
-  private sendFailure(
-    { response, requestId }: Arrival,
-    failure: results.Failure,
-    retryAfter: number | undefined,
-  ): void {
-    this.prepareClose(response);
-    const { contract } = this.options;
-    const extra: Record<string, string> = {};
-    const { httpStatus } = results.findResult(failure.kind);
-    if (retryAfter !== undefined || httpStatus === 503) {
-      const wait = retryAfter ?? NOT_READY_RETRY_MILLISECONDS;
-      extra[contract.retryAfterHeader] = contract.formatRetryAfter(wait);
-    }
-    proxy.sendFailure(response, failure, requestId ?? '', extra);
-  }
-
-  private prepareClose(response: http.ServerResponse): void {
-    if (this.stopping && !response.headersSent) {
-      Object.assign(response, { shouldKeepAlive: false });
-    }
-  }
 }
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -335,17 +335,15 @@
 
 test('a request that arrives before the routes are known waits a little and is then served', async () => {
   await withGateway([answerWell], {}, async ({ gateway }) => {
-    gateway.knowsRoutes = false;
-    setTimeout(() => {
-      gateway.knowsRoutes = true;
-    }, 100);
+    gateway.setRoutesKnown(false);
+    setTimeout(() => gateway.setRoutesKnown(true), 100);
     assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
   });
 });
 
 test('without routes a request is refused as not run, with a time to come back and a line in the log', async () => {
   await withGateway([answerWell], {}, async ({ gateway, endpoints }) => {
-    gateway.knowsRoutes = false;
+    gateway.setRoutesKnown(false);
     const answer = await gateway.send({ body: 'x' });
     assert.equal(answer?.status, 503);
     assert.ok(Number(answer?.headers['retry-after']) > 0);
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -69,8 +69,7 @@
 
   readonly agent = new http.Agent({ keepAlive: true });
 
-  /** Whether the daemon has learned the routes. */
-  knowsRoutes = true;
+  private knowsRoutes = true;
 
   private port = 0;
 
@@ -109,6 +108,11 @@
     return this;
   }
 
+  /** Sets whether the gateway has learned its routes. */
+  setRoutesKnown(known: boolean): void {
+    this.knowsRoutes = known;
+  }
+
   /** Sends a request; resolves with undefined when the connection ends without a whole answer. */
   send(
     options: { id?: string; body?: string | Buffer; path?: string; signal?: AbortSignal } = {},
