Serve the last requests of a stopping daemon without another dispatcher

Its own requests are served now, and a daemon that was passed over is not asked twice. The new test hangs on the code before.

--- a/packages/daemon/gateway-daemon/src/dispatcher-link.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-link.ts
@@ -95,6 +95,10 @@
     const tried = new Set<string>();
     while (!signal.aborted && tried.size < MAXIMUM_DISPATCHERS) {
       const target = this.options.candidates.choose(cell, tried);
+      // This daemon is the last choice, also when it was passed over before.
+      if (tried.has(target.name)) {
+        break;
+      }
       tried.add(target.name);
       const end = await this.askOne(target, cell.name, ask, moved, signal);
       if (end !== 'pass-over') {
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -13,6 +13,8 @@
 
 /** Options of `DispatcherRole`. */
 export interface DispatcherRoleOptions {
+  /** Name under which this daemon asks itself. */
+  readonly self: string;
   readonly directory: Directory;
   /** The retry budget for a cell; small when another daemon is its dispatcher. */
   readonly retryBudget: (cell: string) => grants.RetryBudget;
@@ -104,7 +106,8 @@
       tell(known.answer);
       return;
     }
-    if (this.leaving) {
+    // Requests of its own are served to the end, because no other daemon may answer.
+    if (this.leaving && entry !== this.options.self) {
       tell(['refuse', { askId: ask.askId, reason: 'stopping', retryAfter: 0, load: 0 }]);
       return;
     }
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -97,6 +97,7 @@
       isStoreLost: () => this.watcher.isLost,
     });
     this.role = new DispatcherRole({
+      self: settings.name,
       directory: this.directory,
       retryBudget: (cell) => this.duty.findRetryBudget(this.directory.describeCell(cell)),
       onDecision: (cell, request, decision) => this.reporter.noteSlot(cell, request, decision),
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -130,6 +130,17 @@
   });
 });
 
+test('a daemon that stops serves its last requests although no other daemon answers', async () => {
+  await withFleet(1, async (fleet) => {
+    const { host, daemon } = fleet.daemons[0] as FleetDaemon;
+    const stopped = daemon.stop();
+    for (let count = 0; count < 20; count += 1) {
+      assert.equal((await ask(host, `r${count}`))?.status, 200);
+    }
+    await stopped;
+  });
+});
+
 test('a request that never arrives whole does not hold up a planned stop', async () => {
   lastNetwork += 1;
   const fleet = new Fleet(lastNetwork);
