Run no request that crosses the close of its connection

Such a request is dropped unread now, so that its caller sends it elsewhere. The new test found two requests at the endpoint before, one now.

--- a/packages/routing/gateway/src/caller-sockets.ts
+++ b/packages/routing/gateway/src/caller-sockets.ts
@@ -16,6 +16,8 @@
   idleSince: number;
   /** Bytes that had arrived when the last request ended; more of them begin another request. */
   bytesAtRest: number;
+  /** Whether this side has closed the connection; a request that crosses the close must not be run. */
+  closing: boolean;
 }
 
 /** Follows the connections of one server. */
@@ -35,10 +37,20 @@
 
   /** Follows a new connection. */
   readonly add = (socket: Socket): void => {
-    this.sockets.set(socket, { requests: 0, idleSince: performance.now(), bytesAtRest: 0 });
+    this.sockets.set(socket, {
+      requests: 0,
+      idleSince: performance.now(),
+      bytesAtRest: 0,
+      closing: false,
+    });
     socket.once('close', () => this.sockets.delete(socket));
   };
 
+  /** Whether this side has closed a connection. */
+  isClosing(socket: Socket): boolean {
+    return this.sockets.get(socket)?.closing ?? true;
+  }
+
   /** Notes that a request has begun. */
   enter(socket: Socket): void {
     const entry = this.sockets.get(socket);
@@ -72,8 +84,10 @@
   }
 
   private closeIdleSince(limit: number): void {
-    for (const [socket, { requests, idleSince, bytesAtRest }] of this.sockets) {
-      if (requests === 0 && idleSince < limit && socket.bytesRead === bytesAtRest) {
+    for (const [socket, entry] of this.sockets) {
+      const isResting = entry.requests === 0 && socket.bytesRead === entry.bytesAtRest;
+      if (isResting && entry.idleSince < limit && !entry.closing) {
+        entry.closing = true;
         socket.end();
         // A request that crosses the close must fail at once, so that its caller sends it elsewhere.
         setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -177,6 +177,10 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const { socket } = request;
+    if (this.sockets.isClosing(socket)) {
+      socket.destroy();
+      return;
+    }
     this.sockets.enter(socket);
     this.running += 1;
     response.once('close', () => {
--- a/packages/routing/gateway/test/answers.test.ts
+++ b/packages/routing/gateway/test/answers.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Route } from '@dogwoodstall/traffic';
-import { TestGateway, formatAnswer, readId } from './fixture.js';
+import { TestGateway, formatAnswer, formatRequest, readId } from './fixture.js';
 import { ScriptedEndpoint, type Script } from './scripted-endpoint.js';
 import { SlotsInTurn } from './slots-in-turn.js';
 
@@ -14,10 +14,14 @@
 
 async function withGateway(
   scripts: readonly Script[],
-  options: Partial<Route> & { hedgeAfter?: number; reuseWithin?: number },
+  options: Partial<Route> & {
+    hedgeAfter?: number;
+    reuseWithin?: number;
+    idleMilliseconds?: number;
+  },
   check: (setup: Setup) => Promise<void>,
 ): Promise<void> {
-  const { hedgeAfter, reuseWithin, ...changes } = options;
+  const { hedgeAfter, reuseWithin, idleMilliseconds, ...changes } = options;
   const endpoints = await Promise.all(
     scripts.map((script) => new ScriptedEndpoint(script).listen()),
   );
@@ -26,7 +30,7 @@
     hedgeAfter,
     reuseWithin,
   );
-  const gateway = await new TestGateway(slots, changes).listen();
+  const gateway = await new TestGateway(slots, changes, idleMilliseconds).listen();
   try {
     await check({ gateway, slots, endpoints });
   } finally {
@@ -351,3 +355,26 @@
     assert.equal(endpoints[0]?.requests.length, 0);
   });
 });
+
+test('a request that crosses the close of an idle connection reaches no endpoint', async () => {
+  await withGateway([answerWell], { idleMilliseconds: 1 }, async ({ gateway, endpoints }) => {
+    const socket = gateway.connect();
+    const request = formatRequest('POST', 'x');
+    try {
+      const closed = new Promise<void>((resolve) => {
+        socket.once('end', () => {
+          socket.write(request);
+          resolve();
+        });
+      });
+      socket.on('error', () => {});
+      socket.resume();
+      socket.write(request);
+      await closed;
+      await delay(300);
+      assert.equal(endpoints[0]?.requests.length, 1);
+    } finally {
+      socket.destroy();
+    }
+  });
+});
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -2,6 +2,7 @@
  * A gateway on loopback before scripted endpoints.
  */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { type Route, RouteIndex } from '@dogwoodstall/traffic';
 import * as gateway from '../src/index.js';
@@ -23,6 +24,18 @@
   ].join('\r\n');
 }
 
+/** Formats a request of a caller. */
+export function formatRequest(method: string, body: string): string {
+  return [
+    `${method} /offers/1 HTTP/1.1`,
+    'Host: shop.example',
+    'Request-Id: r1',
+    `Content-Length: ${body.length}`,
+    '',
+    body,
+  ].join('\r\n');
+}
+
 /** The wire of the tests. */
 export const testContract: gateway.WireContract = {
   ownedRequestHeaders: new Set(['request-id', 'deadline']),
@@ -108,6 +121,11 @@
     return this;
   }
 
+  /** Opens a connection whose side of the caller stays open after the gateway has closed its own. */
+  connect(): net.Socket {
+    return net.connect({ host: '127.0.0.1', port: this.port, allowHalfOpen: true });
+  }
+
   /** Sets whether the gateway has learned its routes. */
   setRoutesKnown(known: boolean): void {
     this.knowsRoutes = known;
