--- a/packages/testing/stand-ins/src/network/fault-link.ts
+++ b/packages/testing/stand-ins/src/network/fault-link.ts
@@ -21,6 +21,16 @@
 
 export type LinkFaults = zod.output<typeof linkFaultsSchema>;
 
+// A socket whose shutdown is pending can't be reset: libuv refuses, the handle stays open, and Node.js 20 spins over it
+// when the process ends.
+function resetSocket(socket: net.Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 /** One proxied link. */
 export class FaultLink {
   readonly name: string;
@@ -79,14 +89,14 @@
   /** Resets every open connection. */
   cut(): void {
     for (const socket of this.sockets) {
-      socket.resetAndDestroy();
+      resetSocket(socket);
     }
   }
 
   private connect(caller: net.Socket): void {
     this.connectionCount += 1;
     if (this.faults.refuse) {
-      caller.resetAndDestroy();
+      resetSocket(caller);
       return;
     }
     const { host, port } = parseAddress(this.target);
@@ -113,11 +123,11 @@
 
   private track(socket: net.Socket, other: net.Socket): void {
     this.sockets.add(socket);
-    socket.on('error', () => other.resetAndDestroy());
+    socket.on('error', () => resetSocket(other));
     socket.once('close', (failed) => {
       this.sockets.delete(socket);
       if (failed) {
-        other.resetAndDestroy();
+        resetSocket(other);
       } else {
         other.end();
       }
