Split the tests of connections from those of answers

Change: what concerns connections, start and stop, and the shared setup, have files of their own; every test is as it was.

--- /dev/null
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -0,0 +1,126 @@
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { formatAnswer, formatRequest } from './fixture.js';
+import type { Script } from './scripted-endpoint.js';
+import { answerWell, withGateway } from './with-gateway.js';
+
+test('a connection is used again for the next request', async () => {
+  await withGateway([answerWell], {}, async ({ gateway, endpoints }) => {
+    for (let count = 0; count < 4; count += 1) {
+      await gateway.send({ id: `r${count}`, body: 'x' });
+      await delay(5);
+    }
+    assert.equal(endpoints[0]?.connections, 1);
+  });
+});
+
+test('a request without a route is answered 404 and reaches no endpoint', async () => {
+  await withGateway([answerWell], {}, async ({ gateway, slots }) => {
+    assert.equal((await gateway.send({ path: '/elsewhere/' }))?.status, 404);
+    assert.equal(slots.asks.length, 0);
+  });
+});
+
+test('after a planned stop began, answers close their connections', async () => {
+  await withGateway([answerWell], {}, async ({ gateway }) => {
+    await gateway.send({ body: 'x' });
+    gateway.server.beginStop();
+    const answer = await gateway.send({ id: 'r2', body: 'x' });
+    assert.equal(answer?.headers.connection, 'close');
+    assert.equal(answer?.body, 'well');
+  });
+});
+
+test('requests that arrive too late in a planned stop are refused as not run, running ones end', async () => {
+  const slow: Script = (socket, request) =>
+    setTimeout(() => socket.write(formatAnswer(request, 'slow')), 150);
+  await withGateway([slow], {}, async ({ gateway, slots }) => {
+    const running = gateway.send({ id: 'r1', body: 'x' });
+    const second = gateway.send({ id: 'r2', body: 'x' });
+    await delay(50);
+    gateway.server.beginStop();
+    assert.equal((await second)?.body, 'slow');
+    assert.equal((await running)?.body, 'slow');
+    gateway.server.closeIdle();
+    assert.equal(slots.asks.length, 2);
+    assert.equal(await gateway.send({ id: 'r3', body: 'x' }), undefined);
+  });
+});
+
+const forgetAfterFirst: Script = (socket, request, number) => {
+  if (number === 1) {
+    socket.write(formatAnswer(request, 'well'), () => {
+      // What is sent next on this connection is reset.
+      socket.removeAllListeners('data');
+      socket.once('data', () => socket.resetAndDestroy());
+    });
+    return;
+  }
+  socket.write(formatAnswer(request, 'well'));
+};
+const REST_MILLISECONDS = 60;
+
+test('a reset tells how long the connection had rested, so that a forgotten connection is not taken for a failure', async () => {
+  await withGateway([forgetAfterFirst], {}, async ({ gateway, slots }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    await delay(REST_MILLISECONDS);
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 502);
+    const [first, second] = slots.ends;
+    assert.equal(first?.restedMilliseconds, 0);
+    assert.equal(second?.outcome, 'reset');
+    assert.ok((second?.restedMilliseconds ?? 0) >= REST_MILLISECONDS * 0.8);
+  });
+});
+
+test('a request that must not repeat is not sent on a connection that rested for longer than allowed', async () => {
+  const options = { reuseWithin: REST_MILLISECONDS / 2 };
+  await withGateway([forgetAfterFirst], options, async ({ gateway, endpoints }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    await delay(REST_MILLISECONDS);
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    assert.equal(endpoints[0]?.connections, 2);
+  });
+});
+
+test('a request that arrives before the routes are known waits a little and is then served', async () => {
+  await withGateway([answerWell], {}, async ({ gateway }) => {
+    gateway.setRoutesKnown(false);
+    setTimeout(() => gateway.setRoutesKnown(true), 100);
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+  });
+});
+
+test('without routes a request is refused as not run, with a time to come back and a line in the log', async () => {
+  await withGateway([answerWell], {}, async ({ gateway, endpoints }) => {
+    gateway.setRoutesKnown(false);
+    const answer = await gateway.send({ body: 'x' });
+    assert.equal(answer?.status, 503);
+    assert.ok(Number(answer?.headers['retry-after']) > 0);
+    assert.equal(gateway.decisions[0]?.result, 'NotReady');
+    assert.equal(endpoints[0]?.requests.length, 0);
+  });
+});
+
+test('a request that crosses the close of an idle connection reaches no endpoint', async () => {
+  await withGateway([answerWell], { idleMilliseconds: 1 }, async ({ gateway, endpoints }) => {
+    const socket = gateway.connect();
+    const request = formatRequest('POST', 'x');
+    try {
+      const closed = new Promise<void>((resolve) => {
+        socket.once('end', () => {
+          socket.write(request);
+          resolve();
+        });
+      });
+      socket.on('error', () => {});
+      socket.resume();
+      socket.write(request);
+      await closed;
+      await delay(300);
+      assert.equal(endpoints[0]?.requests.length, 1);
+    } finally {
+      socket.destroy();
+    }
+  });
+});
