Ask every daemon in one place in the tests of the fleet

Cause: the same two loops stood twice each. Change: expectConfiguration and expectServed hold them; the checks and their bounds are as they were.

--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -67,6 +67,24 @@
   return [...fleet.daemons].sort((left, right) => countCalls(right) - countCalls(left));
 }
 
+async function expectConfiguration(fleet: Fleet, body: string): Promise<void> {
+  for (const { host } of fleet.daemons) {
+    await waitUntil(
+      'the new configuration is in force',
+      async () => (await ask(host))?.body === body,
+      CONFIGURATION_MILLISECONDS,
+    );
+  }
+}
+
+async function expectServed(fleet: Fleet): Promise<void> {
+  for (let count = 0; count < 20; count += 1) {
+    for (const { host } of fleet.daemons) {
+      assert.equal((await ask(host, `r${count}`))?.status, 200);
+    }
+  }
+}
+
 test('every daemon serves, and few of them call the store', async () => {
   await withFleet(4, async (fleet, endpoints) => {
     for (const { host } of fleet.daemons) {
@@ -168,13 +186,7 @@
       source.away = true;
     }
     fleet.store.configure(2, 'archive');
-    for (const { host } of fleet.daemons) {
-      await waitUntil(
-        'the new configuration is in force',
-        async () => (await ask(host))?.body === 'new',
-        CONFIGURATION_MILLISECONDS,
-      );
-    }
+    await expectConfiguration(fleet, 'new');
   });
 });
 
@@ -187,13 +199,7 @@
     }
     // The change comes while the others do not know yet that the dispatchers have lost the store.
     fleet.store.configure(2, 'archive');
-    for (const { host } of fleet.daemons) {
-      await waitUntil(
-        'the new configuration is in force',
-        async () => (await ask(host))?.body === 'new',
-        CONFIGURATION_MILLISECONDS,
-      );
-    }
+    await expectConfiguration(fleet, 'new');
   });
 });
 
@@ -203,11 +209,7 @@
     fleet.store.put((leaving as CountingEndpoint).describe({ draining: true }));
     await delay(DRAIN_MILLISECONDS);
     const before = leaving?.requests;
-    for (let count = 0; count < 20; count += 1) {
-      for (const { host } of fleet.daemons) {
-        assert.equal((await ask(host, `r${count}`))?.status, 200);
-      }
-    }
+    await expectServed(fleet);
     assert.equal(leaving?.requests, before);
   });
 });
@@ -229,11 +231,7 @@
       await delay(100);
     }
     const before = leaving?.requests;
-    for (let count = 0; count < 20; count += 1) {
-      for (const { host } of fleet.daemons) {
-        assert.equal((await ask(host, `r${count}`))?.status, 200);
-      }
-    }
+    await expectServed(fleet);
     assert.equal(leaving?.requests, before);
   });
 });
