--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -8,6 +8,7 @@
 import { ReuseLimit } from './reuse-limit.js';
 import { RetryAllowance, type RetryBudget } from './retry-allowance.js';
 import { ServiceTimes } from './service-times.js';
+import { SUSPECT_RISK, countSlots, estimateWait, rateLoad } from './slot-count.js';
 import type { SlotRequest } from './slot-request.js';
 import { type Waiter, WaitingQueue } from './waiting-queue.js';
 
@@ -58,9 +59,6 @@
 /** A grant whose report never came is forgotten this long after the request's deadline. */
 const LOST_REPORT_MILLISECONDS = 300;
 const NO_ENDPOINT_RETRY_MILLISECONDS = 250;
-const SUSPECT_RISK = 0.5;
-/** Load of a cell without any slot. */
-const FULL_LOAD = 2;
 /** Endpoints without a grant for this long take over what another dispatcher knows about them. */
 const ADOPTION_MILLISECONDS = 1000;
 const SUSPECT_ADOPTED_RISK = 0.85;
@@ -173,8 +171,7 @@
 
   /** Used and wanted slots, as a share of the slots of endpoints that may be trusted. */
   get load(): number {
-    const { slots, free } = this.countSlots(this.options.now());
-    return slots === 0 ? FULL_LOAD : (slots - free + this.waiting.size) / slots;
+    return rateLoad(countSlots(this.states.values(), this.options.now()), this.waiting.size);
   }
 
   /** Whether any request waits for a slot. */
@@ -252,26 +249,12 @@
     return Math.min(target * LONGEST_WAIT_OF_TARGET, remaining - service);
   }
 
-  private estimateWait(request: SlotRequest, now: number): number {
-    const { slots, free } = this.countSlots(now);
-    const excess = this.waiting.countAhead(request.priority) + 1 - free;
-    if (excess <= 0 || slots === 0) {
-      return 0;
-    }
-    return (excess * this.times.expect(request.route, request.target)) / slots;
-  }
-
-  /** Counts the slots of endpoints that may be trusted. */
-  private countSlots(now: number): { readonly slots: number; readonly free: number } {
-    let slots = 0;
-    let free = 0;
-    for (const state of this.states.values()) {
-      if (!state.endpoint.draining && !state.isPaused(now) && state.risk(now) < SUSPECT_RISK) {
-        slots += state.endpoint.slots;
-        free += Math.max(0, state.freeSlots(now));
-      }
-    }
-    return { slots, free };
+  private estimateWait({ priority, route, target }: SlotRequest, now: number): number {
+    return estimateWait(
+      countSlots(this.states.values(), now),
+      this.waiting.countAhead(priority) + 1,
+      this.times.expect(route, target),
+    );
   }
 
   private serveWaiters(): void {
