--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -1,8 +1,13 @@
 /**
  * Failure detection for the daemons that are candidates for each role. Each daemon pings the first two responsive
- * candidates of a role and, less often, the unresponsive ones that rank before them.
+ * candidates of the roles that it monitors and, less often, the unresponsive ones that rank before them.
+ *
+ * A daemon monitors the roles for which it ranks among the first, and one cell besides, so that the pings to a
+ * dispatcher do not grow with the number of cells. Dispatchers of other cells are assumed to respond until a slot
+ * request shows otherwise.
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
+import * as hashing from '@dogwoodstall/hashing';
 import { type Member, type MemberTable, type Role, STORE_WATCHER_ROLE } from './member.js';
 
 /** Address of a daemon that may dispatch. */
@@ -24,10 +29,12 @@
   sequence: number;
 }
 
-/** Interval between pings of the first responsive candidate. */
+/** Interval between pings of the first responsive candidate by a daemon that may take over its role. */
 const FIRST_PING_MILLISECONDS = 450;
-/** Interval between pings of the second responsive candidate. */
+/** Interval between pings of the second responsive candidate by such a daemon. */
 const STANDBY_PING_MILLISECONDS = 900;
+/** Interval between pings of a responsive candidate by other daemons, which also notice its loss by slot requests. */
+const ENTRY_PING_MILLISECONDS = 1000;
 /** Interval between pings of unresponsive candidates. */
 const UNRESPONSIVE_PING_MILLISECONDS = 1200;
 const TICK_MILLISECONDS = 150;
@@ -35,13 +42,13 @@
 const PONG_TIMEOUT_MILLISECONDS = 250;
 /** Number of responsive candidates per role: the active one and its standby. */
 const LEADING_CANDIDATES = 2;
+/** A daemon monitors the roles for which it ranks among this many first, so that it notices when it has to take over. */
+const TAKEOVER_RANKS = 4;
 
 /** Options of `Candidates`. */
 export interface CandidatesOptions {
   readonly members: MemberTable;
-  /** The roles whose candidates are monitored. */
-  readonly listRoles: () => Iterable<Role>;
-  /** The roles of dispatching a cell. */
+  /** The roles of dispatching a cell; empty until the endpoints are known. */
   readonly listCells: () => Iterable<Role>;
   /** Whether this daemon may dispatch. */
   readonly isSelfUsable: () => boolean;
@@ -49,12 +56,27 @@
   readonly getVersions: () => Pick<datagrams.Ping, 'configurationVersion' | 'directoryRevision'>;
   readonly send: (message: datagrams.Message, target: DispatcherTarget) => void;
   readonly onChange: (name: string, responsive: boolean) => void;
+  /** Returns monotonic milliseconds. */
+  readonly now: () => number;
 }
 
-/** Monitors the candidates of all roles. */
+function createContact(): Contact {
+  return {
+    pendingSince: undefined,
+    lastPingAt: -Infinity,
+    responsive: false,
+    settled: false,
+    sequence: 0,
+  };
+}
+
+/** Monitors the candidates of the roles that concern this daemon. */
 export class Candidates {
   private readonly contacts = new Map<string, Contact>();
 
+  /** Names of the roles that were monitored at the last tick. */
+  private monitored = new Set<string>([STORE_WATCHER_ROLE.name]);
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: CandidatesOptions) {}
@@ -98,6 +120,11 @@
     return this.listLeading(role).includes(this.options.members.self.name);
   }
 
+  /** Whether this daemon monitors the candidates of a role. */
+  isMonitored(role: Role): boolean {
+    return this.monitored.has(role.name);
+  }
+
   /** Whether this daemon is the dispatcher or the standby of any cell. */
   isSelfDispatcherOrStandby(): boolean {
     for (const cell of this.options.listCells()) {
@@ -130,11 +157,10 @@
   /** Records that a daemon did not respond to a slot request. */
   markUnresponsive(name: string): void {
     this.setResponsive(name, false);
-    const contact = this.contacts.get(name);
-    if (contact !== undefined) {
-      contact.lastPingAt =
-        performance.now() - UNRESPONSIVE_PING_MILLISECONDS + PONG_TIMEOUT_MILLISECONDS;
-    }
+    const contact = this.contacts.get(name) ?? createContact();
+    this.contacts.set(name, contact);
+    contact.lastPingAt =
+      this.options.now() - UNRESPONSIVE_PING_MILLISECONDS + PONG_TIMEOUT_MILLISECONDS;
   }
 
   /** Records a pong; those of daemons that are not monitored are ignored. */
@@ -158,11 +184,10 @@
       return this.options.isSelfUsable();
     }
     const contact = this.contacts.get(member.name);
-    return (
-      contact !== undefined &&
-      contact.responsive &&
-      (contact.settled || role === STORE_WATCHER_ROLE)
-    );
+    if (contact === undefined) {
+      return !this.isMonitored(role);
+    }
+    return contact.responsive && (contact.settled || role === STORE_WATCHER_ROLE);
   }
 
   private setResponsive(name: string, responsive: boolean): void {
@@ -173,8 +198,9 @@
     }
   }
 
-  private tick(): void {
-    const now = performance.now();
+  /** Ends pings without a response and sends those that are due; called at each interval of the timer. */
+  tick(): void {
+    const now = this.options.now();
     for (const [name, contact] of this.contacts) {
       if (
         contact.pendingSince !== undefined &&
@@ -184,10 +210,13 @@
         this.setResponsive(name, false);
       }
     }
+    const roles = this.listMonitoredRoles();
+    this.monitored = new Set(roles.map(({ name }) => name));
     const intervals = new Map<string, { member: Member; interval: number }>();
-    for (const role of this.options.listRoles()) {
+    for (const role of roles) {
       this.collectIntervals(role, intervals);
     }
+    this.collectUnresponsive(intervals);
     const standby = this.isSelfDispatcherOrStandby();
     for (const { member, interval } of intervals.values()) {
       this.ping(member, interval, standby, now);
@@ -199,19 +228,53 @@
     }
   }
 
+  /** Lists the roles that this daemon may take over, and one cell whose dispatcher tells it of changes. */
+  private listMonitoredRoles(): Role[] {
+    const { members, listCells } = this.options;
+    const cells = [...listCells()];
+    const roles = cells.filter((cell) => this.mayTakeOver(cell));
+    const [home] = hashing.rankMembers(
+      members.self.name,
+      cells.filter(({ zone }) => zone === undefined || zone === members.self.zone),
+      ({ name }) => name,
+    );
+    const subscribed = home ?? cells[0];
+    if (subscribed !== undefined && !roles.includes(subscribed)) {
+      roles.push(subscribed);
+    }
+    // Dispatchers pass the age of the store's state on to the daemons that do not monitor its watchers.
+    if (
+      cells.length === 0 ||
+      this.mayTakeOver(STORE_WATCHER_ROLE) ||
+      this.isSelfDispatcherOrStandby()
+    ) {
+      roles.push(STORE_WATCHER_ROLE);
+    }
+    return roles;
+  }
+
+  private mayTakeOver(role: Role): boolean {
+    const { members } = this.options;
+    const first = members.rank(role).slice(0, TAKEOVER_RANKS);
+    return first.some(({ name }) => name === members.self.name);
+  }
+
   /** Adds the candidates of a role with their ping intervals; a candidate of several roles gets the shortest interval. */
   private collectIntervals(
     role: Role,
     intervals: Map<string, { member: Member; interval: number }>,
   ): void {
     const { members } = this.options;
+    const mayTakeOver = this.mayTakeOver(role);
     let leadingCount = 0;
     for (const member of members.rank(role)) {
       const isSelf = member.name === members.self.name;
       const responsive = isSelf || this.isUsable(member, role);
       let interval = UNRESPONSIVE_PING_MILLISECONDS;
       if (responsive) {
-        interval = leadingCount === 0 ? FIRST_PING_MILLISECONDS : STANDBY_PING_MILLISECONDS;
+        const takeoverInterval =
+          leadingCount === 0 ? FIRST_PING_MILLISECONDS : STANDBY_PING_MILLISECONDS;
+        interval = mayTakeOver ? takeoverInterval : ENTRY_PING_MILLISECONDS;
         leadingCount += 1;
       }
       if (!isSelf) {
@@ -224,18 +287,19 @@
     }
   }
 
-  private ping(member: Member, interval: number, standby: boolean, now: number): void {
-    let contact = this.contacts.get(member.name);
-    if (contact === undefined) {
-      contact = {
-        pendingSince: undefined,
-        lastPingAt: -Infinity,
-        responsive: false,
-        settled: false,
-        sequence: 0,
-      };
-      this.contacts.set(member.name, contact);
+  /** Adds the daemons that did not respond to a slot request, to notice when they respond again. */
+  private collectUnresponsive(intervals: Map<string, { member: Member; interval: number }>): void {
+    for (const [name, { responsive }] of this.contacts) {
+      const member = this.options.members.find(name);
+      if (!responsive && member !== undefined && !intervals.has(name)) {
+        intervals.set(name, { member, interval: UNRESPONSIVE_PING_MILLISECONDS });
+      }
     }
+  }
+
+  private ping(member: Member, interval: number, standby: boolean, now: number): void {
+    const contact = this.contacts.get(member.name) ?? createContact();
+    this.contacts.set(member.name, contact);
     if (contact.pendingSince !== undefined || now - contact.lastPingAt < interval) {
       return;
     }
--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -18,7 +18,8 @@
   /** Absent when the requesting daemon already has this revision. */
   endpoints: z.array(endpointSchema).optional(),
   directoryRevision: z.number(),
-  members: z.array(memberSchema),
+  /** Absent when the requesting daemon knows the same members. */
+  members: z.array(memberSchema).optional(),
 });
 
 export type State = z.infer<typeof stateSchema>;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -13,7 +13,7 @@
 import { DispatcherClient } from './dispatcher-client.js';
 import { DispatcherRole } from './dispatcher-role.js';
 import { drainRequests } from './graceful-shutdown.js';
-import { MemberTable, STORE_WATCHER_ROLE, createMemberEntry } from './member.js';
+import { MemberTable, createMemberEntry } from './member.js';
 import { MetricsServer, type MetricsSnapshot } from './metrics-server.js';
 import { PeerState } from './peer-state.js';
 import { PingExchange } from './ping-exchange.js';
@@ -238,7 +238,6 @@
     const logger = this.options.log.getLogger('membership');
     return new Candidates({
       members: this.members,
-      listRoles: () => [STORE_WATCHER_ROLE, ...this.directory.listCells()],
       listCells: () => this.directory.listCells(),
       isSelfUsable: () => this.roleAssignment.isSettled() && !this.dispatcherRole.stopping,
       getVersions: () => ({
@@ -248,6 +247,7 @@
       send: (message, target) => this.datagramSocket.send(message, target),
       onChange: (name, responsive) =>
         logger.info(responsive ? 'dispatcher answers' : 'dispatcher does not answer', { name }),
+      now: () => performance.now(),
     });
   }
 
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -57,6 +57,8 @@
 export class MemberTable {
   private readonly byName = new Map<string, Member>();
 
+  private readonly byHost = new Map<string, Member>();
+
   private readonly rankings = new Map<string, readonly Member[]>();
 
   private cachedDigest: string | undefined;
@@ -78,6 +80,16 @@
     return [...this.byName.values()];
   }
 
+  /** Returns the daemon with the given name. */
+  find(name: string): Member | undefined {
+    return this.byName.get(name);
+  }
+
+  /** Returns the daemon at the given host. */
+  findByHost(host: string): Member | undefined {
+    return this.byHost.get(host);
+  }
+
   /** Adds or replaces a daemon and returns whether the table changed; the entry of this daemon is never replaced. */
   add(member: Member): boolean {
     const known = this.byName.get(member.name);
@@ -85,7 +97,11 @@
     if (isSelf || (known !== undefined && known.startedAt >= member.startedAt)) {
       return false;
     }
+    if (known !== undefined && this.byHost.get(known.host) === known) {
+      this.byHost.delete(known.host);
+    }
     this.byName.set(member.name, member);
+    this.byHost.set(member.host, member);
     this.rankings.clear();
     this.cachedDigest = undefined;
     return true;
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -16,6 +16,8 @@
 const JOIN_RETRY_MILLISECONDS = 800;
 /** Number of cached states; `StateServer` caches their encoded form. */
 const MAXIMUM_STATES = 4;
+/** Number of new members that a log line names. */
+const LOGGED_MEMBERS = 3;
 /** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 
@@ -70,7 +72,7 @@
       known.configurationVersion > this.options.directory.configurationVersion ||
       (hasNewerEndpoints && (!canDelay || isDue)) ||
       (membersDiffer && isDue);
-    const member = this.options.members.list().find((candidate) => candidate.host === host);
+    const member = this.options.members.findByHost(host);
     if (shouldFetch && !this.fetching && member !== undefined) {
       this.fetchState(member.peerAddress).catch((error: unknown) => {
         const { kind, message } = results.toFailure(error);
@@ -90,7 +92,8 @@
       const state = await requestState(address, {
         configurationVersion: this.options.directory.configurationVersion,
         directoryRevision: this.options.directory.endpointRevision,
-        members: this.options.members.list(),
+        memberDigest: this.options.members.digest,
+        self: this.options.members.self,
       });
       this.importState(state, address);
     } finally {
@@ -99,9 +102,7 @@
   }
 
   private importState(state: State, source: string): void {
-    for (const member of state.members) {
-      this.addMember(member, source);
-    }
+    this.addMembers(state.members ?? [], source);
     if (state.configuration !== undefined) {
       this.options.directory.activateConfiguration(state.configuration, source);
     }
@@ -110,29 +111,35 @@
     }
   }
 
-  private addMember(member: Member, source: string): void {
-    if (this.options.members.add(member)) {
-      const { name, host } = member;
-      this.options.logger.info('daemon is known', { name, host, source });
+  // One line for all, because each daemon of a large fleet learns of all others when they start together.
+  private addMembers(members: readonly Member[], source: string): void {
+    const added = members.filter((member) => this.options.members.add(member));
+    if (added.length > 0) {
+      this.options.logger.info('daemons are known', {
+        count: added.length,
+        first: added.slice(0, LOGGED_MEMBERS).map(({ name, host }) => `${name} ${host}`),
+        total: this.options.members.list().length,
+        source,
+      });
     }
   }
 
-  /** Adds the members of a request and returns what the requesting daemon does not know yet. */
+  /** Adds the requesting daemon and returns what it does not know yet. */
   handleStateRequest(request: StateRequest): State {
-    for (const member of request.members) {
-      this.addMember(member, 'peer');
-    }
+    this.addMembers([request.self], 'peer');
+    const hasOtherMembers = request.memberDigest !== this.options.members.digest;
     const { endpointRevision, configurationVersion } = this.options.directory;
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
     const hasNewerEndpoints = endpointRevision > request.directoryRevision;
     const content = [
       hasNewerConfiguration && configurationVersion,
       hasNewerEndpoints && endpointRevision,
+      hasOtherMembers && this.options.members.digest,
     ];
-    const key = `${content.join(' ')} ${this.options.members.digest}`;
+    const key = content.join(' ');
     let state = this.states.get(key);
     if (state === undefined) {
-      state = this.createState(hasNewerConfiguration, hasNewerEndpoints);
+      state = this.createState(hasNewerConfiguration, hasNewerEndpoints, hasOtherMembers);
       this.states.set(key, state);
       if (this.states.size > MAXIMUM_STATES) {
         this.states.delete(this.states.keys().next().value as string);
@@ -141,13 +148,17 @@
     return state;
   }
 
-  private createState(withConfiguration: boolean, withEndpoints: boolean): State {
+  private createState(
+    withConfiguration: boolean,
+    withEndpoints: boolean,
+    withMembers: boolean,
+  ): State {
     const { routes, endpointRevision } = this.options.directory;
     return {
       ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
       ...(withEndpoints && { endpoints: this.options.directory.listAll() }),
+      ...(withMembers && { members: this.options.members.list() }),
       directoryRevision: endpointRevision,
-      members: this.options.members.list(),
     };
   }
 
@@ -190,10 +201,11 @@
   private async readMembers(allowStale: boolean, signal: AbortSignal): Promise<boolean> {
     const { self } = this.options.members;
     let found = false;
-    for (const member of await this.options.source.readMembers({ allowStale }, signal)) {
-      this.addMember(member, 'store');
+    const stored = await this.options.source.readMembers({ allowStale }, signal);
+    for (const member of stored) {
       found ||= member.name === self.name && member.host === self.host;
     }
+    this.addMembers(stored, 'store');
     return found;
   }
 
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -57,7 +57,7 @@
   /** Processes the state that another daemon reports; pongs of unknown daemons are ignored. */
   receivePong(pong: datagrams.Pong, from: datagrams.PeerAddress): void {
     const { members, candidates, roleAssignment, dispatcherRole, peerState } = this.options;
-    const member = members.list().find(({ host }) => host === from.host);
+    const member = members.findByHost(from.host);
     if (member === undefined) {
       return;
     }
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -130,10 +130,17 @@
     return readers.some(({ name }) => name === this.options.members.self.name);
   }
 
-  /** Monotonic milliseconds of the last contact with the store that its watchers reported; the start if none did. */
+  /**
+   * Monotonic milliseconds of the last contact with the store that its watchers reported; the start if none did. A
+   * daemon that does not monitor the watchers uses what the dispatchers pass on.
+   */
   private get othersContactAt(): number {
+    const candidates = this.options.candidates();
+    const senders = candidates.isMonitored(STORE_WATCHER_ROLE)
+      ? candidates.listLeading(STORE_WATCHER_ROLE)
+      : this.contactBySender.keys();
     let latestAt: number | undefined;
-    for (const name of this.options.candidates().listLeading(STORE_WATCHER_ROLE)) {
+    for (const name of senders) {
       const contactAt = this.contactBySender.get(name);
       if (contactAt !== undefined) {
         latestAt = Math.max(contactAt, latestAt ?? contactAt);
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -23,7 +23,9 @@
 export const stateRequestSchema = z.object({
   configurationVersion: z.number(),
   directoryRevision: z.number(),
-  members: z.array(memberSchema),
+  memberDigest: z.string(),
+  /** The requesting daemon, which may be unknown to the other one. */
+  self: memberSchema,
 });
 
 export type StateRequest = z.infer<typeof stateRequestSchema>;
