Attribute a failed connection to the path of its entry daemon

Cause: an entry daemon that does not reach an endpoint (one-way cuts and lossy links between a share of the machines and the endpoints, on every site) put the endpoint into backoff for all daemons, up to 2.4 s, although others reached it, and a response did not end the backoff. A request that waits only because of its path no longer delays those behind it.

--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -261,6 +261,15 @@
     return true;
   }
 
+  private hasAvailableEndpoint(now: number): boolean {
+    for (const state of this.states.values()) {
+      if (state.isAvailable(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private getMaximumWait({ target, remaining, route }: SlotRequest): number {
     const service = this.serviceTimes.expect(route, target);
     return Math.min(target * MAXIMUM_WAIT_OF_TARGET, remaining - service);
@@ -303,6 +312,7 @@
     const chosen = chooseCandidate(candidates, selection, now);
     const waited = now - arrivedAt;
     if (chosen === undefined) {
+      this.queue.setPassing(waiter, this.hasAvailableEndpoint(now));
       return false;
     }
     const mayWait = waited < request.target * RISK_WAIT_OF_TARGET;
--- a/packages/routing/grants/src/endpoint-selection.ts
+++ b/packages/routing/grants/src/endpoint-selection.ts
@@ -29,8 +29,6 @@
 const NEW_CONNECTION_COST = 0.02;
 const USED_SLOT_COST = 0.02;
 const WARM_UP_COST = 0.08;
-/** Idle time after which an entry's connection to an endpoint has probably been closed. */
-const CONNECTION_IDLE_MILLISECONDS = 8000;
 
 /** Time without grants after which an endpoint is due for a probe, by its risk. */
 const LOW_RISK_PROBE_MILLISECONDS = 900;
@@ -57,11 +55,6 @@
   return risk < HIGH_RISK ? ELEVATED_RISK_PROBE_MILLISECONDS : HIGH_RISK_PROBE_MILLISECONDS;
 }
 
-function isConnected(state: EndpointState, entry: string, now: number): boolean {
-  const lastUse = state.lastUseByEntry.get(entry) ?? -Infinity;
-  return now - lastUse < CONNECTION_IDLE_MILLISECONDS;
-}
-
 function findDueProbe(
   candidates: readonly Candidate[],
   { zone, entry }: SelectionRequest,
@@ -73,7 +66,7 @@
     const { state, risk } = candidate;
     const isEligible = state.attemptsInFlight.size === 0 || risk < ELEVATED_RISK;
     let weight = state.endpoint.zone === zone ? 1 : OTHER_ZONE_PROBE_WEIGHT;
-    if (!isConnected(state, entry, now)) {
+    if (!state.paths.isConnected(entry, now)) {
       weight *= NEW_CONNECTION_PROBE_WEIGHT;
     }
     const overdue = (weight * (now - state.lastGrantAt)) / getProbeInterval(risk);
@@ -105,7 +98,7 @@
   if (state.endpoint.zone !== request.zone) {
     cost += OTHER_ZONE_COST + OTHER_ZONE_COST_PER_KILOBYTE * request.kilobytes;
   }
-  if (!isConnected(state, request.entry, now)) {
+  if (!state.paths.isConnected(request.entry, now)) {
     cost += NEW_CONNECTION_COST;
   }
   if (state.isWarmingUp(now)) {
@@ -122,7 +115,11 @@
 ): Candidate[] {
   const candidates: Candidate[] = [];
   for (const state of states) {
-    if (!request.excluded.has(state.endpoint.id) && state.isAvailable(now)) {
+    if (
+      state.isAvailable(now) &&
+      !request.excluded.has(state.endpoint.id) &&
+      !state.paths.isInBackoff(request.entry, now)
+    ) {
       candidates.push({ state, risk: state.estimateRisk(now) });
     }
   }
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -3,6 +3,7 @@
  * that other daemons cause.
  */
 import { type Endpoint, isSameLifetime } from '@dogwoodstall/traffic';
+import { EntryPaths } from './entry-paths.js';
 import {
   FailureEstimate,
   likelihoodRatios,
@@ -15,6 +16,8 @@
 const MAXIMUM_BACKOFF_MILLISECONDS = 2400;
 /** Time for which load reported by the endpoint and caused by other daemons is taken into account. */
 const OTHER_DAEMONS_LOAD_MILLISECONDS = 250;
+/** Time for which a response to another entry daemon shows that a connection failure concerns only one path. */
+const OTHERS_SUCCESS_MILLISECONDS = 1000;
 /** A success that takes longer than this multiple of the mean service time counts as slow. */
 const SLOW_MULTIPLE = 3;
 
@@ -57,13 +60,10 @@
 export class EndpointState {
   readonly attemptsInFlight = new Map<number, Attempt>();
 
-  /** When each entry daemon last used the endpoint; indicates whether it probably has an open connection. */
-  readonly lastUseByEntry = new Map<string, number>();
+  readonly paths = new EntryPaths();
 
   lastGrantAt = -Infinity;
 
-  lastSuccessAt = -Infinity;
-
   private failureEstimate: FailureEstimate;
 
   private backoffUntil = -Infinity;
@@ -93,14 +93,14 @@
     if (!isSameLifetime(endpoint, this.description)) {
       this.failureEstimate = new FailureEstimate(now);
       this.attemptsInFlight.clear();
-      this.lastUseByEntry.clear();
+      this.paths.clear();
       this.backoffUntil = -Infinity;
       this.warmUpUntil = now + endpoint.warmUpMilliseconds;
     }
     this.description = endpoint;
   }
 
-  /** Whether the endpoint can be granted now. */
+  /** Whether the endpoint can be granted now to an entry daemon that reaches it. */
   isAvailable(now: number): boolean {
     return !this.description.draining && now >= this.backoffUntil && this.countFreeSlots(now) > 0;
   }
@@ -143,7 +143,7 @@
   startAttempt(grantId: number, attempt: Attempt): void {
     this.attemptsInFlight.set(grantId, attempt);
     this.lastGrantAt = attempt.startedAt;
-    this.lastUseByEntry.set(attempt.entry, attempt.startedAt);
+    this.paths.recordUse(attempt.entry, attempt.startedAt);
   }
 
   /** Removes an attempt and updates the state by its result. */
@@ -166,7 +166,7 @@
     switch (result.outcome) {
       case 'success':
         this.resetBackoff();
-        this.lastSuccessAt = now;
+        this.paths.recordSuccess(attempt.entry, now);
         this.failureEstimate.observe(
           multiple > SLOW_MULTIPLE ? likelihoodRatios.slowSuccess : likelihoodRatios.success,
           now,
@@ -189,6 +189,11 @@
         }
         return;
       case 'refused':
+        this.paths.recordFailure(attempt.entry, now);
+        if (!this.paths.hasOthersSuccessSince(attempt.entry, now - OTHERS_SUCCESS_MILLISECONDS)) {
+          this.startBackoff(now);
+        }
+        return;
       case 'misdirected':
         this.startBackoff(now);
         break;
@@ -197,6 +202,7 @@
   }
 
   private resetBackoff(): void {
+    this.backoffUntil = -Infinity;
     this.backoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
   }
 
--- a/packages/routing/grants/src/waiting-queue.ts
+++ b/packages/routing/grants/src/waiting-queue.ts
@@ -18,6 +18,9 @@
 export class WaitingQueue {
   private waiters: Waiter[] = [];
 
+  /** Requests that can't use the slots that are free, so that they must not delay those that can. */
+  private readonly passing = new WeakSet<Waiter>();
+
   get size(): number {
     return this.waiters.length;
   }
@@ -31,6 +34,15 @@
     this.waiters.splice(index, 0, waiter);
   }
 
+  /** Sets whether free slots remain that a request can't use. */
+  setPassing(waiter: Waiter, passesFreeSlots: boolean): void {
+    if (passesFreeSlots) {
+      this.passing.add(waiter);
+    } else {
+      this.passing.delete(waiter);
+    }
+  }
+
   /** Removes the request with the given key, if it is queued. */
   remove(key: string): void {
     this.waiters = this.waiters.filter(({ request }) => request.key !== key);
@@ -56,15 +68,18 @@
   }
 
   /**
-   * Whether a queued request without excluded endpoints goes before the given one. Requests with exclusions don't
-   * count, because they may be waiting although slots are free.
+   * Whether a queued request goes before the given one. Requests that can't use the free slots, because they exclude
+   * endpoints or because their entry daemon does not reach them, don't count.
    */
   hasRequestAhead({ priority, repeated }: SlotRequest): boolean {
     if (repeated) {
       return false;
     }
     return this.waiters.some(
-      ({ request }) => request.priority <= priority && request.excluded.size === 0,
+      (waiter) =>
+        waiter.request.priority <= priority &&
+        waiter.request.excluded.size === 0 &&
+        !this.passing.has(waiter),
     );
   }
 }
