Bound endless bytes, late grants and malformed messages

Besides, an error while a datagram is handled is logged and no longer ends the process, and nothing is sent on a closed socket.

Ruled out by tests that passed before: heads, header names, chunks, unframed bodies and trailers without end from an endpoint end in 502 within 1.5 s; from a caller in 431 or 413 with the connection closed.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -112,6 +112,11 @@
     return this.cellsByName.get(cell)?.endpoints ?? [];
   }
 
+  /** Whether any service is divided into a cell with the given name. */
+  hasCell(name: string): boolean {
+    return this.cellsByName.has(name);
+  }
+
   /** Returns the cell with the given name, or an empty cell when it is unknown. */
   getCell(name: string): grants.Cell {
     return this.cellsByName.get(name) ?? { name, service: name, zone: undefined, endpoints: [] };
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -33,6 +33,10 @@
 /** Interval at which queued requests are checked; the timer does not run while none is queued. */
 const QUEUE_CHECK_MILLISECONDS = 20;
 const CLEANUP_MILLISECONDS = 1000;
+/** Delay after which the caller may retry when this daemon does not know the cell yet. */
+const UNKNOWN_CELL_RETRY_MILLISECONDS = 250;
+/** Load in percent that is reported for such a cell, so that no requests are redirected to it. */
+const UNKNOWN_CELL_LOAD = 200;
 /** Time since its last slot request for which a daemon counts as an active dispatcher. */
 const ACTIVE_MILLISECONDS = 3000;
 /** The grant ids of a process start at a random multiple of this step. */
@@ -102,6 +106,14 @@
 
   /** Handles a slot request; `respond` is called at once and, after `queued`, again with the decision. */
   ask(entry: string, ask: datagrams.Ask, respond: (response: SlotResponse) => void): void {
+    if (!this.options.directory.hasCell(ask.cell)) {
+      const retryAfter = UNKNOWN_CELL_RETRY_MILLISECONDS;
+      respond([
+        'refuse',
+        { askId: ask.askId, reason: 'no-endpoint', retryAfter, load: UNKNOWN_CELL_LOAD },
+      ]);
+      return;
+    }
     this.lastAskAt = performance.now();
     this.lastAskByCell.set(ask.cell, this.lastAskAt);
     const key = `${entry}/${ask.askId}`;
@@ -179,7 +191,7 @@
   /** Imports the suspected endpoints that an active dispatcher reports, for cells that this daemon does not dispatch. */
   importCellSuspects(cells: readonly CellSuspects[]): void {
     for (const { name, suspects } of cells) {
-      if (!this.isActiveFor(name)) {
+      if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
         this.getOrCreate(name).importSuspects(new Set(suspects));
       }
     }
@@ -269,5 +281,16 @@
         this.cellByGrant.delete(grantId);
       }
     }
+    this.removeFormerCells();
+  }
+
+  /** Removes the cells into which the services are no longer divided, once their last requests have ended. */
+  private removeFormerCells(): void {
+    for (const [name, dispatcher] of this.cells) {
+      if (!this.options.directory.hasCell(name) && dispatcher.isIdle) {
+        this.cells.delete(name);
+        this.lastAskByCell.delete(name);
+      }
+    }
   }
 }
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -231,6 +231,10 @@
       },
       onSendError: (error, { host }) =>
         this.logger.debug('sending a datagram failed', { host, reason: error.message }),
+      onHandlerError: (error, { host }) => {
+        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        this.logger.error('handling a datagram failed', { host, reason });
+      },
     });
   }
 
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -1,9 +1,10 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type * as datagrams from '@dogwoodstall/datagrams';
+import * as datagrams from '@dogwoodstall/datagrams';
 import type * as grants from '@dogwoodstall/grants';
+import * as fc from 'fast-check';
 import { Directory } from '../src/directory.js';
-import { DispatcherRole } from '../src/dispatcher-role.js';
+import { DispatcherRole, type SlotResponse } from '../src/dispatcher-role.js';
 
 /** Time until the deadline of each slot request. */
 const REMAINING_MILLISECONDS = 5000;
@@ -74,3 +75,73 @@
   role.ask('daemon-1', createAsk('valuation', 2), ([kind]) => responses.push(kind));
   assert.deepEqual(responses, ['refuse', 'grant']);
 });
+
+/** Any message that decodes, whatever it says. */
+const messageArbitrary = fc.oneof(
+  fc.record({
+    kind: fc.constant('ask' as const),
+    askId: fc.integer(),
+    cell: fc.constantFrom('valuation', 'archive', '', '__proto__', 'valuation@nowhere#9'),
+    remaining: fc.double({ noNaN: true, noDefaultInfinity: true }),
+    target: fc.double({ min: Number.MIN_VALUE, noNaN: true, noDefaultInfinity: true }),
+    priority: fc.integer(),
+    repeated: fc.boolean(),
+    idempotent: fc.boolean(),
+    kilobytes: fc.integer(),
+    excluded: fc.array(fc.constantFrom('valuation-1', 'archive-2', 'x')),
+  }),
+  fc.record({
+    kind: fc.constant('report' as const),
+    grantOffset: fc.integer({ min: -2, max: 3 }),
+    outcome: fc.constantFrom('success', 'reset', 'refused', 'abandoned', 'unused', 'shed'),
+    elapsed: fc.double({ min: 0, noNaN: true, noDefaultInfinity: true }),
+    load: fc.integer(),
+    silent: fc.boolean(),
+    rested: fc.double({ min: 0, noNaN: true, noDefaultInfinity: true }),
+  }),
+);
+
+test('no sequence of decodable messages ends the dispatcher or keeps it from granting later requests', () => {
+  fc.assert(
+    fc.property(fc.array(messageArbitrary, { maxLength: 40 }), (messages) => {
+      const { role, decisions } = createRole();
+      let grantId = 0;
+      const recordGrant = (response: SlotResponse): void => {
+        grantId = response[0] === 'grant' ? response[1].grantId : grantId;
+      };
+      for (const message of messages) {
+        if (message.kind === 'ask') {
+          const decoded = datagrams.decodeMessage(
+            datagrams.encodeMessage(['ask', { ...createAsk(message.cell, 1), ...message }]),
+          );
+          if (decoded?.[0] === 'ask') {
+            role.ask('entry', decoded[1], recordGrant);
+          }
+        } else {
+          role.report({ ...message, grantId: grantId + message.grantOffset });
+        }
+      }
+      decisions.length = 0;
+      role.updateEndpoints();
+      const risk = role.listCellSuspects().flatMap(({ suspects }) => suspects);
+      assert.ok(risk.every((id) => /^(valuation|archive)-\d$/.test(id)));
+      role.ask('other', { ...createAsk('archive', 99), idempotent: true }, () => {});
+      const refusal = decisions.find((decision) => decision.kind === 'refuse');
+      assert.ok(refusal === undefined || refusal.reason === 'overload' || refusal.retryAfter >= 0);
+      for (const decision of decisions) {
+        assert.ok(decision.kind === 'refuse' || Number.isFinite(decision.risk));
+      }
+    }),
+    { seed: 20_261, numRuns: 300 },
+  );
+});
+
+test('slot requests for cells that no service has are refused as not run', () => {
+  const { role } = createRole();
+  const responses: string[] = [];
+  for (let askId = 0; askId < 100; askId += 1) {
+    role.ask('entry', createAsk(`unknown-${askId}`, askId), ([kind]) => responses.push(kind));
+  }
+  assert.deepEqual([...new Set(responses)], ['refuse']);
+  assert.deepEqual(role.listCellSuspects(), []);
+});
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod';
 
-const milliseconds = z.number();
+const milliseconds = z.number().nonnegative();
 /** Slots in use plus queued requests of the cell, in percent of its slots. */
 const load = z.number().int();
 
@@ -20,9 +20,9 @@
     idempotent: z.boolean(),
     priority: z.number().int(),
     /** Time left until the caller's deadline. */
-    remaining: milliseconds,
-    /** Target latency of the route. */
-    target: milliseconds,
+    remaining: z.number(),
+    /** Target latency of the route; service times are relative to it. */
+    target: z.number().positive(),
     /** Whether an earlier attempt may have reached an endpoint. */
     repeated: z.boolean(),
     /** Whether the dispatcher of another cell has already refused the request. */
--- a/packages/peers/datagrams/src/socket.ts
+++ b/packages/peers/datagrams/src/socket.ts
@@ -19,12 +19,16 @@
   readonly onMalformed: (from: PeerAddress) => void;
   /** Called when a datagram could not be sent, or when the socket fails after `bind`. */
   readonly onSendError: (error: Error, to: PeerAddress) => void;
+  /** Called when handling a message failed; the socket goes on with the next message. */
+  readonly onHandlerError: (error: unknown, from: PeerAddress) => void;
 }
 
 /** Sends and receives messages over UDP. */
 export class DatagramSocket {
   private readonly socket = dgram.createSocket('udp4');
 
+  private closed = false;
+
   constructor(private readonly options: DatagramSocketOptions) {
     this.socket.on('message', (datagram, { address, port }) => {
       const from = { host: address, port };
@@ -33,7 +37,11 @@
         this.options.onMalformed(from);
         return;
       }
-      this.options.onMessage(message, from);
+      try {
+        this.options.onMessage(message, from);
+      } catch (error) {
+        this.options.onHandlerError(error, from);
+      }
     });
   }
 
@@ -55,8 +63,11 @@
     return { host: address, port };
   }
 
-  /** Sends a message without a guarantee of delivery. */
+  /** Sends a message without a guarantee of delivery; after `close`, messages are dropped. */
   send(message: Message, to: PeerAddress): void {
+    if (this.closed) {
+      return;
+    }
     this.socket.send(encodeMessage(message), to.port, to.host, (error) => {
       if (error !== null) {
         this.options.onSendError(error, to);
@@ -65,6 +76,7 @@
   }
 
   close(): void {
+    this.closed = true;
     this.socket.close();
   }
 }
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -77,6 +77,9 @@
     onSendError: (error) => {
       throw error;
     },
+    onHandlerError: (error) => {
+      throw error;
+    },
   });
   await port.bind({ host: '127.0.0.1', port: 0 });
   const sender = dgram.createSocket('udp4');
@@ -91,3 +94,38 @@
     port.close();
   }
 });
+
+test('a message whose handling fails is reported and the next one is delivered', async () => {
+  const errors: unknown[] = [];
+  const received: datagrams.Message[] = [];
+  const socket = new datagrams.DatagramSocket({
+    onMessage: (message) => {
+      received.push(message);
+      if (received.length === 1) {
+        throw new Error('unexpected');
+      }
+    },
+    onMalformed: () => {},
+    onSendError: () => {},
+    onHandlerError: (error) => errors.push(error),
+  });
+  await socket.bind({ host: '127.0.0.1', port: 0 });
+  const sender = dgram.createSocket('udp4');
+  try {
+    sender.send(datagrams.encodeMessage(ask), socket.address.port, '127.0.0.1');
+    sender.send(datagrams.encodeMessage(ask), socket.address.port, '127.0.0.1');
+    await delay(100);
+    assert.equal(received.length, 2);
+    assert.equal(errors.length, 1);
+  } finally {
+    sender.close();
+    socket.close();
+  }
+});
+
+test('a slot request with a target that service times can not be relative to is malformed', () => {
+  for (const target of [0, -400]) {
+    const encoded = datagrams.encodeMessage(['ask', { ...ask[1], target }]);
+    assert.equal(datagrams.decodeMessage(encoded), undefined);
+  }
+});
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import type { MemoryBudget } from './body-buffer.js';
 import type { ConnectionPool } from './connection-pool.js';
 import type { AttemptContext, ResponseClassification, WireProtocol } from './wire-protocol.js';
 import type { EndpointConnection } from './endpoint-connection.js';
@@ -47,6 +48,8 @@
 export interface AttemptOptions {
   readonly pool: ConnectionPool;
   readonly protocol: WireProtocol;
+  /** Limits the bytes of responses that all attempts buffer together. */
+  readonly responseMemory: MemoryBudget;
   readonly address: string;
   /** Connections idle for longer are not reused. */
   readonly maximumIdleMilliseconds: number;
@@ -150,11 +153,16 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.length += chunk.length;
-    if (this.length > MAXIMUM_RESPONSE_BYTES) {
+    if (this.settled) {
+      return;
+    }
+    if (this.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
       this.fail({ kind: 'broken', reason: 'response exceeds the maximum buffered size' });
-    } else if (!this.settled) {
+    } else if (this.options.responseMemory.reserve(chunk.length)) {
+      this.length += chunk.length;
       this.chunks.push(chunk);
+    } else {
+      this.fail({ kind: 'broken', reason: 'responses exceed the memory of the daemon' });
     }
   }
 
@@ -207,6 +215,8 @@
 
   private settle(outcome: AttemptOutcome): void {
     this.settled = true;
+    this.options.responseMemory.release(this.length);
+    this.chunks.length = 0;
     this.options.signal.removeEventListener('abort', this.onAbort);
     this.resolve({
       outcome,
--- a/packages/routing/gateway/src/body-buffer.ts
+++ b/packages/routing/gateway/src/body-buffer.ts
@@ -1,5 +1,5 @@
 /**
- * Buffers request bodies in memory, within a limit on the total across all requests.
+ * Buffers bodies in memory, within a limit on the total across all requests.
  */
 import type { IncomingMessage } from 'node:http';
 import { FailureError } from '@dogwoodstall/results';
@@ -9,7 +9,7 @@
 }
 
 /** Tracks the bytes buffered by all requests against a shared limit. */
-export class BodyMemoryBudget {
+export class MemoryBudget {
   private reservedBytes = 0;
 
   constructor(private readonly maximumBytes: number) {}
@@ -39,7 +39,7 @@
 export interface ReadBodyOptions {
   readonly contentLength: number | undefined;
   readonly maximumBytes: number;
-  readonly memoryBudget: BodyMemoryBudget;
+  readonly memoryBudget: MemoryBudget;
   readonly signal: AbortSignal;
 }
 
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -17,7 +17,7 @@
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionPool } from './connection-pool.js';
 import type { WireProtocol } from './wire-protocol.js';
-import { type BufferedBody, BodyMemoryBudget, readBody } from './body-buffer.js';
+import { type BufferedBody, MemoryBudget, readBody } from './body-buffer.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
 import type { SlotSource } from './slots.js';
 
@@ -42,7 +42,7 @@
   readonly findRoutes: () => RouteIndex | undefined;
   /** Resolves when routes become active, or after the given time at the latest. */
   readonly waitForRoutes: (milliseconds: number) => Promise<void>;
-  /** Maximum bytes of request bodies buffered at a time, across all requests. */
+  /** Maximum bytes of request bodies buffered at a time, across all requests; the same again for responses. */
   readonly maximumBufferedBytes: number;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly onUnexpectedError: (requestId: string, error: unknown) => void;
@@ -72,7 +72,9 @@
 
   private readonly callerConnections: CallerConnections;
 
-  private readonly bodyMemory: BodyMemoryBudget;
+  private readonly bodyMemory: MemoryBudget;
+
+  private readonly responseMemory: MemoryBudget;
 
   private readonly responder: CallerResponder;
 
@@ -83,7 +85,8 @@
   private activeRequests = 0;
 
   constructor(private readonly options: GatewayServerOptions) {
-    this.bodyMemory = new BodyMemoryBudget(options.maximumBufferedBytes);
+    this.bodyMemory = new MemoryBudget(options.maximumBufferedBytes);
+    this.responseMemory = new MemoryBudget(options.maximumBufferedBytes);
     this.responder = new CallerResponder(options.protocol, () => this.stopping);
     this.callerConnections = new CallerConnections(() => this.limits.idleMilliseconds);
     this.server = this.createServer();
@@ -252,7 +255,7 @@
       const requestResult = await executeRequest({
         context,
         slots,
-        attemptOptions: { pool: this.pool, protocol },
+        attemptOptions: { pool: this.pool, protocol, responseMemory: this.responseMemory },
         signal: abortController.signal,
         recordAttempt: (record) => attempts.push(record),
       });
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -39,7 +39,7 @@
 export interface RequestExecutionOptions {
   readonly context: RequestContext;
   readonly slots: SlotSource;
-  readonly attemptOptions: Pick<AttemptOptions, 'pool' | 'protocol'>;
+  readonly attemptOptions: Pick<AttemptOptions, 'pool' | 'protocol' | 'responseMemory'>;
   /** Aborted at the deadline and when the caller disconnects. */
   readonly signal: AbortSignal;
   readonly recordAttempt: (record: AttemptRecord) => void;
@@ -65,8 +65,18 @@
 
 type RunningAttemptResult =
   | { readonly kind: 'refused'; readonly decision: Extract<SlotDecision, { kind: 'refused' }> }
+  /** The slot was granted too late to use it. */
+  | { readonly kind: 'expired' }
   | { readonly kind: 'ended'; readonly attemptResult: AttemptResult };
 
+const unusedReport: SlotReport = {
+  outcome: 'unused',
+  elapsed: 0,
+  load: undefined,
+  silent: true,
+  idleMilliseconds: 0,
+};
+
 interface RunningAttempt {
   readonly number: number;
   readonly done: Promise<{ readonly number: number; readonly result: RunningAttemptResult }>;
@@ -206,6 +216,11 @@
       return { kind: 'refused', decision };
     }
     const { slot } = decision;
+    // A paused process may receive a grant after the deadline and before its timers run.
+    if (context.deadlineAt - performance.now() < MINIMUM_ATTEMPT_MILLISECONDS) {
+      slot.report(unusedReport);
+      return { kind: 'expired' };
+    }
     this.excluded.push(slot.endpoint);
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
@@ -253,6 +268,10 @@
       this.failure ??= new FailureError(resultByRefusalReason[result.decision.reason]);
       return undefined;
     }
+    if (result.kind === 'expired') {
+      this.failure ??= new FailureError('DeadlineUnreachable');
+      return undefined;
+    }
     const { outcome } = result.attemptResult;
     switch (outcome.kind) {
       case 'answer':
@@ -289,7 +308,7 @@
   }
 
   private shouldRetry(result: RunningAttemptResult): boolean {
-    if (result.kind === 'refused' || !this.canStartAttempt()) {
+    if (result.kind !== 'ended' || !this.canStartAttempt()) {
       return false;
     }
     return this.options.context.route.idempotent || !this.mayHaveRun;
--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -124,3 +124,20 @@
     }
   });
 });
+
+test('a slot that is granted after the deadline, as after a pause of the process, is not used', async () => {
+  await withGateway([respondOk], {}, async ({ gateway, slots, endpoints }) => {
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    slots.setBeforeDecision(({ deadlineAt }) => {
+      // Blocks the event loop beyond the deadline, so that its timer has not run when the grant is used.
+      while (performance.now() < deadlineAt + 5);
+    });
+    assert.equal((await gateway.send({ body: 'x' }))?.status, 503);
+    assert.equal(
+      endpoints[0]?.requests.length,
+      1,
+      'the request is not sent on the open connection',
+    );
+    assert.equal(slots.reports.at(-1)?.outcome, 'unused');
+  });
+});
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -191,6 +191,11 @@
     return this.queue.size > 0;
   }
 
+  /** Whether no request is queued or in flight. */
+  get isIdle(): boolean {
+    return this.queue.size === 0 && this.grants.size === 0;
+  }
+
   /** Whether a grant exists and its attempt has not ended. */
   hasGrant(grantId: number): boolean {
     return this.grants.has(grantId);
