Count the wait in other cells when a request waits for a slot

Cause: a request that a full cell refused after half of its target latency waited as long again in the next cell.

Ruled out: the deadline (4 s) and the route's timeout. Test crest: a request that has waited elsewhere is refused when the rest of its wait is over, at once if none is left, and still gets a free slot.

--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -47,6 +47,9 @@
   readonly onResponse: (response: SlotResponse) => void;
 }
 
+/** What other cells have done with a request. */
+type CellHistory = Pick<datagrams.Ask, 'moved' | 'waitedElsewhere'>;
+
 type SlotRequestResult = gateway.SlotDecision | 'pass-over';
 type SlotRefusal = Extract<gateway.SlotDecision, { kind: 'refused' }>;
 
@@ -77,13 +80,16 @@
     signal: AbortSignal,
   ): Promise<gateway.SlotDecision> {
     const tried = new Set<string>();
+    const startedAt = performance.now();
     let refusal: SlotRefusal | undefined;
     while (!signal.aborted && tried.size < MAXIMUM_CELLS) {
       const cell = this.options.cells.select(ask.service, tried);
       if (cell === undefined) {
         break;
       }
-      const decision = await this.acquireIn(cell, ask, tried.size > 0, signal);
+      const moved = tried.size > 0;
+      const waitedElsewhere = moved ? Math.round(performance.now() - startedAt) : 0;
+      const decision = await this.acquireIn(cell, ask, { moved, waitedElsewhere }, signal);
       tried.add(cell.name);
       if (decision.kind === 'slot' || !redirectableReasons.has(decision.reason)) {
         return decision;
@@ -98,7 +104,7 @@
   private async acquireIn(
     cell: grants.Cell,
     ask: gateway.SlotAcquireOptions,
-    moved: boolean,
+    history: CellHistory,
     signal: AbortSignal,
   ): Promise<gateway.SlotDecision> {
     const tried = new Set<string>();
@@ -109,7 +115,7 @@
         break;
       }
       tried.add(target.name);
-      const result = await this.requestSlot(target, cell.name, ask, moved, signal);
+      const result = await this.requestSlot(target, cell.name, ask, history, signal);
       if (result !== 'pass-over') {
         return result;
       }
@@ -154,7 +160,7 @@
     target: DispatcherTarget,
     cell: string,
     ask: gateway.SlotAcquireOptions,
-    moved: boolean,
+    history: CellHistory,
     signal: AbortSignal,
   ): Promise<SlotRequestResult> {
     this.lastAskId += 1;
@@ -170,7 +176,7 @@
       remaining: Math.round(ask.deadlineAt - performance.now()),
       target: route.targetMilliseconds,
       repeated: ask.repeated,
-      moved,
+      ...history,
       kilobytes: Math.round(ask.bodyBytes / BYTES_PER_KILOBYTE),
       fingerprint: ask.fingerprint,
       excluded: [...ask.excluded],
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -146,6 +146,7 @@
       target: ask.target,
       repeated: ask.repeated,
       moved: ask.moved,
+      waitedElsewhere: ask.waitedElsewhere,
       kilobytes: ask.kilobytes,
       fingerprint: ask.fingerprint,
       excluded: new Set(ask.excluded),
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -46,6 +46,7 @@
     target: 400,
     repeated: false,
     moved: false,
+    waitedElsewhere: 0,
     kilobytes: 0,
     fingerprint: String(askId),
     excluded: [],
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -27,6 +27,8 @@
     repeated: z.boolean(),
     /** Whether the dispatcher of another cell has already refused the request. */
     moved: z.boolean(),
+    /** Time for which the request has already waited at dispatchers of other cells. */
+    waitedElsewhere: milliseconds,
     /** Size of the body, from which the cost of sending it to another zone is calculated. */
     kilobytes: z.number().int(),
     /** Digest of caller, target and body; identifies a request that the caller sends again. */
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -18,6 +18,7 @@
     target: 400,
     repeated: false,
     moved: false,
+    waitedElsewhere: 0,
     kilobytes: 60,
     fingerprint: '1x',
     excluded: ['i-1'],
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -48,7 +48,7 @@
 
 /** Maximum number of queued requests; further ones are refused immediately. */
 const MAXIMUM_WAITERS = 400;
-/** Maximum wait as a share of the target latency, so that callers soon receive the result of a refused request. */
+/** Maximum wait in all cells as a share of the target latency, so that callers soon receive the result of a refused request. */
 const MAXIMUM_WAIT_OF_TARGET = 0.5;
 /** Maximum wait for an endpoint with a lower risk, as a share of the target latency. */
 const RISK_WAIT_OF_TARGET = 0.12;
@@ -275,9 +275,9 @@
     return false;
   }
 
-  private getMaximumWait({ target, remaining, route }: SlotRequest): number {
+  private getMaximumWait({ target, remaining, route, waitedElsewhere }: SlotRequest): number {
     const service = this.serviceTimes.expect(route, target);
-    return Math.min(target * MAXIMUM_WAIT_OF_TARGET, remaining - service);
+    return Math.min(target * MAXIMUM_WAIT_OF_TARGET - waitedElsewhere, remaining - service);
   }
 
   private estimateWait({ priority, route, target }: SlotRequest, now: number): number {
--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -17,6 +17,8 @@
   readonly repeated: boolean;
   /** Whether the dispatcher of another cell has refused the request; it has already counted it for the retry budget. */
   readonly moved: boolean;
+  /** Milliseconds for which the request has already waited in other cells. */
+  readonly waitedElsewhere: number;
   /** Size of the body. */
   readonly kilobytes: number;
   readonly fingerprint: string;
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -170,3 +170,20 @@
   assert.ok(granted.reuseWithin < 900);
   assert.deepEqual(service.dispatcher.listSuspects(), []);
 });
+
+test('crest: a request that has waited in other cells is refused without waiting for its whole time again', () => {
+  const service = new VirtualService([createEndpoint('one', { slots: 1 })]);
+  service.ask();
+  const moved = service.ask({ moved: true, waitedElsewhere: 150 });
+  service.now += 60;
+  service.dispatcher.tick();
+  assert.equal(service.decisions.get(moved)?.kind, 'refuse');
+  const exhausted = service.ask({ moved: true, waitedElsewhere: 220 });
+  assert.equal(service.decisions.get(exhausted)?.kind, 'refuse', 'refused at once');
+});
+
+test('crest: a request that has waited in other cells still gets a free slot', () => {
+  const service = new VirtualService([createEndpoint('one')]);
+  const moved = service.ask({ moved: true, waitedElsewhere: 200, idempotent: true });
+  assert.equal(service.grantOf(moved).endpoint.id, 'one');
+});
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -61,6 +61,7 @@
       target: 400,
       repeated: false,
       moved: false,
+      waitedElsewhere: 0,
       kilobytes: 0,
       fingerprint: key,
       excluded: new Set(),
