Spread the return of refused callers over the time that the cell needs

Cause: all callers that a full cell refuses in the same moment were told the same delay, and returned as a second crest. Waits and returns move from CellDispatcher to Admission.

Ruled out: longer queues, which make refused callers learn it later.

--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -9,12 +9,13 @@
   chooseCandidate,
   listCandidates,
 } from './endpoint-selection.js';
+import { Admission } from './admission.js';
 import { CrashRecords } from './crash-records.js';
 import { EndpointState, type Attempt, type AttemptResult } from './endpoint-state.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
 import { RetryBudgetTracker, type RetryBudget } from './retry-budget-tracker.js';
 import { ServiceTimes } from './service-times.js';
-import { SUSPECT_RISK, countSlots, estimateWait, computeLoad } from './slot-count.js';
+import { SUSPECT_RISK, countSlots, computeLoad } from './slot-count.js';
 import type { SlotRequest } from './slot-request.js';
 import { type Waiter, WaitingQueue } from './waiting-queue.js';
 
@@ -46,10 +47,6 @@
   readonly nextGrantId: () => number;
 }
 
-/** Maximum number of queued requests; further ones are refused immediately. */
-const MAXIMUM_WAITERS = 400;
-/** Maximum wait in all cells as a share of the target latency, so that callers soon receive the result of a refused request. */
-const MAXIMUM_WAIT_OF_TARGET = 0.5;
 /** Maximum wait for an endpoint with a lower risk, as a share of the target latency. */
 const RISK_WAIT_OF_TARGET = 0.12;
 /** Risk above which a non-idempotent request waits for another endpoint, for a limited time. */
@@ -88,6 +85,12 @@
 
   private readonly queue = new WaitingQueue();
 
+  private readonly admission = new Admission({
+    states: this.states,
+    queue: this.queue,
+    serviceTimes: this.serviceTimes,
+  });
+
   private failedShare = 0;
 
   constructor(private readonly options: CellDispatcherOptions) {
@@ -133,9 +136,8 @@
       this.refuse(request, 'retry-budget', request.target);
       return false;
     }
-    const expectedWait = this.estimateWait(request, now);
-    if (expectedWait > this.getMaximumWait(request) || this.queue.size >= MAXIMUM_WAITERS) {
-      this.refuse(request, 'overload', expectedWait);
+    if (!this.admission.canServe(request, now)) {
+      this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
       return false;
     }
     const waiter = { request, arrivedAt: now };
@@ -275,19 +277,6 @@
     return false;
   }
 
-  private getMaximumWait({ target, remaining, route, waitedElsewhere }: SlotRequest): number {
-    const service = this.serviceTimes.expect(route, target);
-    return Math.min(target * MAXIMUM_WAIT_OF_TARGET - waitedElsewhere, remaining - service);
-  }
-
-  private estimateWait({ priority, route, target }: SlotRequest, now: number): number {
-    return estimateWait(
-      countSlots(this.states.values(), now),
-      this.queue.countAhead(priority) + 1,
-      this.serviceTimes.expect(route, target),
-    );
-  }
-
   private serveQueue(): void {
     if (this.queue.size === 0) {
       return;
@@ -295,8 +284,8 @@
     const now = this.options.now();
     this.queue.retain((waiter) => {
       const { request, arrivedAt } = waiter;
-      if (now - arrivedAt > this.getMaximumWait(request)) {
-        this.refuse(request, 'overload', this.estimateWait(request, now));
+      if (now - arrivedAt > this.admission.getMaximumWait(request)) {
+        this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
         return false;
       }
       return !this.tryGrant(waiter, now);
