--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -160,20 +160,19 @@
         response.destroy();
       });
     });
-    server.on('connect', (_request, socket: Duplex) =>
-      GatewayServer.rejectRaw(socket, 'MethodUnsupported'),
-    );
+    server.on('connect', (_request, socket: Duplex) => this.rejectRaw(socket, 'MethodUnsupported'));
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
-      GatewayServer.rejectRaw(socket, proxy.classifyParserError(error.code)),
+      this.rejectRaw(socket, proxy.classifyParserError(error.code)),
     );
     return server;
   }
 
-  private static rejectRaw(socket: Duplex, result: results.ResultName): void {
+  private rejectRaw(socket: Duplex, result: results.ResultName): void {
     socket.on('error', () => {
       // The caller has disconnected.
     });
     if (socket.writable) {
+      this.reportUnsent(result, {});
       socket.end(proxy.formatRawFailure(results.createFailure(result), ''));
     } else {
       socket.destroy();
@@ -204,7 +203,9 @@
       if (!(error instanceof results.FailureError)) {
         this.options.onUnexpectedError(requestId ?? '', error);
       }
-      this.responder.sendFailure(incoming, results.toFailure(error), undefined);
+      const failure = results.toFailure(error);
+      this.responder.sendFailure(incoming, failure, undefined);
+      this.reportUnsent(failure.kind, incoming);
     }
   }
 
@@ -214,7 +215,7 @@
     const checked = proxy.checkRequest(request);
     const routes = await this.findRoutes(request);
     if (routes === undefined || this.rejecting) {
-      this.rejectNotReady(incoming, routes);
+      this.rejectNotReady(incoming);
       return;
     }
     const route = routes.find(checked.host, checked.path);
@@ -291,21 +292,30 @@
     return this.options.findRoutes();
   }
 
-  private rejectNotReady(incoming: IncomingRequest, routes: RouteIndex | undefined): void {
+  private rejectNotReady(incoming: IncomingRequest): void {
     this.responder.sendFailure(
       incoming,
       results.createFailure('NotReady'),
       NOT_READY_RETRY_MILLISECONDS,
     );
+    this.reportUnsent('NotReady', incoming);
+  }
+
+  /** Reports a request that ended before its first attempt; one that the parser rejected has no id. */
+  private reportUnsent(
+    result: results.ResultName,
+    { requestId = '', arrivedAt }: Partial<IncomingRequest>,
+  ): void {
+    const now = performance.now();
     this.options.onDecision({
-      requestId: incoming.requestId ?? '',
+      requestId,
       route: '',
       service: '',
-      configurationVersion: routes?.configuration.version ?? 0,
+      configurationVersion: this.options.findRoutes()?.configuration.version ?? 0,
       attempts: [],
-      result: 'NotReady',
-      status: results.findResult('NotReady').httpStatus,
-      milliseconds: Math.round(performance.now() - incoming.arrivedAt),
+      result,
+      status: results.findResult(result).httpStatus,
+      milliseconds: Math.round(now - (arrivedAt ?? now)),
       remainingMilliseconds: 0,
     });
   }
--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { formatRequest, formatResponse } from './fixture.js';
@@ -141,3 +142,24 @@
     assert.equal(slots.reports.at(-1)?.outcome, 'unused');
   });
 });
+
+test('requests that fail before their first attempt are reported for the log', async () => {
+  await withGateway([respondOk], {}, async ({ gateway }) => {
+    await gateway.send({ path: '/elsewhere/1', id: 'no-route' });
+    await gateway.send({ body: Buffer.alloc(1_000_001), id: 'too-large' });
+    const malformed = gateway.connect();
+    malformed.on('error', () => {});
+    const closed = once(malformed, 'close');
+    malformed.resume();
+    malformed.end('GET\r\n\r\n');
+    await closed;
+    assert.deepEqual(
+      gateway.decisions.map(({ requestId, result, status }) => [requestId, result, status]),
+      [
+        ['no-route', 'RouteUnknown', 404],
+        ['too-large', 'RequestBodyTooLarge', 413],
+        ['', 'RequestMalformed', 400],
+      ],
+    );
+  });
+});
