Keep the messages between daemons readable for older daemons

Cause: the time waited elsewhere stood in the middle of the slot request, whose fields are told by their order, and the request for state had lost its list of members, so that a fleet could not be replaced one daemon after the other. The new fields are last or optional, and missing ones have a default.

--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -93,7 +93,7 @@
         configurationVersion: this.options.directory.configurationVersion,
         directoryRevision: this.options.directory.endpointRevision,
         memberDigest: this.options.members.digest,
-        self: this.options.members.self,
+        members: [this.options.members.self],
       });
       this.importState(state, address);
     } finally {
@@ -124,9 +124,9 @@
     }
   }
 
-  /** Adds the requesting daemon and returns what it does not know yet. */
+  /** Adds the members of a request and returns what the requesting daemon does not know yet. */
   handleStateRequest(request: StateRequest): State {
-    this.addMembers([request.self], 'peer');
+    this.addMembers(request.members, 'peer');
     const hasOtherMembers = request.memberDigest !== this.options.members.digest;
     const { endpointRevision, configurationVersion } = this.options.directory;
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -23,9 +23,10 @@
 export const stateRequestSchema = z.object({
   configurationVersion: z.number(),
   directoryRevision: z.number(),
-  memberDigest: z.string(),
-  /** The requesting daemon, which may be unknown to the other one. */
-  self: memberSchema,
+  /** Members that the other daemon may lack; the requesting daemon itself at least. */
+  members: z.array(memberSchema),
+  /** Digest of the known members; older daemons lack it and get the members in any case. */
+  memberDigest: z.string().optional(),
 });
 
 export type StateRequest = z.infer<typeof stateRequestSchema>;
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -27,14 +27,14 @@
     repeated: z.boolean(),
     /** Whether the dispatcher of another cell has already refused the request. */
     moved: z.boolean(),
-    /** Time for which the request has already waited at dispatchers of other cells. */
-    waitedElsewhere: milliseconds,
     /** Size of the body, from which the cost of sending it to another zone is calculated. */
     kilobytes: z.number().int(),
     /** Digest of caller, target and body; identifies a request that the caller sends again. */
     fingerprint: z.string(),
     /** Ids of the endpoints that earlier attempts used. */
     excluded: z.array(z.string()),
+    /** Time for which the request has already waited at dispatchers of other cells; last, as older daemons lack it. */
+    waitedElsewhere: milliseconds.default(0),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -2,6 +2,7 @@
 import * as dgram from 'node:dgram';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import * as msgpack from '@msgpack/msgpack';
 import * as fc from 'fast-check';
 import * as datagrams from '../src/index.js';
 
@@ -130,3 +131,9 @@
     assert.equal(datagrams.decodeMessage(encoded), undefined);
   }
 });
+
+test('a slot request of an older daemon, which does not tell the time waited elsewhere, is decoded', () => {
+  const values = msgpack.decode(datagrams.encodeMessage(ask)) as unknown[];
+  const decoded = datagrams.decodeMessage(msgpack.encode(values.slice(0, -1)));
+  assert.deepEqual(decoded, ask);
+});
