Dispatch a daemon's own requests while no other daemon has answered

Unknown dispatchers now count as responsive only once any daemon has answered, and the last try of a slot request is this daemon, as the module's head says. Test mass-restart fails before the change.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -100,6 +100,11 @@
     return this.toTarget(this.options.members.self);
   }
 
+  /** Returns this daemon as a target. */
+  getSelf(): DispatcherTarget {
+    return this.toTarget(this.options.members.self);
+  }
+
   /** Returns the names of the first responsive candidates of a role; this daemon always counts as responsive. */
   listLeading(role: Role): string[] {
     const { self } = this.options.members;
@@ -185,7 +190,8 @@
     }
     const contact = this.contacts.get(member.name);
     if (contact === undefined) {
-      return !this.isMonitored(role);
+      // While no daemon responds, for instance because all start together, the others can't be assumed to respond.
+      return !this.isMonitored(role) && this.hasUsablePeer();
     }
     return contact.responsive && (contact.settled || role === STORE_WATCHER_ROLE);
   }
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -109,7 +109,10 @@
   ): Promise<gateway.SlotDecision> {
     const tried = new Set<string>();
     while (!signal.aborted && tried.size < MAXIMUM_DISPATCHERS) {
-      const target = this.options.candidates.choose(cell, tried);
+      const isLast = tried.size === MAXIMUM_DISPATCHERS - 1;
+      const target = isLast
+        ? this.options.candidates.getSelf()
+        : this.options.candidates.choose(cell, tried);
       // `choose` returns this daemon when no other is left, even if this daemon was tried before.
       if (tried.has(target.name)) {
         break;
--- a/packages/daemon/gateway-daemon/test/candidates.test.ts
+++ b/packages/daemon/gateway-daemon/test/candidates.test.ts
@@ -150,6 +150,21 @@
   assert.equal(entry.choose(cell, new Set()).name, first.name, 'the first responds again');
 });
 
+test('mass-restart: a daemon that no other one has answered yet dispatches its requests itself', () => {
+  const fleet = new SimulatedFleet();
+  const self = 'front-e-40';
+  for (const { name } of members) {
+    if (name !== self) {
+      fleet.dead.add(name);
+    }
+  }
+  fleet.advance(0.6);
+  const entry = fleet.candidatesByName.get(self) as Candidates;
+  for (const cell of cells) {
+    assert.equal(entry.choose(cell, new Set()).name, self, cell.name);
+  }
+});
+
 test('the standby of a cell and of the store watch notices without slot requests that it has to take over', () => {
   const fleet = new SimulatedFleet();
   fleet.advance(2);
