Log what endpoints announce about themselves, to whom and since when

The hypotheses about exceeded limits could not be told apart from logs or metrics: nothing read what an endpoint says of itself in a response.

The adapter now decodes limit, leaving and pause into one type with units; an attempt's report takes it to the dispatcher, which logs each change with endpoint, lifetime, source daemon and what was in force before, and counts it. Selection does not use it yet. Reports of older daemons announce nothing.

--- a/packages/configuration/traffic/src/index.ts
+++ b/packages/configuration/traffic/src/index.ts
@@ -1,6 +1,12 @@
 /**
- * Routes, destinations, limits and endpoints of transparent traffic.
+ * Routes, destinations, limits, endpoints and their announcements, of transparent traffic.
  */
+export {
+  type Announcement,
+  announcementSchema,
+  isEmptyAnnouncement,
+  noAnnouncement,
+} from './announcement.js';
 export {
   type Destination,
   type Limits,
--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -47,6 +47,25 @@
     }
   }
 
+  /** Records that an endpoint announces something else than before. */
+  recordAnnouncement(cell: string, change: grants.AnnouncementChange): void {
+    const { endpoint, source, requestsPerSecond, leaving, previous } = change;
+    const hasEnded = requestsPerSecond === null && !leaving;
+    this.metricsServer?.countAnnouncement(hasEnded ? 'ended' : 'learned');
+    this.dispatchLog.write(
+      hasEnded ? 'endpoint announcement ended' : 'endpoint announcement learned',
+      {
+        cell,
+        endpoint: endpoint.id,
+        lifetime: endpoint.lifetime,
+        requestsPerSecond,
+        leaving,
+        previous,
+        source,
+      },
+    );
+  }
+
   close(): void {
     this.entryLog.close();
     this.dispatchLog.close();
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -142,6 +142,7 @@
         load: undefined,
         silent: true,
         idleMilliseconds: 0,
+        announcement: null,
       });
     }
   }
@@ -264,6 +265,7 @@
       load: result.load ?? -1,
       silent: result.silent,
       rested: Math.round(result.idleMilliseconds),
+      announcement: result.announcement,
     };
     if (target.isSelf) {
       this.options.local.report(report);
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -26,6 +26,7 @@
     request: grants.SlotRequest,
     decision: grants.Decision,
   ) => void;
+  readonly onAnnouncement: (cell: string, change: grants.AnnouncementChange) => void;
 }
 
 /** Time for which responses are cached, to be repeated when a slot request is sent again. */
@@ -214,6 +215,7 @@
           return this.lastGrantId;
         },
         decide: (request, decision) => this.sendDecision(cell, request, decision),
+        onAnnouncement: (change) => this.options.onAnnouncement(cell, change),
       });
       dispatcher.updateEndpoints(this.options.directory.listEndpoints(cell));
       this.cells.set(cell, dispatcher);
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -103,6 +103,7 @@
       retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
+      onAnnouncement: (cell, change) => this.reporter.recordAnnouncement(cell, change),
     });
     this.peerState = new PeerState({
       members: this.members,
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -28,6 +28,8 @@
 
   private readonly slots: promClient.Counter<'cell' | 'decision'>;
 
+  private readonly announcements: promClient.Counter<'event'>;
+
   private readonly server: http.Server;
 
   private constructor(library: typeof promClient, read: () => MetricsSnapshot) {
@@ -52,6 +54,12 @@
       labelNames: ['cell', 'decision'],
       registers,
     });
+    this.announcements = new library.Counter({
+      name: 'dogwoodstall_endpoint_announcements_total',
+      help: 'Changes of what endpoints announce about themselves, by event',
+      labelNames: ['event'],
+      registers,
+    });
     MetricsServer.addGauges(library, registers, read);
     this.server = http.createServer((_request, response) => {
       this.respond(response).catch(() => response.destroy());
@@ -104,6 +112,11 @@
     this.slots.inc({ cell, decision });
   }
 
+  /** Counts a change of what an endpoint announces. */
+  countAnnouncement(event: string): void {
+    this.announcements.inc({ event });
+  }
+
   /** Binds the port; throws `ListenFailed`. */
   async listen(host: string, port: number): Promise<void> {
     await listenHttp(this.server, host, port);
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -30,6 +30,7 @@
     directory,
     retryBudget: () => ({ ratio: 0.2, slack: 20, windowMilliseconds: 10_000 }),
     onDecision: (_cell, _request, decision) => decisions.push(decision),
+    onAnnouncement: () => {},
   });
   return { role, decisions };
 }
@@ -119,7 +120,11 @@
             role.ask('entry', decoded[1], recordGrant);
           }
         } else {
-          role.report({ ...message, grantId: grantId + message.grantOffset });
+          role.report({
+            ...message,
+            grantId: grantId + message.grantOffset,
+            announcement: null,
+          });
         }
       }
       decisions.length = 0;
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { WireProtocol } from '@dogwoodstall/gateway';
 import { createSilentLog } from '@dogwoodstall/observability';
+import { noAnnouncement } from '@dogwoodstall/traffic';
 import * as gatewayDaemon from '../src/index.js';
 import { MemorySource } from './memory-source.js';
 import { MemoryStore } from './memory-store.js';
@@ -19,6 +20,7 @@
   listAttemptHeaders: ({ requestId }) => ['Request-Id', requestId ?? ''],
   classifyResponse: () => ({ kind: 'answer' }),
   readLoad: () => undefined,
+  readAnnouncement: () => noAnnouncement,
   formatRetryAfter: String,
 };
 
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -2,6 +2,7 @@
  * Schemas of the messages between an entry daemon and the dispatcher of a cell. Each datagram carries one message,
  * encoded as a MessagePack array: field names would double its size, and traffic between zones is billed.
  */
+import { announcementSchema } from '@dogwoodstall/traffic';
 import * as z from 'zod';
 
 const milliseconds = z.number().nonnegative();
@@ -95,6 +96,8 @@
     silent: z.boolean(),
     /** Idle time of the connection before the attempt; 0 for a new connection. */
     rested: milliseconds,
+    /** What the endpoint announced; null if nothing or if there was no response. Older daemons send none. */
+    announcement: announcementSchema.nullable().default(null),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -43,7 +43,18 @@
   ['queued', 7],
   ['refuse', { askId: 7, reason: 'overload', retryAfter: 120, load: 130 }],
   ['withdraw', 7],
-  ['report', { grantId: 9, outcome: 'success', elapsed: 80, load: -1, silent: false, rested: 0 }],
+  [
+    'report',
+    {
+      grantId: 9,
+      outcome: 'success',
+      elapsed: 80,
+      load: -1,
+      silent: false,
+      rested: 0,
+      announcement: { requestsPerSecond: 6.6, leaving: false, pauseMilliseconds: 0 },
+    },
+  ],
   ['acknowledge', 9],
 ];
 
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -3,6 +3,7 @@
  * response never appears complete to the caller and an idempotent request can be retried at another endpoint.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { type Announcement, isEmptyAnnouncement } from '@dogwoodstall/traffic';
 import type { Dispatcher } from 'undici';
 import type { MemoryBudget } from './body-buffer.js';
 import type { ConnectionPool } from './connection-pool.js';
@@ -42,6 +43,8 @@
   readonly silent: boolean;
   /** How long the connection had been idle before the attempt; 0 for a new connection. */
   readonly idleMilliseconds: number;
+  /** What the endpoint announced; null if nothing or if there was no complete response. */
+  readonly announcement: Announcement | null;
 }
 
 /** Options of `sendAttempt`. */
@@ -224,8 +227,18 @@
       load: this.options.protocol.readLoad(this.headers),
       silent: this.status === 0,
       idleMilliseconds: this.idleMilliseconds,
+      announcement: this.readAnnouncement(outcome),
     });
   }
+
+  // Only a complete response of the addressed endpoint itself can speak for it.
+  private readAnnouncement({ kind }: AttemptOutcome): Announcement | null {
+    if (kind !== 'answer' && kind !== 'shed') {
+      return null;
+    }
+    const announcement = this.options.protocol.readAnnouncement(this.status, this.headers);
+    return isEmptyAnnouncement(announcement) ? null : announcement;
+  }
 }
 
 /** Sends a request to an endpoint once. Never rejects; failures are reported as an outcome. */
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -75,6 +75,7 @@
   load: undefined,
   silent: true,
   idleMilliseconds: 0,
+  announcement: null,
 };
 
 interface RunningAttempt {
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -2,7 +2,7 @@
  * The interface through which the gateway acquires slots at endpoints. A slot permits one attempt at one endpoint.
  */
 import type { Outcome } from '@dogwoodstall/datagrams';
-import type { Route } from '@dogwoodstall/traffic';
+import type { Announcement, Route } from '@dogwoodstall/traffic';
 
 /** Parameters of a slot acquisition. */
 export interface SlotAcquireOptions {
@@ -36,6 +36,8 @@
   readonly silent: boolean;
   /** How long the connection had been idle before the attempt; 0 for a new connection. */
   readonly idleMilliseconds: number;
+  /** What the endpoint announced; null if nothing or if there was no complete response. */
+  readonly announcement: Announcement | null;
 }
 
 /** Why a slot was refused. */
--- a/packages/routing/gateway/src/wire-protocol.ts
+++ b/packages/routing/gateway/src/wire-protocol.ts
@@ -2,6 +2,7 @@
  * The header names and response semantics that a platform supplies to the gateway, which itself knows none of them.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import type { Announcement } from '@dogwoodstall/traffic';
 
 /** How the gateway treats a response from an endpoint. */
 export type ResponseClassification =
@@ -40,6 +41,8 @@
   ) => ResponseClassification;
   /** Reads the number of running and queued requests that the endpoint reports; undefined when it reports none. */
   readonly readLoad: (headers: IncomingHttpHeaders) => number | undefined;
+  /** Reads what the endpoint announces about itself; values that can't be read announce nothing. */
+  readonly readAnnouncement: (status: number, headers: IncomingHttpHeaders) => Announcement;
   /** Formats the delay after which a rejected caller may retry. */
   readonly formatRetryAfter: (milliseconds: number) => string;
 }
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -4,7 +4,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import { type Route, RouteIndex } from '@dogwoodstall/traffic';
+import { type Route, RouteIndex, noAnnouncement } from '@dogwoodstall/traffic';
 import * as gateway from '../src/index.js';
 
 /** Extracts the request id from a raw request. */
@@ -59,6 +59,7 @@
     return { kind: headers.seal === undefined ? 'foreign' : 'answer' };
   },
   readLoad: () => undefined,
+  readAnnouncement: () => noAnnouncement,
   formatRetryAfter: (milliseconds) => String(milliseconds / 1000),
 };
 
--- /dev/null
+++ b/packages/routing/grants/src/announced-state.ts
@@ -0,0 +1,64 @@
+/**
+ * What one endpoint has announced about itself to any daemon of the fleet, as far as a dispatcher knows.
+ */
+import type { Announcement } from '@dogwoodstall/traffic';
+
+/** The announcements that concern the whole fleet. */
+export type FleetAnnouncement = Pick<Announcement, 'requestsPerSecond' | 'leaving'>;
+
+const NOTHING: FleetAnnouncement = { requestsPerSecond: null, leaving: false };
+
+/** The announcements of one endpoint that are in force. */
+export class AnnouncedState {
+  private announcement = NOTHING;
+
+  /** Time of the last response or report that stated what is in force. */
+  private confirmedAt = -Infinity;
+
+  /** Requests per second that the endpoint accepts from all daemons together; null without a limit. */
+  get requestsPerSecond(): number | null {
+    return this.announcement.requestsPerSecond;
+  }
+
+  /** Whether the endpoint is about to stop. */
+  get leaving(): boolean {
+    return this.announcement.leaving;
+  }
+
+  /** Whether nothing is in force. */
+  get isEmpty(): boolean {
+    return this.requestsPerSecond === null && !this.leaving;
+  }
+
+  /** Milliseconds since a daemon last reported what is in force. */
+  getAge(now: number): number {
+    return now - this.confirmedAt;
+  }
+
+  /**
+   * Applies what a response announced; `sentAt` is when its request was granted. A response without a limit ends one
+   * only if its request was granted after the limit was confirmed, because reports arrive in any order. An endpoint that
+   * leaves does not come back. Returns whether anything changed.
+   */
+  apply({ requestsPerSecond, leaving }: FleetAnnouncement, sentAt: number, now: number): boolean {
+    const previous = this.announcement;
+    const mayEnd = sentAt > this.confirmedAt;
+    const next = {
+      requestsPerSecond: requestsPerSecond ?? (mayEnd ? null : previous.requestsPerSecond),
+      leaving: leaving || previous.leaving,
+    };
+    if (requestsPerSecond !== null || leaving) {
+      this.confirmedAt = now;
+    }
+    this.announcement = next;
+    return (
+      next.requestsPerSecond !== previous.requestsPerSecond || next.leaving !== previous.leaving
+    );
+  }
+
+  /** Forgets everything, for a new process of the endpoint. */
+  clear(): void {
+    this.announcement = NOTHING;
+    this.confirmedAt = -Infinity;
+  }
+}
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -2,7 +2,8 @@
  * The dispatcher of one cell: tracks the state of its endpoints, grants their slots to requests, and queues or refuses
  * the requests that can't be served at once.
  */
-import type { Endpoint } from '@dogwoodstall/traffic';
+import { type Endpoint, noAnnouncement } from '@dogwoodstall/traffic';
+import type { FleetAnnouncement } from './announced-state.js';
 import {
   type Candidate,
   type SelectionRequest,
@@ -37,6 +38,15 @@
       readonly retryAfter: number;
     };
 
+/** A change of what an endpoint announces. */
+export interface AnnouncementChange extends FleetAnnouncement {
+  readonly endpoint: Endpoint;
+  /** The daemon that received the response. */
+  readonly source: string;
+  /** What was in force before. */
+  readonly previous: FleetAnnouncement;
+}
+
 /** Options of `CellDispatcher`. */
 export interface CellDispatcherOptions {
   readonly now: () => number;
@@ -45,8 +55,16 @@
   /** Called with the decision about each request that was not withdrawn. */
   readonly decide: (request: SlotRequest, decision: Decision) => void;
   readonly nextGrantId: () => number;
+  /** Called when a response shows that an endpoint announces something else than before. */
+  readonly onAnnouncement: (change: AnnouncementChange) => void;
 }
 
+/** Outcomes of attempts to which the endpoint itself has responded. */
+const ANSWERED_OUTCOMES: ReadonlySet<AttemptResult['outcome']> = new Set([
+  'success',
+  'error',
+  'shed',
+]);
 /** Maximum wait for an endpoint with a lower risk, as a share of the target latency. */
 const RISK_WAIT_OF_TARGET = 0.12;
 /** Risk above which a non-idempotent request waits for another endpoint, for a limited time. */
@@ -179,6 +197,7 @@
       now,
     );
     this.recordResult(state, attempt, result, now);
+    this.recordAnnouncement(state, attempt, result, now);
     this.serveQueue();
     return true;
   }
@@ -212,7 +231,14 @@
         this.grants.delete(grantId);
       } else if (now > attempt.expiresAt) {
         const elapsed = now - attempt.startedAt;
-        this.report(grantId, { outcome: 'unused', elapsed, load: -1, silent: true, rested: 0 });
+        this.report(grantId, {
+          outcome: 'unused',
+          elapsed,
+          load: -1,
+          silent: true,
+          rested: 0,
+          announcement: null,
+        });
       }
     }
     this.serveQueue();
@@ -259,6 +285,31 @@
     }
   }
 
+  private recordAnnouncement(
+    { announced, endpoint }: EndpointState,
+    { entry, startedAt }: Attempt,
+    { announcement, outcome }: AttemptResult,
+    now: number,
+  ): void {
+    if (announcement === null && !ANSWERED_OUTCOMES.has(outcome)) {
+      return;
+    }
+    const previous = {
+      requestsPerSecond: announced.requestsPerSecond,
+      leaving: announced.leaving,
+    };
+    if (announced.apply(announcement ?? noAnnouncement, startedAt, now)) {
+      const { requestsPerSecond, leaving } = announced;
+      this.options.onAnnouncement({
+        endpoint,
+        source: entry,
+        requestsPerSecond,
+        leaving,
+        previous,
+      });
+    }
+  }
+
   private hasNoUsableEndpoint(): boolean {
     for (const { endpoint } of this.states.values()) {
       if (!endpoint.draining) {
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -2,7 +2,8 @@
  * The state that a dispatcher keeps for one endpoint: attempts in flight, failure estimate, reachability and the load
  * that other daemons cause.
  */
-import { type Endpoint, isSameLifetime } from '@dogwoodstall/traffic';
+import { type Announcement, type Endpoint, isSameLifetime } from '@dogwoodstall/traffic';
+import { AnnouncedState } from './announced-state.js';
 import { EntryPaths } from './entry-paths.js';
 import {
   FailureEstimate,
@@ -48,6 +49,8 @@
   readonly silent: boolean;
   /** Idle time of the connection before the attempt; 0 for a new connection. */
   readonly rested: number;
+  /** What the endpoint announced; null if nothing or if there was no response. */
+  readonly announcement: Announcement | null;
 }
 
 /** The result of an attempt after the dispatcher has classified its outcome. */
@@ -62,6 +65,8 @@
 
   readonly paths = new EntryPaths();
 
+  readonly announced = new AnnouncedState();
+
   lastGrantAt = -Infinity;
 
   private failureEstimate: FailureEstimate;
@@ -94,6 +99,7 @@
       this.failureEstimate = new FailureEstimate(now);
       this.attemptsInFlight.clear();
       this.paths.clear();
+      this.announced.clear();
       this.backoffUntil = -Infinity;
       this.warmUpUntil = now + endpoint.warmUpMilliseconds;
     }
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -1,7 +1,13 @@
 /**
  * Dispatching of requests to endpoint slots: partitions a service into cells and grants the slots of each cell.
  */
-export { type Decision, type CellDispatcherOptions, CellDispatcher } from './cell-dispatcher.js';
+export { type FleetAnnouncement } from './announced-state.js';
+export {
+  type AnnouncementChange,
+  type Decision,
+  type CellDispatcherOptions,
+  CellDispatcher,
+} from './cell-dispatcher.js';
 export { type Cell, partitionIntoCells } from './cells.js';
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -24,6 +24,7 @@
     load: -1,
     silent: false,
     rested: 0,
+    announcement: null,
   });
   assert.equal(service.decisions.get(keys[4] as string)?.kind, 'grant');
 });
@@ -164,6 +165,7 @@
       load: -1,
       silent: true,
       rested: 900,
+      announcement: null,
     });
   }
   const granted = service.grantOf(service.ask());
--- a/packages/routing/grants/test/entry-paths.test.ts
+++ b/packages/routing/grants/test/entry-paths.test.ts
@@ -51,7 +51,7 @@
       } else {
         const elapsed = end.outcome === 'success' ? SERVICE_MILLISECONDS : 0;
         const { grantId } = service.grantOf(end.key);
-        const common = { load: -1, silent: false, rested: 0 };
+        const common = { load: -1, silent: false, rested: 0, announcement: null };
         service.dispatcher.report(grantId, { outcome: end.outcome, elapsed, ...common });
       }
     }
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -27,6 +27,8 @@
 
   readonly decisions = new Map<string, grants.Decision>();
 
+  readonly announcements: grants.AnnouncementChange[] = [];
+
   readonly dispatcher: grants.CellDispatcher;
 
   private lastGrantId = 0;
@@ -41,6 +43,7 @@
         this.lastGrantId += 1;
         return this.lastGrantId;
       },
+      onAnnouncement: (change) => this.announcements.push(change),
       decide: ({ key }, decision) => this.decisions.set(key, decision),
     });
     this.dispatcher.updateEndpoints(endpoints);
@@ -80,7 +83,12 @@
   }
 
   /** Requests a slot, unless `key` is given, and reports the outcome of the attempt after `elapsed` milliseconds. */
-  run(outcome: grants.AttemptResult['outcome'], elapsed: number, key = this.ask()): Granted {
+  run(
+    outcome: grants.AttemptResult['outcome'],
+    elapsed: number,
+    key = this.ask(),
+    announcement: grants.AttemptResult['announcement'] = null,
+  ): Granted {
     const granted = this.grantOf(key);
     this.now += elapsed;
     this.dispatcher.report(granted.grantId, {
@@ -89,6 +97,7 @@
       load: -1,
       silent: false,
       rested: 0,
+      announcement,
     });
     return granted;
   }
--- a/packages/routing/grants/test/slot-count.test.ts
+++ b/packages/routing/grants/test/slot-count.test.ts
@@ -19,7 +19,11 @@
     expiresAt: 1000,
     fingerprint: '1',
   });
-  lost.finishAttempt(1, { outcome: 'refused', elapsed: 1, load: -1, silent: true, rested: 0 }, 1);
+  lost.finishAttempt(
+    1,
+    { outcome: 'refused', elapsed: 1, load: -1, silent: true, rested: 0, announcement: null },
+    1,
+  );
   assert.deepEqual(countSlots(states, 1), { slots: 2, free: 2 });
 });
 
