--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -16,9 +16,13 @@
 
   private readonly dispatchLog: DecisionLog;
 
+  /** Has a limit of its own, so that the many grants do not displace the few changes of what endpoints announce. */
+  private readonly announcementLog: DecisionLog;
+
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
     this.entryLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
     this.dispatchLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
+    this.announcementLog = new DecisionLog(log.getLogger('announcement'), decisionsPerSecond);
   }
 
   /** Records a completed request. */
@@ -52,7 +56,7 @@
     const { endpoint, source, requestsPerSecond, leaving, previous } = change;
     const hasEnded = requestsPerSecond === null && !leaving;
     this.metricsServer?.countAnnouncement(hasEnded ? 'ended' : 'learned');
-    this.dispatchLog.write(
+    this.announcementLog.write(
       hasEnded ? 'endpoint announcement ended' : 'endpoint announcement learned',
       {
         cell,
@@ -69,6 +73,7 @@
   close(): void {
     this.entryLog.close();
     this.dispatchLog.close();
+    this.announcementLog.close();
     this.metricsServer?.close();
   }
 }
