--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -22,7 +22,7 @@
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
     this.entryLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
     this.dispatchLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
-    this.announcementLog = new DecisionLog(log.getLogger('announcement'), decisionsPerSecond);
+    this.announcementLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
   }
 
   /** Records a completed request. */
