--- /dev/null
+++ b/packages/routing/grants/test/announced-limit.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Endpoints that announce how many requests per second they accept from all daemons together, in virtual time.
+ *
+ * Pattern `announced-limit`: most endpoints of a cell announce limits below their usual share of the load.
+ */
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Endpoint } from '@dogwoodstall/traffic';
+import { SteadyLoad } from './steady-load.js';
+import { VirtualService, createEndpoint } from './fixture.js';
+
+/** The platform checks arrivals in any span of this length, from this long after the first announcement. */
+const WINDOW_MILLISECONDS = 4000;
+const STABILITY_MILLISECONDS = 3000;
+const ALLOWED_MULTIPLE = 1.5;
+const ALLOWED_EXTRA = 5;
+const LIMITS = [0, 0.4, 1.2, 2.5, 3.5, 5.2, 6.6];
+
+function assertWithinLimit(times: readonly number[], limit: number, from: number): void {
+  const bound = times.filter((at) => at > from);
+  const allowed = ALLOWED_MULTIPLE * limit * (WINDOW_MILLISECONDS / 1000) + ALLOWED_EXTRA;
+  for (const [index, at] of bound.entries()) {
+    const count = bound.slice(index).filter((other) => other < at + WINDOW_MILLISECONDS).length;
+    assert.ok(count <= allowed, `${count} requests in 4 s at a limit of ${limit}/s`);
+  }
+}
+
+function createEndpoints(count: number): Endpoint[] {
+  return Array.from({ length: count }, (_, index) => createEndpoint(`e${index}`));
+}
+
+/** Seven of ten endpoints announce a limit. */
+function findLimit({ id }: Endpoint): number | null {
+  const index = Number(id.slice(1));
+  return index % 10 < 7 ? (LIMITS[index % 7] as number) : null;
+}
+
+test('announced-limit: no endpoint gets more requests than it has announced, and all others are served', () => {
+  const endpoints = createEndpoints(30);
+  const load = new SteadyLoad(new VirtualService(endpoints));
+  const startedAt = load.service.now;
+  const { granted, refused } = load.run(20_000, findLimit);
+  for (const endpoint of endpoints) {
+    const limit = findLimit(endpoint);
+    if (limit !== null) {
+      const times = load.listGrants(endpoint.id);
+      assertWithinLimit(times, limit, startedAt + STABILITY_MILLISECONDS);
+      assert.ok(times.length > 3, `${endpoint.id} is still tried, to learn when its limit ends`);
+    }
+  }
+  assert.ok(refused < granted / 100, `${refused} of ${granted} refused although there is room`);
+});
+
+test('announced-limit: an endpoint is used fully again soon after it no longer announces a limit', () => {
+  const load = new SteadyLoad(new VirtualService(createEndpoints(8)));
+  load.run(8000, () => 1);
+  load.run(4000, () => null);
+  const { granted, refused } = load.run(4000, () => null);
+  assert.ok(granted > 550 && refused === 0, `${granted} granted, ${refused} refused after 4 s`);
+});
+
+test('announced-limit: requests above the sum of the limits are refused at once, with a time to return', () => {
+  const load = new SteadyLoad(new VirtualService(createEndpoints(8)));
+  load.run(5000, () => 5);
+  const { granted, refused, waitedForRefusal } = load.run(4000, () => 5);
+  assert.ok(granted > 4 * 8 * 5 * 0.8, `${granted} granted: the limits are used`);
+  assert.ok(granted < 4 * 8 * 5 * 1.2, `${granted} granted: the limits are kept`);
+  assert.ok(refused > 300, `${refused} refused`);
+  assert.ok(waitedForRefusal < 60, `refused after ${waitedForRefusal} ms on average`);
+  for (const decision of load.service.decisions.values()) {
+    assert.ok(decision.kind === 'grant' || decision.retryAfter > 0);
+  }
+});
--- /dev/null
+++ b/packages/routing/grants/test/steady-load.ts
@@ -0,0 +1,96 @@
+/**
+ * Steady load on one dispatcher in virtual time: 143 requests per second of 20 entry daemons, a third of them idempotent.
+ */
+import type { Endpoint } from '@dogwoodstall/traffic';
+import type * as grants from '../src/index.js';
+import type { VirtualService } from './fixture.js';
+
+const SERVICE_MILLISECONDS = 100;
+const STEP_MILLISECONDS = 7;
+const ENTRY_COUNT = 20;
+
+/** What became of the requests of one run. */
+export interface LoadResult {
+  readonly granted: number;
+  readonly refused: number;
+  /** Mean milliseconds from a request to its refusal. */
+  readonly waitedForRefusal: number;
+}
+
+/** Sends requests and lets each attempt succeed after a fixed time. */
+export class SteadyLoad {
+  private running: { readonly endsAt: number; readonly granted: grants.Decision }[] = [];
+
+  private readonly undecided = new Map<string, number>();
+
+  private readonly grantsByEndpoint = new Map<string, number[]>();
+
+  private step = 0;
+
+  constructor(public service: VirtualService) {}
+
+  /** Times at which an endpoint was granted. */
+  listGrants(endpoint: string): readonly number[] {
+    return this.grantsByEndpoint.get(endpoint) ?? [];
+  }
+
+  /** Runs the load; `findLimit` returns what an endpoint announces when it responds, or null. */
+  run(milliseconds: number, findLimit: (endpoint: Endpoint) => number | null): LoadResult {
+    const end = this.service.now + milliseconds;
+    let granted = 0;
+    let refused = 0;
+    let waited = 0;
+    while (this.service.now < end) {
+      this.step += 1;
+      this.service.now += STEP_MILLISECONDS;
+      this.finishAttempts(findLimit);
+      const entry = `entry-${this.step % ENTRY_COUNT}`;
+      this.undecided.set(
+        this.service.ask({ entry, idempotent: this.step % 3 === 0 }),
+        this.service.now,
+      );
+      this.service.dispatcher.tick();
+      for (const [key, askedAt] of this.undecided) {
+        const decision = this.service.decisions.get(key);
+        if (decision !== undefined) {
+          this.undecided.delete(key);
+        }
+        if (decision?.kind === 'grant') {
+          granted += 1;
+          this.recordGrant(decision);
+        } else if (decision?.kind === 'refuse') {
+          refused += 1;
+          waited += this.service.now - askedAt;
+        }
+      }
+    }
+    return { granted, refused, waitedForRefusal: refused === 0 ? 0 : waited / refused };
+  }
+
+  private recordGrant(granted: Extract<grants.Decision, { kind: 'grant' }>): void {
+    const { id } = granted.endpoint;
+    this.grantsByEndpoint.set(id, [...this.listGrants(id), this.service.now]);
+    this.running.push({ endsAt: this.service.now + SERVICE_MILLISECONDS, granted });
+  }
+
+  private finishAttempts(findLimit: (endpoint: Endpoint) => number | null): void {
+    const ended = this.running.filter(({ endsAt }) => endsAt <= this.service.now);
+    this.running = this.running.filter(({ endsAt }) => endsAt > this.service.now);
+    for (const { granted } of ended) {
+      if (granted.kind === 'grant') {
+        const limit = findLimit(granted.endpoint);
+        this.service.dispatcher.report(granted.grantId, {
+          outcome: 'success',
+          elapsed: SERVICE_MILLISECONDS,
+          load: -1,
+          silent: false,
+          rested: 0,
+          announcement:
+            limit === null
+              ? null
+              : { requestsPerSecond: limit, leaving: false, pauseMilliseconds: 0 },
+        });
+      }
+    }
+  }
+}
