Grant an endpoint no more requests than it announces to accept

Cause: a whole class of input was missing. Nothing read what an endpoint says of itself, so the dispatcher granted by slots alone.

A limited endpoint now has a token bucket at its dispatcher, the one place that sees the requests of all daemons. It starts empty, holds one request and 250 ms of the rate, and never falls below one request in 2 s, so that the end of a limit is noticed. Slots that a limit can't keep in use no longer count as capacity: what does not fit is refused at once.

Two tests of AnnouncedState now let a second pass between requests, as the endpoint in them is limited.

--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -286,7 +286,7 @@
   }
 
   private recordAnnouncement(
-    { announced, endpoint }: EndpointState,
+    state: EndpointState,
     { entry, startedAt }: Attempt,
     { announcement, outcome }: AttemptResult,
     now: number,
@@ -294,11 +294,12 @@
     if (announcement === null && !ANSWERED_OUTCOMES.has(outcome)) {
       return;
     }
+    const { announced, endpoint } = state;
     const previous = {
       requestsPerSecond: announced.requestsPerSecond,
       leaving: announced.leaving,
     };
-    if (announced.apply(announcement ?? noAnnouncement, startedAt, now)) {
+    if (state.applyAnnouncement(announcement ?? noAnnouncement, startedAt, now)) {
       const { requestsPerSecond, leaving } = announced;
       this.options.onAnnouncement({
         endpoint,
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -3,7 +3,7 @@
  * that other daemons cause.
  */
 import { type Announcement, type Endpoint, isSameLifetime } from '@dogwoodstall/traffic';
-import { AnnouncedState } from './announced-state.js';
+import { AnnouncedState, type FleetAnnouncement } from './announced-state.js';
 import { EntryPaths } from './entry-paths.js';
 import {
   FailureEstimate,
@@ -11,6 +11,7 @@
   computeSilenceRatio,
   updateProbability,
 } from './failure-estimate.js';
+import { RequestRateLimit } from './request-rate-limit.js';
 
 /** Backoff after a refused connection; doubles with each further one until the endpoint responds. */
 const INITIAL_BACKOFF_MILLISECONDS = 300;
@@ -81,6 +82,12 @@
 
   private warmUpUntil: number;
 
+  /** Set while the endpoint announces a limit. */
+  private rateLimit: RequestRateLimit | undefined;
+
+  /** Mean service time of the route of the last grant. */
+  private lastExpected: number | undefined;
+
   constructor(
     private description: Endpoint,
     now: number,
@@ -100,6 +107,7 @@
       this.attemptsInFlight.clear();
       this.paths.clear();
       this.announced.clear();
+      this.rateLimit = undefined;
       this.backoffUntil = -Infinity;
       this.warmUpUntil = now + endpoint.warmUpMilliseconds;
     }
@@ -111,11 +119,37 @@
     return !this.description.draining && now >= this.backoffUntil && this.countFreeSlots(now) > 0;
   }
 
-  /** Number of slots that neither attempts in flight nor the load of other daemons occupies. */
+  /**
+   * Number of slots that neither attempts in flight nor the load of other daemons occupies and that the announced limit
+   * allows to use now.
+   */
   countFreeSlots(now: number): number {
     const usedByOthers =
       now - this.otherDaemonsLoadAt < OTHER_DAEMONS_LOAD_MILLISECONDS ? this.otherDaemonsLoad : 0;
-    return this.description.slots - this.attemptsInFlight.size - usedByOthers;
+    const free = this.description.slots - this.attemptsInFlight.size - usedByOthers;
+    return this.rateLimit === undefined ? free : Math.min(free, this.rateLimit.countAllowed(now));
+  }
+
+  /** Number of slots that can be kept in use; below the endpoint's own if it announces a limit. */
+  get usableSlots(): number {
+    const { slots } = this.description;
+    return this.rateLimit === undefined || this.lastExpected === undefined
+      ? slots
+      : Math.min(slots, this.rateLimit.perMillisecond * this.lastExpected);
+  }
+
+  /** Applies what a response announced; see `AnnouncedState.apply`. */
+  applyAnnouncement(announcement: FleetAnnouncement, sentAt: number, now: number): boolean {
+    const hasChanged = this.announced.apply(announcement, sentAt, now);
+    const { requestsPerSecond } = this.announced;
+    if (requestsPerSecond === null) {
+      this.rateLimit = undefined;
+    } else if (this.rateLimit === undefined) {
+      this.rateLimit = new RequestRateLimit(requestsPerSecond, now);
+    } else if (hasChanged) {
+      this.rateLimit.setRate(requestsPerSecond, now);
+    }
+    return hasChanged;
   }
 
   /** Whether the endpoint is still in its warm-up period. */
@@ -148,6 +182,8 @@
   /** Registers a granted attempt. */
   startAttempt(grantId: number, attempt: Attempt): void {
     this.attemptsInFlight.set(grantId, attempt);
+    this.rateLimit?.take(attempt.startedAt);
+    this.lastExpected = attempt.expected;
     this.lastGrantAt = attempt.startedAt;
     this.paths.recordUse(attempt.entry, attempt.startedAt);
   }
--- a/packages/routing/grants/src/slot-count.ts
+++ b/packages/routing/grants/src/slot-count.ts
@@ -14,7 +14,10 @@
   readonly free: number;
 }
 
-/** Counts the slots of endpoints that are reachable, not draining and not suspects. */
+/**
+ * Counts the slots of endpoints that are reachable, not draining and not suspects. Of an endpoint that announces a limit,
+ * only as many count as the limit can keep in use.
+ */
 export function countSlots(states: Iterable<EndpointState>, now: number): SlotCount {
   let slots = 0;
   let free = 0;
@@ -24,7 +27,7 @@
       !state.isInBackoff(now) &&
       state.estimateRisk(now) < SUSPECT_RISK
     ) {
-      slots += state.endpoint.slots;
+      slots += state.usableSlots;
       free += Math.max(0, state.countFreeSlots(now));
     }
   }
--- a/packages/routing/grants/test/announced-state.test.ts
+++ b/packages/routing/grants/test/announced-state.test.ts
@@ -8,6 +8,7 @@
 test('a change of what an endpoint announces is reported once, with the daemon that saw it', () => {
   const service = new VirtualService([createEndpoint('one')]);
   service.run('success', 20, service.ask({ entry: 'first' }), limited);
+  service.now += 1000;
   service.run('success', 20, service.ask({ entry: 'second' }), limited);
   service.now += 1000;
   service.run('success', 20, service.ask({ entry: 'third' }));
@@ -32,6 +33,7 @@
 test('an attempt without a response does not end a limit', () => {
   const service = new VirtualService([createEndpoint('one')]);
   service.run('success', 20, service.ask(), limited);
+  service.now += 1000;
   service.run('abandoned', 300);
   assert.equal(service.announcements.length, 1);
 });
