Keep announced limits when the dispatcher of a cell changes

A dispatcher that takes over learned of a limit only with its first responses, and a standby could later spend what the former dispatcher had already spent. Tests in virtual time fail before: 36 requests in 4 s at a limit of 2/s (17 are allowed) when dispatchers follow each other each second, 43 at 6/s (41 allowed) when three standbys do.

Dispatchers tell their standbys in each pong what endpoints announce, by id and lifetime. A standby gives up its tokens whenever it hears that another dispatcher spends them, and a daemon that grants beside the dispatcher of the cell uses a quarter of the limits.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -53,21 +53,20 @@
 
   /** Records that an endpoint announces something else than before. */
   recordAnnouncement(cell: string, change: grants.AnnouncementChange): void {
-    const { endpoint, source, requestsPerSecond, leaving, previous } = change;
+    const { endpoint, origin, source, requestsPerSecond, leaving, previous } = change;
     const hasEnded = requestsPerSecond === null && !leaving;
-    this.metricsServer?.countAnnouncement(hasEnded ? 'ended' : 'learned');
-    this.announcementLog.write(
-      hasEnded ? 'endpoint announcement ended' : 'endpoint announcement learned',
-      {
-        cell,
-        endpoint: endpoint.id,
-        lifetime: endpoint.lifetime,
-        requestsPerSecond,
-        leaving,
-        previous,
-        source,
-      },
-    );
+    const heard = origin === 'response' ? 'learned' : 'relayed';
+    const event = hasEnded ? 'ended' : heard;
+    this.metricsServer?.countAnnouncement(event);
+    this.announcementLog.write(`endpoint announcement ${event}`, {
+      cell,
+      endpoint: endpoint.id,
+      lifetime: endpoint.lifetime,
+      requestsPerSecond,
+      leaving,
+      previous,
+      source,
+    });
   }
 
   close(): void {
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -11,8 +11,10 @@
   readonly ['grant' | 'refuse' | 'queued', unknown]
 >;
 
-/** The suspected endpoints of a cell, which a dispatcher reports to its standby. */
-export type CellSuspects = datagrams.Pong['cells'][number];
+/** The suspected endpoints of a cell and what endpoints announce, which a dispatcher reports to its standby. */
+export type CellReport = datagrams.Pong['cells'][number];
+
+type AnnouncementTuple = NonNullable<CellReport['announcements']>[number];
 
 /** Options of `DispatcherRole`. */
 export interface DispatcherRoleOptions {
@@ -21,6 +23,8 @@
   readonly directory: Directory;
   /** Returns this daemon's share of the retry budget of a cell; small when another daemon is its dispatcher. */
   readonly retryBudget: (cell: string) => grants.RetryBudget;
+  /** Returns the share of announced limits that this daemon may use in a cell. */
+  readonly limitShare: (cell: string) => number;
   readonly onDecision: (
     cell: string,
     request: grants.SlotRequest,
@@ -179,22 +183,40 @@
     }
   }
 
-  /** Returns the suspected endpoints of the cells that this daemon currently dispatches. */
-  listCellSuspects(): CellSuspects[] {
-    const cells: CellSuspects[] = [];
+  /** Reports on the endpoints of the cells that this daemon currently dispatches. */
+  listCellReports(): CellReport[] {
+    const cells: CellReport[] = [];
     for (const [name, dispatcher] of this.cells) {
       if (this.isActiveFor(name)) {
-        cells.push({ name, suspects: dispatcher.listSuspects() });
+        const announcements = dispatcher
+          .listAnnouncements()
+          .map(({ endpoint, lifetime, requestsPerSecond, leaving }): AnnouncementTuple => [
+            endpoint,
+            lifetime,
+            requestsPerSecond,
+            leaving,
+          ]);
+        cells.push({ name, suspects: dispatcher.listSuspects(), announcements });
       }
     }
     return cells;
   }
 
-  /** Imports the suspected endpoints that an active dispatcher reports, for cells that this daemon does not dispatch. */
-  importCellSuspects(cells: readonly CellSuspects[]): void {
-    for (const { name, suspects } of cells) {
+  /** Imports what an active dispatcher reports, for cells that this daemon does not dispatch. */
+  importCellReports(cells: readonly CellReport[], source: string): void {
+    for (const { name, suspects, announcements } of cells) {
       if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
-        this.getOrCreate(name).importSuspects(new Set(suspects));
+        const dispatcher = this.getOrCreate(name);
+        dispatcher.importSuspects(new Set(suspects));
+        if (announcements !== undefined) {
+          const relayed = announcements.map(([endpoint, lifetime, requestsPerSecond, leaving]) => ({
+            endpoint,
+            lifetime,
+            requestsPerSecond,
+            leaving,
+          }));
+          dispatcher.importAnnouncements(relayed, source);
+        }
       }
     }
   }
@@ -210,6 +232,7 @@
       dispatcher = new grants.CellDispatcher({
         now: () => performance.now(),
         retryBudget: () => this.options.retryBudget(cell),
+        limitShare: () => this.options.limitShare(cell),
         nextGrantId: () => {
           this.lastGrantId += 1;
           return this.lastGrantId;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -101,6 +101,7 @@
       self: settings.name,
       directory: this.directory,
       retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
+      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
       onAnnouncement: (cell, change) => this.reporter.recordAnnouncement(cell, change),
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -63,7 +63,7 @@
     }
     candidates().receivePong(member.name, pong);
     roleAssignment.recordStoreContact(member.name, pong.storeAge);
-    dispatcherRole.importCellSuspects(pong.cells);
+    dispatcherRole.importCellReports(pong.cells, member.name);
     peerState.fetchIfNewer(pong, from.host, pong.memberDigest !== members.digest);
   }
 
@@ -101,7 +101,7 @@
           directoryRevision: directory.endpointRevision,
           storeAge: Math.round(roleAssignment.storeAge),
           memberDigest: members.digest,
-          cells: standby ? dispatcherRole.listCellSuspects() : [],
+          cells: standby ? dispatcherRole.listCellReports() : [],
         },
       ],
       to,
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -32,6 +32,9 @@
 /** Share of the slack that all other daemons together may use. */
 const OTHER_BUDGET_SHARE = 0.3;
 
+/** Share of announced limits that daemons use which grant requests of a cell beside its dispatcher. */
+const OTHER_LIMIT_SHARE = 0.25;
+
 /** Options of `RoleAssignment`. */
 export interface RoleAssignmentOptions {
   readonly members: MemberTable;
@@ -93,6 +96,15 @@
     return { ratio, slack: (slack * OTHER_BUDGET_SHARE) / memberCount, windowMilliseconds };
   }
 
+  /**
+   * Returns the share of announced limits that this daemon may use in a cell: all as its dispatcher, and little while it
+   * grants requests although another daemon dispatches the cell.
+   */
+  computeLimitShare(cell: grants.Cell): number {
+    const [first] = this.options.candidates().listLeading(cell);
+    return first === this.options.members.self.name ? 1 : OTHER_LIMIT_SHARE;
+  }
+
   /** Whether this daemon has to watch the store. */
   isResponsibleForStore(): boolean {
     const responsibleAtStart = this.isResponsibleAtStart();
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -30,6 +30,7 @@
     directory,
     retryBudget: () => ({ ratio: 0.2, slack: 20, windowMilliseconds: 10_000 }),
     onDecision: (_cell, _request, decision) => decisions.push(decision),
+    limitShare: () => 1,
     onAnnouncement: () => {},
   });
   return { role, decisions };
@@ -56,7 +57,7 @@
 
 test('imported suspects of one cell do not affect the failure estimates of another cell', () => {
   const { role, decisions } = createRole();
-  role.importCellSuspects([{ name: 'valuation', suspects: ['valuation-1'] }]);
+  role.importCellReports([{ name: 'valuation', suspects: ['valuation-1'] }], 'daemon-2');
   role.ask('entry', createAsk('valuation', 1), () => {});
   role.ask('entry', createAsk('archive', 2), () => {});
   const [reported, other] = decisions;
@@ -129,7 +130,7 @@
       }
       decisions.length = 0;
       role.updateEndpoints();
-      const risk = role.listCellSuspects().flatMap(({ suspects }) => suspects);
+      const risk = role.listCellReports().flatMap(({ suspects }) => suspects);
       assert.ok(risk.every((id) => /^(valuation|archive)-\d$/.test(id)));
       role.ask('other', { ...createAsk('archive', 99), idempotent: true }, () => {});
       const refusal = decisions.find((decision) => decision.kind === 'refuse');
@@ -149,5 +150,5 @@
     role.ask('entry', createAsk(`unknown-${askId}`, askId), ([kind]) => responses.push(kind));
   }
   assert.deepEqual([...new Set(responses)], ['refuse']);
-  assert.deepEqual(role.listCellSuspects(), []);
+  assert.deepEqual(role.listCellReports(), []);
 });
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -139,6 +139,15 @@
         name: z.string(),
         /** Ids of the endpoints that are unreachable or probably in a gray failure. */
         suspects: z.array(z.string()),
+        /**
+         * What endpoints announce: id, lifetime, requests per second (null without a limit), and whether they are about
+         * to stop. Absent from older daemons.
+         */
+        announcements: z
+          .array(
+            z.tuple([z.string(), z.number(), z.number().nonnegative().nullable(), z.boolean()]),
+          )
+          .optional(),
       }),
     ),
   }),
--- a/packages/routing/grants/src/announced-state.ts
+++ b/packages/routing/grants/src/announced-state.ts
@@ -15,6 +15,11 @@
   /** Time of the last response or report that stated what is in force. */
   private confirmedAt = -Infinity;
 
+  /** What is in force. */
+  get current(): FleetAnnouncement {
+    return this.announcement;
+  }
+
   /** Requests per second that the endpoint accepts from all daemons together; null without a limit. */
   get requestsPerSecond(): number | null {
     return this.announcement.requestsPerSecond;
@@ -30,11 +35,6 @@
     return this.requestsPerSecond === null && !this.leaving;
   }
 
-  /** Milliseconds since a daemon last reported what is in force. */
-  getAge(now: number): number {
-    return now - this.confirmedAt;
-  }
-
   /**
    * Applies what a response announced; `sentAt` is when its request was granted. A response without a limit ends one
    * only if its request was granted after the limit was confirmed, because reports arrive in any order. An endpoint that
@@ -43,17 +43,19 @@
   apply({ requestsPerSecond, leaving }: FleetAnnouncement, sentAt: number, now: number): boolean {
     const previous = this.announcement;
     const mayEnd = sentAt > this.confirmedAt;
-    const next = {
+    const next: FleetAnnouncement = {
       requestsPerSecond: requestsPerSecond ?? (mayEnd ? null : previous.requestsPerSecond),
       leaving: leaving || previous.leaving,
     };
     if (requestsPerSecond !== null || leaving) {
       this.confirmedAt = now;
     }
-    this.announcement = next;
-    return (
-      next.requestsPerSecond !== previous.requestsPerSecond || next.leaving !== previous.leaving
-    );
+    const hasChanged =
+      next.requestsPerSecond !== previous.requestsPerSecond || next.leaving !== previous.leaving;
+    if (hasChanged) {
+      this.announcement = next;
+    }
+    return hasChanged;
   }
 
   /** Forgets everything, for a new process of the endpoint. */
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -41,17 +41,27 @@
 /** A change of what an endpoint announces. */
 export interface AnnouncementChange extends FleetAnnouncement {
   readonly endpoint: Endpoint;
-  /** The daemon that received the response. */
+  /** Whether a response to a request showed it, or another dispatcher of the cell reported it. */
+  readonly origin: 'response' | 'dispatcher';
+  /** The daemon that received the response, or the other dispatcher. */
   readonly source: string;
   /** What was in force before. */
   readonly previous: FleetAnnouncement;
 }
 
+/** What one process of an endpoint announces, as dispatchers tell each other. */
+export interface RelayedAnnouncement extends FleetAnnouncement {
+  readonly endpoint: string;
+  readonly lifetime: number;
+}
+
 /** Options of `CellDispatcher`. */
 export interface CellDispatcherOptions {
   readonly now: () => number;
   /** Returns the current retry budget; it changes when another daemon becomes the dispatcher. */
   readonly retryBudget: () => RetryBudget;
+  /** Returns the share of announced limits that this daemon may use; below 1 if another daemon dispatches the cell. */
+  readonly limitShare: () => number;
   /** Called with the decision about each request that was not withdrawn. */
   readonly decide: (request: SlotRequest, decision: Decision) => void;
   readonly nextGrantId: () => number;
@@ -123,7 +133,7 @@
       currentIds.add(endpoint.id);
       const state = this.states.get(endpoint.id);
       if (state === undefined) {
-        this.states.set(endpoint.id, new EndpointState(endpoint, now));
+        this.states.set(endpoint.id, new EndpointState(endpoint, now, this.options.limitShare));
       } else {
         state.update(endpoint, now);
       }
@@ -266,6 +276,34 @@
     }
   }
 
+  /** Lists what the endpoints announce, for the other dispatchers of the cell. */
+  listAnnouncements(): RelayedAnnouncement[] {
+    const announcements: RelayedAnnouncement[] = [];
+    for (const { endpoint, announced } of this.states.values()) {
+      if (!announced.isEmpty) {
+        announcements.push({
+          endpoint: endpoint.id,
+          lifetime: endpoint.lifetime,
+          ...announced.current,
+        });
+      }
+    }
+    return announcements;
+  }
+
+  /** Applies what another dispatcher, the active one of the cell, knows; what it does not list has ended. */
+  importAnnouncements(announcements: readonly RelayedAnnouncement[], source: string): void {
+    const now = this.options.now();
+    const byEndpoint = new Map(announcements.map((entry) => [entry.endpoint, entry]));
+    for (const [id, state] of this.states) {
+      const relayed = byEndpoint.get(id);
+      const isSame = relayed?.lifetime === state.endpoint.lifetime;
+      const stated = isSame ? relayed : noAnnouncement;
+      this.applyAnnouncement(state, stated, { origin: 'dispatcher', source, sentAt: now }, now);
+      state.drainRateLimit(now);
+    }
+  }
+
   private recordResult(
     state: EndpointState,
     attempt: Attempt,
@@ -294,20 +332,22 @@
     if (announcement === null && !ANSWERED_OUTCOMES.has(outcome)) {
       return;
     }
+    // An attempt without a response of the endpoint shows nothing about what it no longer announces.
+    const sentAt = ANSWERED_OUTCOMES.has(outcome) ? startedAt : -Infinity;
+    const stated = announcement ?? noAnnouncement;
+    this.applyAnnouncement(state, stated, { origin: 'response', source: entry, sentAt }, now);
+  }
+
+  private applyAnnouncement(
+    state: EndpointState,
+    announcement: FleetAnnouncement,
+    { sentAt, ...origin }: Pick<AnnouncementChange, 'origin' | 'source'> & { sentAt: number },
+    now: number,
+  ): void {
     const { announced, endpoint } = state;
-    const previous = {
-      requestsPerSecond: announced.requestsPerSecond,
-      leaving: announced.leaving,
-    };
-    if (state.applyAnnouncement(announcement ?? noAnnouncement, startedAt, now)) {
-      const { requestsPerSecond, leaving } = announced;
-      this.options.onAnnouncement({
-        endpoint,
-        source: entry,
-        requestsPerSecond,
-        leaving,
-        previous,
-      });
+    const previous = announced.current;
+    if (state.applyAnnouncement(announcement, sentAt, now)) {
+      this.options.onAnnouncement({ endpoint, ...origin, ...announced.current, previous });
     }
   }
 
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -91,6 +91,7 @@
   constructor(
     private description: Endpoint,
     now: number,
+    private readonly getLimitShare: () => number = () => 1,
   ) {
     this.failureEstimate = new FailureEstimate(now);
     this.warmUpUntil = now + description.warmUpMilliseconds;
@@ -138,6 +139,11 @@
       : Math.min(slots, this.rateLimit.perMillisecond * this.lastExpected);
   }
 
+  /** Gives up the requests that the announced limit allows now, because another dispatcher grants them. */
+  drainRateLimit(now: number): void {
+    this.rateLimit?.drain(now);
+  }
+
   /** Applies what a response announced; see `AnnouncedState.apply`. */
   applyAnnouncement(announcement: FleetAnnouncement, sentAt: number, now: number): boolean {
     const hasChanged = this.announced.apply(announcement, sentAt, now);
@@ -145,7 +151,7 @@
     if (requestsPerSecond === null) {
       this.rateLimit = undefined;
     } else if (this.rateLimit === undefined) {
-      this.rateLimit = new RequestRateLimit(requestsPerSecond, now);
+      this.rateLimit = new RequestRateLimit(requestsPerSecond, this.getLimitShare, now);
     } else if (hasChanged) {
       this.rateLimit.setRate(requestsPerSecond, now);
     }
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -5,6 +5,7 @@
 export {
   type AnnouncementChange,
   type Decision,
+  type RelayedAnnouncement,
   type CellDispatcherOptions,
   CellDispatcher,
 } from './cell-dispatcher.js';
--- a/packages/routing/grants/src/request-rate-limit.ts
+++ b/packages/routing/grants/src/request-rate-limit.ts
@@ -3,28 +3,26 @@
  */
 
 /** Tokens that an unused bucket keeps: a whole request, and what accrues in this time. */
-const BURST_MILLISECONDS = 250;
+const BURST_MILLISECONDS = 1000;
 /** An endpoint that accepts less is still sent requests at this rate, since only a response shows that its limit ended. */
 const MINIMUM_PER_SECOND = 0.5;
 
 /** Limits the requests per second of one endpoint. */
 export class RequestRateLimit {
-  private perSecond: number;
-
   /** Starts empty, because other requests were sent before the limit was known. */
   private tokens = 0;
 
+  /** `getShare` returns the current share of the rate that this daemon may use. */
   constructor(
-    perSecond: number,
+    private perSecond: number,
+    private readonly getShare: () => number,
     private refilledAt: number,
-  ) {
-    this.perSecond = Math.max(MINIMUM_PER_SECOND, perSecond);
-  }
+  ) {}
 
   /** Changes the rate from now on. */
   setRate(perSecond: number, now: number): void {
     this.refill(now);
-    this.perSecond = Math.max(MINIMUM_PER_SECOND, perSecond);
+    this.perSecond = perSecond;
   }
 
   /** Number of requests that may be sent now. */
@@ -39,9 +37,15 @@
     this.tokens -= 1;
   }
 
+  /** Removes all tokens, because another dispatcher has used them. */
+  drain(now: number): void {
+    this.refill(now);
+    this.tokens = Math.min(0, this.tokens);
+  }
+
   /** Requests per millisecond that the bucket allows in the long run. */
   get perMillisecond(): number {
-    return this.perSecond / 1000;
+    return (Math.max(MINIMUM_PER_SECOND, this.perSecond) * this.getShare()) / 1000;
   }
 
   private refill(now: number): void {
--- a/packages/routing/grants/test/announced-limit.test.ts
+++ b/packages/routing/grants/test/announced-limit.test.ts
@@ -71,3 +71,71 @@
     assert.ok(decision.kind === 'grant' || decision.retryAfter > 0);
   }
 });
+
+test('announced-limit: a dispatcher that takes over keeps the limits that the former one reported', () => {
+  const endpoints = ['one', 'other'].map((id) => createEndpoint(id, { slots: 8 }));
+  const load = new SteadyLoad(new VirtualService(endpoints));
+  const startedAt = load.service.now;
+  for (let handOver = 0; handOver < 12; handOver += 1) {
+    load.run(1000, () => 2);
+    const next = new VirtualService(endpoints);
+    next.now = load.service.now;
+    next.dispatcher.importAnnouncements(load.service.dispatcher.listAnnouncements(), 'former');
+    load.handOver(next);
+  }
+  for (const endpoint of endpoints) {
+    assertWithinLimit(load.listGrants(endpoint.id), 2, startedAt + STABILITY_MILLISECONDS);
+  }
+});
+
+test('announced-limit: standbys that take over one after the other do not add up what the limits allow', () => {
+  const endpoints = createEndpoints(8);
+  const load = new SteadyLoad(new VirtualService(endpoints));
+  const startedAt = load.service.now;
+  const standbys = [1, 2, 3].map(() => new VirtualService(endpoints));
+  const exchange = (): void => {
+    for (const standby of standbys) {
+      standby.now = load.service.now;
+      const announcements = load.service.dispatcher.listAnnouncements();
+      standby.dispatcher.importAnnouncements(announcements, 'active');
+    }
+  };
+  for (let ping = 0; ping < 16; ping += 1) {
+    load.run(450, () => 6);
+    exchange();
+  }
+  for (let next = standbys.shift(); next !== undefined; next = standbys.shift()) {
+    load.handOver(next);
+    load.run(450, () => 6);
+    exchange();
+  }
+  load.run(2500, () => 6);
+  for (const endpoint of endpoints) {
+    assertWithinLimit(load.listGrants(endpoint.id), 6, startedAt + STABILITY_MILLISECONDS);
+  }
+});
+
+test('announced-limit: a daemon that grants beside the dispatcher of the cell uses a part of the limit', () => {
+  const service = new VirtualService(createEndpoints(8));
+  service.limitShare = 0.25;
+  const load = new SteadyLoad(service);
+  load.run(5000, () => 8);
+  const { granted } = load.run(4000, () => 8);
+  assert.ok(granted <= 4 * 8 * 8 * 0.25 * 1.2, `${granted} granted`);
+});
+
+test('announced-limit: what another dispatcher no longer lists, or lists for an earlier process, is not in force', () => {
+  const service = new VirtualService([createEndpoint('one', { lifetime: 2 })]);
+  const relayed = { endpoint: 'one', requestsPerSecond: 3, leaving: true };
+  service.dispatcher.importAnnouncements([{ ...relayed, lifetime: 1 }], 'former');
+  assert.deepEqual(service.dispatcher.listAnnouncements(), []);
+  service.dispatcher.importAnnouncements([{ ...relayed, leaving: false, lifetime: 2 }], 'former');
+  assert.equal(service.dispatcher.listAnnouncements().length, 1);
+  service.now += 10;
+  service.dispatcher.importAnnouncements([], 'former');
+  assert.deepEqual(service.dispatcher.listAnnouncements(), []);
+  assert.deepEqual(
+    service.announcements.map(({ origin, source }) => `${origin} ${source}`),
+    ['dispatcher former', 'dispatcher former'],
+  );
+});
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -25,6 +25,9 @@
 export class VirtualService {
   now = 1000;
 
+  /** Share of announced limits that the dispatcher may use. */
+  limitShare = 1;
+
   readonly decisions = new Map<string, grants.Decision>();
 
   readonly announcements: grants.AnnouncementChange[] = [];
@@ -39,6 +42,7 @@
     this.dispatcher = new grants.CellDispatcher({
       now: () => this.now,
       retryBudget: () => ({ ratio: 0.2, slack: 60, windowMilliseconds: 10_000, ...budget }),
+      limitShare: () => this.limitShare,
       nextGrantId: () => {
         this.lastGrantId += 1;
         return this.lastGrantId;
--- a/packages/routing/grants/test/steady-load.ts
+++ b/packages/routing/grants/test/steady-load.ts
@@ -17,9 +17,15 @@
   readonly waitedForRefusal: number;
 }
 
+interface RunningAttempt {
+  readonly endsAt: number;
+  readonly service: VirtualService;
+  readonly granted: Extract<grants.Decision, { kind: 'grant' }>;
+}
+
 /** Sends requests and lets each attempt succeed after a fixed time. */
 export class SteadyLoad {
-  private running: { readonly endsAt: number; readonly granted: grants.Decision }[] = [];
+  private running: RunningAttempt[] = [];
 
   private readonly undecided = new Map<string, number>();
 
@@ -29,6 +35,13 @@
 
   constructor(public service: VirtualService) {}
 
+  /** Sends all further requests to another dispatcher, without waiting for those in flight. */
+  handOver(service: VirtualService): void {
+    Object.assign(service, { now: this.service.now });
+    this.service = service;
+    this.undecided.clear();
+  }
+
   /** Times at which an endpoint was granted. */
   listGrants(endpoint: string): readonly number[] {
     return this.grantsByEndpoint.get(endpoint) ?? [];
@@ -67,30 +80,30 @@
     return { granted, refused, waitedForRefusal: refused === 0 ? 0 : waited / refused };
   }
 
-  private recordGrant(granted: Extract<grants.Decision, { kind: 'grant' }>): void {
+  private recordGrant(granted: RunningAttempt['granted']): void {
     const { id } = granted.endpoint;
     this.grantsByEndpoint.set(id, [...this.listGrants(id), this.service.now]);
-    this.running.push({ endsAt: this.service.now + SERVICE_MILLISECONDS, granted });
+    const endsAt = this.service.now + SERVICE_MILLISECONDS;
+    this.running.push({ endsAt, service: this.service, granted });
   }
 
   private finishAttempts(findLimit: (endpoint: Endpoint) => number | null): void {
     const ended = this.running.filter(({ endsAt }) => endsAt <= this.service.now);
     this.running = this.running.filter(({ endsAt }) => endsAt > this.service.now);
-    for (const { granted } of ended) {
-      if (granted.kind === 'grant') {
-        const limit = findLimit(granted.endpoint);
-        this.service.dispatcher.report(granted.grantId, {
-          outcome: 'success',
-          elapsed: SERVICE_MILLISECONDS,
-          load: -1,
-          silent: false,
-          rested: 0,
-          announcement:
-            limit === null
-              ? null
-              : { requestsPerSecond: limit, leaving: false, pauseMilliseconds: 0 },
-        });
-      }
+    for (const { granted, service } of ended) {
+      const limit = findLimit(granted.endpoint);
+      Object.assign(service, { now: this.service.now });
+      service.dispatcher.report(granted.grantId, {
+        outcome: 'success',
+        elapsed: SERVICE_MILLISECONDS,
+        load: -1,
+        silent: false,
+        rested: 0,
+        announcement:
+          limit === null
+            ? null
+            : { requestsPerSecond: limit, leaving: false, pauseMilliseconds: 0 },
+      });
     }
   }
 }
