Grant no endpoint that announces to leave, and none to a daemon that it told to wait

Callers of daemons that had not heard the announcement were sent to an endpoint about to stop: the dispatcher knew the announcement of one daemon, but selection read the directory only.

An endpoint that leaves, by its own word or by the directory's, counts as draining for the whole cell until its next lifetime. A pause concerns the daemon that was told, so it is state of the path between the two; whether the fleet should keep away too is not decided here.

--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -336,6 +336,9 @@
     const sentAt = ANSWERED_OUTCOMES.has(outcome) ? startedAt : -Infinity;
     const stated = announcement ?? noAnnouncement;
     this.applyAnnouncement(state, stated, { origin: 'response', source: entry, sentAt }, now);
+    if (stated.pauseMilliseconds > 0) {
+      state.paths.pause(entry, now + stated.pauseMilliseconds, now);
+    }
   }
 
   private applyAnnouncement(
@@ -352,8 +355,8 @@
   }
 
   private hasNoUsableEndpoint(): boolean {
-    for (const { endpoint } of this.states.values()) {
-      if (!endpoint.draining) {
+    for (const { isDraining } of this.states.values()) {
+      if (!isDraining) {
         return false;
       }
     }
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -115,9 +115,14 @@
     this.description = endpoint;
   }
 
+  /** Whether the endpoint is about to stop, as it announced itself or as the directory says. */
+  get isDraining(): boolean {
+    return this.description.draining || this.announced.leaving;
+  }
+
   /** Whether the endpoint can be granted now to an entry daemon that reaches it. */
   isAvailable(now: number): boolean {
-    return !this.description.draining && now >= this.backoffUntil && this.countFreeSlots(now) > 0;
+    return !this.isDraining && now >= this.backoffUntil && this.countFreeSlots(now) > 0;
   }
 
   /**
--- a/packages/routing/grants/src/entry-paths.ts
+++ b/packages/routing/grants/src/entry-paths.ts
@@ -16,6 +16,8 @@
   lastSuccessAt: number;
   backoffUntil: number;
   backoffMilliseconds: number;
+  /** Until then the endpoint wants no requests from the entry daemon, whatever it responds to others. */
+  pausedUntil: number;
 }
 
 /** The paths to one endpoint, by entry daemon. */
@@ -42,6 +44,12 @@
     path.backoffMilliseconds = Math.min(MAXIMUM_BACKOFF_MILLISECONDS, path.backoffMilliseconds * 2);
   }
 
+  /** Keeps an entry daemon away from the endpoint until the given time, as the endpoint asked it to. */
+  pause(entry: string, until: number, now: number): void {
+    const path = this.getOrCreate(entry, now);
+    path.pausedUntil = Math.max(path.pausedUntil, until);
+  }
+
   /** Whether another entry daemon got a response since the given time. */
   hasOthersSuccessSince(entry: string, since: number): boolean {
     for (const [name, { lastSuccessAt }] of this.paths) {
@@ -52,10 +60,10 @@
     return false;
   }
 
-  /** Whether the path of an entry daemon is in backoff. */
+  /** Whether an entry daemon can't use the endpoint now, after a failed attempt or because the endpoint paused it. */
   isInBackoff(entry: string, now: number): boolean {
     const path = this.paths.get(entry);
-    return path !== undefined && now < path.backoffUntil;
+    return path !== undefined && now < Math.max(path.backoffUntil, path.pausedUntil);
   }
 
   /** Whether an entry daemon probably has an open connection to the endpoint. */
@@ -84,6 +92,7 @@
         lastSuccessAt: -Infinity,
         backoffUntil: -Infinity,
         backoffMilliseconds: INITIAL_BACKOFF_MILLISECONDS,
+        pausedUntil: -Infinity,
       };
       this.paths.set(entry, path);
     }
@@ -91,8 +100,8 @@
   }
 
   private prune(now: number): void {
-    for (const [entry, { lastUseAt, backoffUntil }] of this.paths) {
-      if (now - lastUseAt > CONNECTION_IDLE_MILLISECONDS && now > backoffUntil) {
+    for (const [entry, { lastUseAt }] of this.paths) {
+      if (now - lastUseAt > CONNECTION_IDLE_MILLISECONDS && !this.isInBackoff(entry, now)) {
         this.paths.delete(entry);
       }
     }
--- a/packages/routing/grants/src/slot-count.ts
+++ b/packages/routing/grants/src/slot-count.ts
@@ -22,11 +22,7 @@
   let slots = 0;
   let free = 0;
   for (const state of states) {
-    if (
-      !state.endpoint.draining &&
-      !state.isInBackoff(now) &&
-      state.estimateRisk(now) < SUSPECT_RISK
-    ) {
+    if (!state.isDraining && !state.isInBackoff(now) && state.estimateRisk(now) < SUSPECT_RISK) {
       slots += state.usableSlots;
       free += Math.max(0, state.countFreeSlots(now));
     }
