Keep a daemon from endpoints that told it to send no requests, whatever is granted

A dispatcher may grant an endpoint that has told the entry daemon that it leaves or wants a pause: its report may be lost, the grant may be older than the announcement, another dispatcher may have taken over, or the daemon dispatches for itself. The daemon now remembers what it was told and checks each grant against it at the moment of use; the grant goes back as unused with the announcement, so that the dispatcher learns it, and the next is asked for without the endpoint.

Grants carry the endpoint's lifetime, so that a new process at an id is not bound by the word of the old one; daemons of an older version send none, which matches any.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -4,6 +4,8 @@
 import type * as gateway from '@dogwoodstall/gateway';
 import type * as grants from '@dogwoodstall/grants';
 import type * as observability from '@dogwoodstall/observability';
+import type { Announcement } from '@dogwoodstall/traffic';
+import type { HoldReason } from './announced-holds.js';
 import { DecisionLog } from './decision-log.js';
 import type { MetricsServer } from './metrics-server.js';
 
@@ -69,6 +71,28 @@
     });
   }
 
+  /** Records that an endpoint told this daemon to send it no requests. */
+  recordHold(endpoint: string, { leaving, pauseMilliseconds }: Announcement): void {
+    this.metricsServer?.countAnnouncement('learned');
+    this.announcementLog.write('endpoint announcement learned', {
+      endpoint,
+      leaving,
+      pauseMilliseconds,
+      source: 'self',
+    });
+  }
+
+  /** Records that this daemon did not use an endpoint because the endpoint had told it so. */
+  recordHeldGrant(endpoint: string, { reason, age, announcement }: HoldReason): void {
+    this.metricsServer?.countAnnouncement('obeyed');
+    this.announcementLog.write('endpoint announcement obeyed', {
+      endpoint,
+      reason,
+      age: Math.round(age),
+      pauseMilliseconds: Math.round(announcement.pauseMilliseconds),
+    });
+  }
+
   close(): void {
     this.entryLog.close();
     this.dispatchLog.close();
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -3,8 +3,10 @@
  * next daemon and finally to this daemon itself; if the cell has no free capacity, tries another cell of the service.
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
-import type * as gateway from '@dogwoodstall/gateway';
+import * as gateway from '@dogwoodstall/gateway';
 import type * as grants from '@dogwoodstall/grants';
+import type { Announcement } from '@dogwoodstall/traffic';
+import { AnnouncedHolds, type HoldReason } from './announced-holds.js';
 import type { Candidates, DispatcherTarget } from './candidates.js';
 import type { CellSelector } from './cell-selector.js';
 import type { SlotResponse } from './dispatcher-role.js';
@@ -21,6 +23,8 @@
 const MAXIMUM_CELLS = 3;
 /** Maximum number of dispatchers of a cell that are tried for one slot. */
 const MAXIMUM_DISPATCHERS = 3;
+/** Maximum number of granted endpoints that are not used for one slot because they told this daemon so. */
+const MAXIMUM_HELD_GRANTS = 8;
 /** Delay after which the caller may retry when no dispatcher has responded. */
 const NO_DISPATCHER_RETRY_MILLISECONDS = 200;
 const BYTES_PER_KILOBYTE = 1024;
@@ -40,6 +44,10 @@
   };
   /** Called when a dispatcher is skipped because it is stopping or did not respond in time. */
   readonly onFailover: (target: DispatcherTarget, cell: string) => void;
+  /** Called when an endpoint tells this daemon to send it no requests for a time or for good. */
+  readonly onHold: (endpoint: string, announcement: Announcement) => void;
+  /** Called when a granted endpoint is not used because it told this daemon so. */
+  readonly onHeld: (endpoint: string, hold: HoldReason) => void;
 }
 
 interface PendingSlotRequest {
@@ -50,7 +58,9 @@
 /** What other cells have done with a request. */
 type CellHistory = Pick<datagrams.Ask, 'moved' | 'waitedElsewhere'>;
 
-type SlotRequestResult = gateway.SlotDecision | 'pass-over';
+/** `held`: the granted endpoint may not be used by this daemon. */
+type SlotRequestResult =
+  gateway.SlotDecision | 'pass-over' | { readonly kind: 'held'; readonly endpoint: string };
 type SlotRefusal = Extract<gateway.SlotDecision, { kind: 'refused' }>;
 
 /** Refusals after which another cell of the service may have free capacity. */
@@ -71,6 +81,8 @@
   /** Resend timers of the reports that have not been acknowledged yet. */
   private readonly reportTimers = new Map<string, NodeJS.Timeout>();
 
+  private readonly holds = new AnnouncedHolds();
+
   private lastAskId = Math.floor(Math.random() * 1_000_000) * 1000;
 
   constructor(private readonly options: DispatcherClientOptions) {}
@@ -108,6 +120,7 @@
     signal: AbortSignal,
   ): Promise<gateway.SlotDecision> {
     const tried = new Set<string>();
+    const held: string[] = [];
     while (!signal.aborted && tried.size < MAXIMUM_DISPATCHERS) {
       const isLast = tried.size === MAXIMUM_DISPATCHERS - 1;
       const target = isLast
@@ -118,12 +131,23 @@
         break;
       }
       tried.add(target.name);
-      const result = await this.requestSlot(target, cell.name, ask, history, signal);
-      if (result !== 'pass-over') {
-        return result;
+      const excluded = [...ask.excluded, ...held];
+      const result = await this.requestSlot(
+        target,
+        cell.name,
+        { ...ask, excluded },
+        history,
+        signal,
+      );
+      if (result === 'pass-over') {
+        this.options.candidates.markUnresponsive(target.name);
+        this.options.onFailover(target, cell.name);
+      } else if (result.kind === 'held' && held.length < MAXIMUM_HELD_GRANTS) {
+        held.push(result.endpoint);
+        tried.delete(target.name);
+      } else {
+        return result.kind === 'held' ? noDispatcher : result;
       }
-      this.options.candidates.markUnresponsive(target.name);
-      this.options.onFailover(target, cell.name);
     }
     return noDispatcher;
   }
@@ -136,14 +160,7 @@
       pending.onResponse(response);
     } else if (response[0] === 'grant') {
       // Returns the slot, because the request has ended or another dispatcher has decided on it.
-      this.sendReport(from, response[1].grantId, {
-        outcome: 'unused',
-        elapsed: 0,
-        load: undefined,
-        silent: true,
-        idleMilliseconds: 0,
-        announcement: null,
-      });
+      this.sendReport(from, response[1].grantId, gateway.unusedReport);
     }
   }
 
@@ -233,7 +250,17 @@
     response: Exclude<SlotResponse, readonly ['queued', number]>,
   ): SlotRequestResult {
     if (response[0] === 'grant') {
-      return { kind: 'slot', slot: this.createSlot(target, response[1]) };
+      const { endpoint, lifetime, grantId } = response[1];
+      const hold = this.holds.check(endpoint, lifetime, performance.now());
+      if (hold === undefined) {
+        return { kind: 'slot', slot: this.createSlot(target, response[1]) };
+      }
+      this.sendReport(target, grantId, {
+        ...gateway.unusedReport,
+        announcement: hold.announcement,
+      });
+      this.options.onHeld(endpoint, hold);
+      return { kind: 'held', endpoint };
     }
     const { reason, retryAfter } = response[1];
     return reason === 'stopping' ? 'pass-over' : { kind: 'refused', reason, retryAfter };
@@ -253,10 +280,23 @@
       address: grant.address,
       hedgeAfter: grant.hedgeAfter,
       maximumIdleMilliseconds: grant.reuseWithin,
-      report: (result) => this.sendReport(target, grant.grantId, result),
+      report: (result) => {
+        this.recordHold(grant, result.announcement);
+        this.sendReport(target, grant.grantId, result);
+      },
     };
   }
 
+  private recordHold(
+    { endpoint, lifetime }: datagrams.Grant,
+    announcement: Announcement | null,
+  ): void {
+    const now = performance.now();
+    if (announcement !== null && this.holds.record(endpoint, lifetime, announcement, now)) {
+      this.options.onHold(endpoint, announcement);
+    }
+  }
+
   private sendReport(target: DispatcherTarget, grantId: number, result: gateway.SlotReport): void {
     const report: datagrams.Report = {
       grantId,
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -268,6 +268,7 @@
           hedgeAfter: Math.round(hedgeAfter),
           reuseWithin: Math.round(reuseWithin),
           load,
+          lifetime: endpoint.lifetime,
         },
       ];
     } else {
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -276,6 +276,8 @@
         withdraw: (askId) => this.dispatcherRole.withdraw(self, askId),
         report: (report) => this.dispatcherRole.report(report),
       },
+      onHold: (endpoint, announcement) => this.reporter.recordHold(endpoint, announcement),
+      onHeld: (endpoint, hold) => this.reporter.recordHeldGrant(endpoint, hold),
       onFailover: ({ name }, cell) =>
         this.options.log.getLogger('entry').warn('dispatcher was passed over', { name, cell }),
     });
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -52,6 +52,8 @@
     /** Maximum idle time of a connection to the endpoint for it to be reused. */
     reuseWithin: milliseconds,
     load,
+    /** Start time of the endpoint's process; 0 from older daemons. */
+    lifetime: z.number().default(0),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -38,6 +38,7 @@
       hedgeAfter: 200,
       reuseWithin: 60_000,
       load: 40,
+      lifetime: 1,
     },
   ],
   ['queued', 7],
--- a/packages/routing/gateway/src/index.ts
+++ b/packages/routing/gateway/src/index.ts
@@ -18,6 +18,7 @@
   type SlotReport,
   type SlotRefusalReason,
   type SlotSource,
+  unusedReport,
 } from './slots.js';
 export { ConnectionPool } from './connection-pool.js';
 export { type AttemptResult, sendAttempt } from './attempt.js';
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -13,7 +13,7 @@
   type EndpointResponse,
   sendAttempt,
 } from './attempt.js';
-import type { SlotDecision, SlotReport, SlotSource } from './slots.js';
+import { type SlotDecision, type SlotReport, type SlotSource, unusedReport } from './slots.js';
 
 /** An attempt as recorded in the log. */
 export interface AttemptRecord {
@@ -69,15 +69,6 @@
   | { readonly kind: 'expired' }
   | { readonly kind: 'ended'; readonly attemptResult: AttemptResult };
 
-const unusedReport: SlotReport = {
-  outcome: 'unused',
-  elapsed: 0,
-  load: undefined,
-  silent: true,
-  idleMilliseconds: 0,
-  announcement: null,
-};
-
 interface RunningAttempt {
   readonly number: number;
   readonly done: Promise<{ readonly number: number; readonly result: RunningAttemptResult }>;
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -40,6 +40,16 @@
   readonly announcement: Announcement | null;
 }
 
+/** The report on a slot for which no attempt was made. */
+export const unusedReport: SlotReport = {
+  outcome: 'unused',
+  elapsed: 0,
+  load: undefined,
+  silent: true,
+  idleMilliseconds: 0,
+  announcement: null,
+};
+
 /** Why a slot was refused. */
 export type SlotRefusalReason =
   'no-endpoint' | 'overload' | 'retry-budget' | 'crashing' | 'stopping';
