--- a/packages/routing/gateway/test/responses.test.ts
+++ b/packages/routing/gateway/test/responses.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import type * as net from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { formatResponse, readId } from './fixture.js';
@@ -96,6 +97,52 @@
   });
 });
 
+test('a refusal that the endpoint writes once more is not taken for the next request, which it runs', async () => {
+  let refusal = '';
+  const repeating: Script = (socket, request, number) => {
+    if (number === 1) {
+      refusal = formatResponse(request, '', 503).replace('Seal: s', 'Not-Run: 1');
+      socket.write(refusal);
+    } else {
+      socket.write(refusal);
+      setTimeout(() => socket.write(formatResponse(request, 'ran')), 20);
+    }
+  };
+  await withGateway([repeating], { maximumAttempts: 1 }, async ({ gateway, endpoints }) => {
+    assert.equal((await gateway.send({ id: 'r1', body: 'x' }))?.status, 503);
+    await delay(20);
+    assert.equal((await gateway.send({ id: 'r2', body: 'x' }))?.status, 502);
+    assert.equal(endpoints[0]?.connections, 1, 'the second request used the kept connection');
+  });
+});
+
+test('a response whose head breaks off is a failure, on a new and on a kept connection', async () => {
+  const head = (request: string): string =>
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${readId(request)}\r\nSeal: s\r\nConnection: close\r\nContent-Length: 5\r\n\r\n`;
+  let length = 0;
+  const endings: ((socket: net.Socket, text: string) => void)[] = [
+    (socket, text) => socket.end(text),
+    (socket, text) => socket.write(text, () => socket.resetAndDestroy()),
+  ];
+  for (const finish of endings) {
+    const brokenOff: Script = (socket, request, number) => {
+      if (number % 2 === 1) {
+        socket.write(formatResponse(request, 'well'));
+      } else {
+        finish(socket, head(request).slice(0, length));
+      }
+    };
+    await withGateway([brokenOff], {}, async ({ gateway }) => {
+      const whole = head('Request-Id: r000').length;
+      for (length = 1; length <= whole; length += 3) {
+        assert.equal((await gateway.send({ id: 'r000', body: 'x' }))?.body, 'well');
+        const response = await gateway.send({ id: 'r001', body: 'x' });
+        assert.equal(response?.status, 502, `${length} of ${whole} bytes`);
+      }
+    });
+  }
+});
+
 test('a request that is not idempotent is not retried after a reset', async () => {
   const reset: Script = (socket) => socket.resetAndDestroy();
   await withGateway([reset, respondOk], {}, async ({ gateway, slots }) => {
