End every request with a response in a planned stop, and take none that can't end in time

Reported by another operator, and possible here: a request that came late in the grace time was passed on and its connection closed without a response 250 ms before the end. With a grace time of less than 3.2 s all requests until the end were taken.

No request is now given more time than is left of the stop, so that the dispatcher refuses at once what can't be served by then and the endpoint is told the shorter deadline.

The new test of the fleet fails before (a connection without a response) and passes after.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -341,7 +341,6 @@
   private async stopGracefully(): Promise<void> {
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
     this.dispatcherRole.beginStop();
-    this.server.beginStop();
     const elapsed = await drainRequests(this.server, this.settings.stop.graceSeconds * 1000);
     this.logger.info('daemon has stopped', {
       inFlight: this.server.inFlight,
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -166,6 +166,37 @@
   });
 });
 
+test('a planned stop ends every request with a response, and takes none that it can not finish', async () => {
+  lastNetwork += 1;
+  const fleet = new Fleet(lastNetwork);
+  const endpoint = await new CountingEndpoint('slow').listen();
+  fleet.store.put(endpoint.describe({ slots: 40 }));
+  fleet.store.configure(1, 'valuation');
+  try {
+    const graceSeconds = 4;
+    const { host, daemon } = await fleet.start([], false, graceSeconds);
+    await waitUntil('the daemon is ready', () => daemon.isReady, READY_MILLISECONDS);
+    endpoint.responseDelay = 30_000;
+    const startedAt = performance.now();
+    const stopped = daemon.stop();
+    const responses: ReturnType<typeof sendRequest>[] = [];
+    for (let count = 0; performance.now() - startedAt < 2000; count += 1) {
+      responses.push(sendRequest(host, `r${count}`));
+      await delay(100);
+    }
+    const requestsBefore = endpoint.requests;
+    await stopped;
+    assert.ok(performance.now() - startedAt < graceSeconds * 1000);
+    assert.ok(requestsBefore > 10, `${requestsBefore} requests reached the endpoint`);
+    for (const response of await Promise.all(responses)) {
+      assert.ok([502, 503, 504].includes(response?.status ?? 0), `status ${response?.status}`);
+    }
+  } finally {
+    endpoint.close();
+    fleet.close();
+  }
+});
+
 test('a partially received request does not delay a graceful shutdown', async () => {
   lastNetwork += 1;
   const fleet = new Fleet(lastNetwork);
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -84,6 +84,12 @@
 
   private activeRequests = 0;
 
+  /** End of the graceful shutdown; no request is given more time. */
+  private stopEndsAt = Infinity;
+
+  /** Aborted when the graceful shutdown is over. */
+  private readonly stopAbort = new AbortController();
+
   constructor(private readonly options: GatewayServerOptions) {
     this.bodyMemory = new MemoryBudget(options.maximumBufferedBytes);
     this.responseMemory = new MemoryBudget(options.maximumBufferedBytes);
@@ -113,9 +119,18 @@
     return this.server.address() as net.AddressInfo;
   }
 
-  /** Begins a graceful shutdown: from now on, each response closes its connection. */
-  beginStop(): void {
+  /**
+   * Begins a graceful shutdown that lasts for the given time: from now on, each response closes its connection, and a
+   * request that can't be served in that time is refused.
+   */
+  beginStop(milliseconds: number): void {
     this.stopping = true;
+    this.stopEndsAt = performance.now() + milliseconds;
+  }
+
+  /** Ends all requests in flight with a response that says whether they may have run. */
+  abortRequests(): void {
+    this.stopAbort.abort(new results.FailureError('NotReady'));
   }
 
   /** Stops accepting connections, rejects further requests and closes idle connections. */
@@ -225,8 +240,13 @@
     const requestedMilliseconds =
       protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
     const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
-    const deadlineAt = arrivedAt + allowedMilliseconds - RESPONSE_MARGIN_MILLISECONDS;
+    const deadlineAt = Math.min(
+      arrivedAt + allowedMilliseconds - RESPONSE_MARGIN_MILLISECONDS,
+      this.stopEndsAt,
+    );
     const abortController = new AbortController();
+    const onStop = (): void => abortController.abort(this.stopAbort.signal.reason);
+    this.stopAbort.signal.addEventListener('abort', onStop, { once: true });
     const timer = setTimeout(
       () => abortController.abort(new results.FailureError('BackendTimeout')),
       Math.max(0, deadlineAt - arrivedAt),
@@ -275,6 +295,7 @@
       });
     } finally {
       clearTimeout(timer);
+      this.stopAbort.signal.removeEventListener('abort', onStop);
       response.off('close', onClose);
       body?.release();
     }
--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -26,7 +26,7 @@
 test('during a graceful shutdown, responses close their connections', async () => {
   await withGateway([respondOk], {}, async ({ gateway }) => {
     await gateway.send({ body: 'x' });
-    gateway.server.beginStop();
+    gateway.server.beginStop(5000);
     const response = await gateway.send({ id: 'r2', body: 'x' });
     assert.equal(response?.headers.connection, 'close');
     assert.equal(response?.body, 'well');
@@ -40,7 +40,7 @@
     const running = gateway.send({ id: 'r1', body: 'x' });
     const second = gateway.send({ id: 'r2', body: 'x' });
     await delay(50);
-    gateway.server.beginStop();
+    gateway.server.beginStop(5000);
     assert.equal((await second)?.body, 'slow');
     assert.equal((await running)?.body, 'slow');
     gateway.server.closeIdle();
