--- a/packages/routing/gateway/test/responses.test.ts
+++ b/packages/routing/gateway/test/responses.test.ts
@@ -116,32 +116,34 @@
   });
 });
 
-test('a response whose head breaks off is a failure, on a new and on a kept connection', async () => {
-  const head = (request: string): string =>
-    `HTTP/1.1 200 OK\r\nRequest-Id: ${readId(request)}\r\nSeal: s\r\nConnection: close\r\nContent-Length: 5\r\n\r\n`;
-  let length = 0;
-  const endings: ((socket: net.Socket, text: string) => void)[] = [
-    (socket, text) => socket.end(text),
-    (socket, text) => socket.write(text, () => socket.resetAndDestroy()),
-  ];
-  for (const finish of endings) {
+const endings: readonly ((socket: net.Socket, text: string) => void)[] = [
+  (socket, text) => socket.end(text),
+  (socket, text) => socket.write(text, () => socket.resetAndDestroy()),
+];
+
+for (const [index, finish] of endings.entries()) {
+  const ending = index === 0 ? 'close' : 'reset';
+  test(`a response whose head breaks off with a ${ending} of a kept connection is a failure`, async () => {
+    const formatHead = (request: string): string =>
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${readId(request)}\r\nSeal: s\r\nConnection: close\r\nContent-Length: 5\r\n\r\n`;
+    const head = { length: 1 };
     const brokenOff: Script = (socket, request, number) => {
       if (number % 2 === 1) {
         socket.write(formatResponse(request, 'well'));
       } else {
-        finish(socket, head(request).slice(0, length));
+        finish(socket, formatHead(request).slice(0, head.length));
       }
     };
     await withGateway([brokenOff], {}, async ({ gateway }) => {
-      const whole = head('Request-Id: r000').length;
-      for (length = 1; length <= whole; length += 3) {
+      const whole = formatHead('Request-Id: r000').length;
+      for (; head.length <= whole; head.length += 3) {
         assert.equal((await gateway.send({ id: 'r000', body: 'x' }))?.body, 'well');
         const response = await gateway.send({ id: 'r001', body: 'x' });
-        assert.equal(response?.status, 502, `${length} of ${whole} bytes`);
+        assert.equal(response?.status, 502, `${head.length} of ${whole} bytes`);
       }
     });
-  }
-});
+  });
+}
 
 test('a request that is not idempotent is not retried after a reset', async () => {
   const reset: Script = (socket) => socket.resetAndDestroy();
