Send requests through another daemon while the path to a service's endpoints is lost

Callers of a daemon that no longer reaches the endpoints got 504 or waited for their deadline, although its peers served theirs; and since nobody could tell a lost path from endpoints that hang, the dispatcher took nearly all endpoints for suspects and refused the callers of the other daemons too.

Two endpoints of a service that fail with no response between them are now followed by new connections to up to five endpoints of the service. If all fail, the path is lost: requests are sent through another daemon, of the own zone first, for at most one hop, with the attempts that the route has left; a peer's refusal counts as "not run" only if it says so. Failures that the lost path explains go back to the dispatcher as unused grants. Connections are tried until one succeeds, at random intervals. Only daemons may set the header of relayed requests. A request that no peer served either is refused at once.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -14,6 +14,8 @@
   /** Defined when the settings contain a metrics port. */
   metricsServer: MetricsServer | undefined;
 
+  private readonly logger: observability.ComponentLogger;
+
   private readonly entryLog: DecisionLog;
 
   private readonly dispatchLog: DecisionLog;
@@ -22,6 +24,7 @@
   private readonly announcementLog: DecisionLog;
 
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
+    this.logger = log.getLogger('entry');
     this.entryLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
     this.dispatchLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
     this.announcementLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
@@ -93,6 +96,19 @@
     });
   }
 
+  /** Records that this daemon has lost its path to the endpoints of a service, or has it again. */
+  recordPath(service: string, lost: boolean): void {
+    this.metricsServer?.countPathEvent(lost ? 'lost' : 'regained');
+    const message = lost ? 'path to the endpoints is lost' : 'path to the endpoints is regained';
+    this.logger.warn(message, { service });
+  }
+
+  /** Records how an attempt ended that was sent through another daemon. */
+  recordRelay(peer: string, outcome: gateway.SlotReport['outcome']): void {
+    this.metricsServer?.countPathEvent(outcome === 'success' ? 'relayed' : 'relay-failed');
+    this.entryLog.write('request relayed', { peer, outcome });
+  }
+
   close(): void {
     this.entryLog.close();
     this.dispatchLog.close();
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -9,11 +9,14 @@
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
 import type { DirectorySource } from './directory-source.js';
+import { connectOnce } from './connect-once.js';
 import { Directory } from './directory.js';
 import { DispatcherClient } from './dispatcher-client.js';
 import { DispatcherRole } from './dispatcher-role.js';
 import { drainRequests } from './graceful-shutdown.js';
 import { MemberTable, createMemberEntry } from './member.js';
+import { EndpointPaths } from './endpoint-paths.js';
+import { PathAwareSlots } from './path-aware-slots.js';
 import { MetricsServer, type MetricsSnapshot } from './metrics-server.js';
 import { PeerState } from './peer-state.js';
 import { PingExchange } from './ping-exchange.js';
@@ -70,6 +73,8 @@
 
   private readonly pingExchange: PingExchange;
 
+  private readonly endpointPaths: EndpointPaths;
+
   private malformedCount = 0;
 
   private stopping: Promise<void> | undefined;
@@ -127,6 +132,7 @@
     this.datagramSocket = this.createDatagramSocket();
     this.candidates = this.createCandidates();
     this.dispatcherClient = this.createDispatcherClient();
+    this.endpointPaths = this.createEndpointPaths();
     this.server = this.createServer();
     this.watcher = new StoreWatcher({
       source: options.source,
@@ -198,6 +204,7 @@
     this.candidates.stop();
     this.dispatcherRole.stop();
     this.dispatcherClient.close();
+    this.endpointPaths.close();
     this.datagramSocket.close();
     this.stateServer.close();
     this.readinessServer.close();
@@ -283,11 +290,40 @@
     });
   }
 
+  private createEndpointPaths(): EndpointPaths {
+    const listAddresses = (service: string): string[] =>
+      this.directory
+        .listCellsOf(service)
+        .flatMap(({ endpoints }) => endpoints.map(({ address }) => address));
+    return new EndpointPaths({
+      listAddresses,
+      connect: connectOnce,
+      onChange: (service, lost) => {
+        this.reporter.recordPath(service, lost);
+        // Connections from before the loss may be dead on the other side.
+        for (const address of lost ? listAddresses(service) : []) {
+          this.server.pool.closeIdle(address);
+        }
+      },
+      now: () => performance.now(),
+      random: Math.random,
+    });
+  }
+
   private createServer(): gateway.GatewayServer {
     const { protocol, settings, log } = this.options;
     return new gateway.GatewayServer({
       protocol,
-      slots: this.dispatcherClient,
+      slots: new PathAwareSlots({
+        slots: this.dispatcherClient,
+        paths: this.endpointPaths,
+        self: this.members.self,
+        listMembers: () => this.members.list(),
+        onRelay: (peer, outcome) => this.reporter.recordRelay(peer, outcome),
+        now: () => performance.now(),
+        random: Math.random,
+      }),
+      isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
       maximumBufferedBytes: settings.limits.memoryMegabytes * MEGABYTE * BODY_MEMORY_SHARE,
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -15,6 +15,8 @@
   datagramPort: z.number().int(),
   /** `IP address:port` of the state server. */
   peerAddress: z.string(),
+  /** `IP address:port` at which the daemon accepts requests; absent from the entries of older daemons. */
+  callerAddress: z.string().optional(),
   /** Processor cores that the daemon may use. */
   cores: z.number().positive(),
   /** Start time in epoch milliseconds; of two entries with the same name, the one that started later wins. */
@@ -31,6 +33,7 @@
     host: splitAddress(listen.peer).host,
     datagramPort: listen.datagramPort,
     peerAddress: listen.peer,
+    callerAddress: listen.caller,
     cores: limits.cores * limits.coreShare,
     startedAt: Date.now(),
   };
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -30,6 +30,8 @@
 
   private readonly announcements: promClient.Counter<'event'>;
 
+  private readonly pathEvents: promClient.Counter<'event'>;
+
   private readonly server: http.Server;
 
   private constructor(library: typeof promClient, read: () => MetricsSnapshot) {
@@ -60,6 +62,12 @@
       labelNames: ['event'],
       registers,
     });
+    this.pathEvents = new library.Counter({
+      name: 'dogwoodstall_endpoint_path_total',
+      help: 'Losses of the path to all endpoints, their ends, and requests relayed meanwhile, by event',
+      labelNames: ['event'],
+      registers,
+    });
     MetricsServer.addGauges(library, registers, read);
     this.server = http.createServer((_request, response) => {
       this.respond(response).catch(() => response.destroy());
@@ -117,6 +125,11 @@
     this.announcements.inc({ event });
   }
 
+  /** Counts a change of the path to the endpoints, or an attempt that was sent through another daemon. */
+  countPathEvent(event: 'lost' | 'regained' | 'relayed' | 'relay-failed'): void {
+    this.pathEvents.inc({ event });
+  }
+
   /** Binds the port; throws `ListenFailed`. */
   async listen(host: string, port: number): Promise<void> {
     await listenHttp(this.server, host, port);
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -28,6 +28,7 @@
   bodyBytes: 0,
   fingerprint: '1x',
   excluded: [],
+  relayed: false,
 };
 
 /** A client of a dispatcher that has just taken over and grants the first endpoint that a request does not exclude. */
--- /dev/null
+++ b/packages/daemon/gateway-daemon/test/endpoint-path.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Pattern `path-loss`: a daemon loses its network path to all endpoints, or many endpoints fail for all daemons.
+ */
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { EndpointPath } from '../src/endpoint-path.js';
+
+class Network {
+  now = 10_000;
+
+  readonly unreachable = new Set<string>();
+
+  readonly tried: string[] = [];
+
+  readonly changes: boolean[] = [];
+
+  readonly addresses: string[];
+
+  readonly path: EndpointPath;
+
+  constructor(size: number) {
+    this.addresses = Array.from({ length: size }, (_, index) => `e${index}`);
+    this.path = new EndpointPath({
+      listAddresses: () => this.addresses,
+      connect: (address) => {
+        this.tried.push(address);
+        return Promise.resolve(!this.unreachable.has(address));
+      },
+      onChange: (lost) => this.changes.push(lost),
+      now: () => this.now,
+      random: () => 0,
+    });
+  }
+
+  cut(count = this.addresses.length): void {
+    for (const address of this.addresses.slice(0, count)) {
+      this.unreachable.add(address);
+    }
+  }
+}
+
+test('path-loss: two endpoints that fail and connections that fail show a loss, which ends with a connection', async () => {
+  const network = new Network(20);
+  network.cut();
+  network.path.recordFailure('e1');
+  assert.equal(await network.path.check(), false, 'one endpoint may fail by itself');
+  assert.deepEqual(network.tried, []);
+  network.path.recordFailure('e2');
+  assert.equal(await network.path.check(), true);
+  assert.equal(network.tried.length, 5);
+  await delay(1000);
+  assert.equal(network.path.isLost, true);
+  network.unreachable.clear();
+  await delay(1000);
+  assert.equal(network.path.isLost, false);
+  assert.deepEqual(network.changes, [true, false]);
+  network.path.close();
+});
+
+test('path-loss: endpoints that fail for all daemons are not taken for a loss while one accepts connections', async () => {
+  const network = new Network(20);
+  network.cut(4);
+  for (let index = 0; index < 4; index += 1) {
+    network.path.recordFailure(`e${index}`);
+  }
+  assert.equal(await network.path.check(), false);
+  assert.deepEqual(network.changes, []);
+});
+
+test('path-loss: a response between two failures shows that the path works', async () => {
+  const network = new Network(20);
+  network.cut();
+  network.path.recordFailure('e1');
+  network.path.recordResponse();
+  network.path.recordFailure('e2');
+  assert.equal(await network.path.check(), false);
+  assert.deepEqual(network.tried, []);
+});
+
+test('path-loss: endpoints that keep failing cause few connections', async () => {
+  const network = new Network(20);
+  for (let index = 0; index < 100; index += 1) {
+    network.now += 20;
+    network.path.recordFailure(`e${index % 7}`);
+    await network.path.check();
+  }
+  assert.ok(network.tried.length <= 5 * 4, `${network.tried.length} connections in 2 s`);
+});
+
+test('path-loss: a single endpoint that can not be reached is no loss of the path', async () => {
+  const network = new Network(1);
+  network.cut();
+  network.path.recordFailure('e0');
+  network.path.recordFailure('other');
+  assert.equal(await network.path.check(), false);
+});
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from 'undici';
 import type { MemoryBudget } from './body-buffer.js';
 import type { ConnectionPool } from './connection-pool.js';
+import { type RelayState, classifyRelayedResponse, listRelayHeaders } from './relay.js';
 import type { AttemptContext, ResponseClassification, WireProtocol } from './wire-protocol.js';
 import type { EndpointConnection } from './endpoint-connection.js';
 
@@ -57,6 +58,8 @@
   /** Connections idle for longer are not reused. */
   readonly maximumIdleMilliseconds: number;
   readonly context: AttemptContext;
+  /** Set if the address is that of another daemon. */
+  readonly relay?: RelayState | undefined;
   readonly method: string;
   /** Path and query. */
   readonly target: string;
@@ -96,7 +99,7 @@
   }
 
   start(): void {
-    const { signal, protocol, context, method, target, headers, body } = this.options;
+    const { signal, protocol, context, relay, method, target, headers, body } = this.options;
     if (signal.aborted) {
       this.options.pool.release(this.options.address, this.connection);
       this.settle({ kind: 'abandoned', sent: false });
@@ -108,7 +111,11 @@
         {
           path: target,
           method,
-          headers: [...headers, ...protocol.listAttemptHeaders(context)],
+          headers: [
+            ...headers,
+            ...protocol.listAttemptHeaders(context),
+            ...(relay === undefined ? [] : listRelayHeaders(relay)),
+          ],
           body,
           // Otherwise undici does not reuse the connection until the response to an unsafe method has arrived.
           blocking: false,
@@ -145,11 +152,11 @@
     }
     this.status = status;
     this.headers = headers;
-    this.classification = this.options.protocol.classifyResponse(
-      status,
-      headers,
-      this.options.context,
-    );
+    const { protocol, context, relay } = this.options;
+    this.classification =
+      relay === undefined
+        ? protocol.classifyResponse(status, headers, context)
+        : classifyRelayedResponse(protocol, status, headers, context);
     if (this.classification.kind === 'foreign') {
       this.fail({ kind: 'broken', reason: 'response belongs to another request' });
     }
@@ -233,7 +240,8 @@
 
   // Only a complete response of the addressed endpoint itself can speak for it.
   private readAnnouncement({ kind }: AttemptOutcome): Announcement | null {
-    if (kind !== 'answer' && kind !== 'shed') {
+    const isOfEndpoint = kind === 'answer' || kind === 'shed';
+    if (!isOfEndpoint || this.options.relay !== undefined) {
       return null;
     }
     const announcement = this.options.protocol.readAnnouncement(this.status, this.headers);
--- a/packages/routing/gateway/src/connection-pool.ts
+++ b/packages/routing/gateway/src/connection-pool.ts
@@ -37,14 +37,19 @@
     }
   }
 
+  /** Closes the idle connections to an address. */
+  closeIdle(address: string): void {
+    for (const connection of this.idle.get(address) ?? []) {
+      connection.destroy();
+    }
+    this.idle.delete(address);
+  }
+
   /** Closes every idle connection. */
   close(): void {
-    for (const connections of this.idle.values()) {
-      for (const connection of connections) {
-        connection.destroy();
-      }
+    for (const address of [...this.idle.keys()]) {
+      this.closeIdle(address);
     }
-    this.idle.clear();
   }
 
   private remove(address: string, closed: EndpointConnection): void {
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -16,6 +16,7 @@
 } from './caller-responder.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionPool } from './connection-pool.js';
+import { type RelayState, readRelayHeaders } from './relay.js';
 import type { WireProtocol } from './wire-protocol.js';
 import { type BufferedBody, MemoryBudget, readBody } from './body-buffer.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
@@ -38,6 +39,8 @@
 export interface GatewayServerOptions {
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
+  /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
+  readonly isDaemon: (host: string) => boolean;
   /** Returns the active routes; undefined until configuration and endpoints are known. */
   readonly findRoutes: () => RouteIndex | undefined;
   /** Resolves when routes become active, or after the given time at the latest. */
@@ -262,6 +265,7 @@
         memoryBudget: this.bodyMemory,
         signal: abortController.signal,
       });
+      const relayed = this.readRelayState(request);
       const context: RequestContext = {
         requestId,
         service: chooseDestination(route, Math.random()),
@@ -271,7 +275,8 @@
         headers: this.selectHeaders(request),
         body: body.bytes,
         deadlineAt,
-        fingerprint: GatewayServer.computeFingerprint(request, body.bytes),
+        fingerprint: relayed?.fingerprint ?? GatewayServer.computeFingerprint(request, body.bytes),
+        relayed,
       };
       const requestResult = await executeRequest({
         context,
@@ -301,6 +306,13 @@
     }
   }
 
+  private readRelayState({ headers, socket }: http.IncomingMessage): RelayState | undefined {
+    const state = readRelayHeaders(headers);
+    return state !== undefined && this.options.isDaemon(socket.remoteAddress ?? '')
+      ? state
+      : undefined;
+  }
+
   private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
     if (this.options.findRoutes() === undefined && !this.rejecting) {
       const deadlineMilliseconds = this.options.protocol.readDeadline(request.headers) ?? Infinity;
--- /dev/null
+++ b/packages/routing/gateway/src/relay.ts
@@ -0,0 +1,56 @@
+/**
+ * Requests that one daemon relays to another, because it does not reach the endpoints itself. A request is relayed at
+ * most once; the other daemon handles it like one of its own callers and reports whether the request may have run.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import * as proxy from '@dogwoodstall/proxy';
+import type { AttemptContext, ResponseClassification, WireProtocol } from './wire-protocol.js';
+
+/** Removed from the requests of callers, because it begins with the prefix of the fleet's headers. */
+const RELAY_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay`;
+const RELAY_PATTERN = /^(\d{1,2}) (first|repeated) ([0-9a-z]{1,32})$/;
+const EXECUTION_HEADER = proxy.EXECUTION_HEADER.toLowerCase();
+
+/** What the relaying daemon has done with a request so far. */
+export interface RelayState {
+  /** Number of attempts that the route still allows. */
+  readonly attemptsLeft: number;
+  /** Whether an earlier attempt may have reached an endpoint. */
+  readonly repeated: boolean;
+  /** Identifies the request, its caller included, if it comes again. */
+  readonly fingerprint: string;
+}
+
+/** Returns the headers of a relayed request, as a flat list of names and values. */
+export function listRelayHeaders({ attemptsLeft, repeated, fingerprint }: RelayState): string[] {
+  return [RELAY_HEADER, `${attemptsLeft} ${repeated ? 'repeated' : 'first'} ${fingerprint}`];
+}
+
+/** Reads the state of a relayed request; undefined if the request comes from a caller. */
+export function readRelayHeaders(headers: IncomingHttpHeaders): RelayState | undefined {
+  const value = headers[RELAY_HEADER];
+  const match = typeof value === 'string' ? RELAY_PATTERN.exec(value) : null;
+  return match === null
+    ? undefined
+    : {
+        attemptsLeft: Number(match[1]),
+        repeated: match[2] === 'repeated',
+        fingerprint: match[3] as string,
+      };
+}
+
+/** Classifies the response of the other daemon: one of an endpoint, or a failure that says whether the request ran. */
+export function classifyRelayedResponse(
+  protocol: WireProtocol,
+  status: number,
+  headers: IncomingHttpHeaders,
+  context: AttemptContext,
+): ResponseClassification {
+  const execution = headers[EXECUTION_HEADER];
+  if (execution === undefined) {
+    const classification = protocol.classifyResponse(status, headers, context);
+    return classification.kind === 'answer' ? classification : { kind: 'foreign' };
+  }
+  const isOwn = headers[protocol.requestIdHeader] === context.requestId;
+  return { kind: isOwn && execution === 'not-run' ? 'not-run' : 'foreign' };
+}
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -13,6 +13,7 @@
   type EndpointResponse,
   sendAttempt,
 } from './attempt.js';
+import type { RelayState } from './relay.js';
 import { type SlotDecision, type SlotReport, type SlotSource, unusedReport } from './slots.js';
 
 /** An attempt as recorded in the log. */
@@ -33,6 +34,8 @@
   readonly body: Buffer | null;
   readonly deadlineAt: number;
   readonly fingerprint: string;
+  /** Set if another daemon relayed the request. */
+  readonly relayed: RelayState | undefined;
 }
 
 /** Options of `executeRequest`. */
@@ -197,10 +200,11 @@
         service: context.service,
         route: context.route,
         deadlineAt: context.deadlineAt,
-        repeated: this.sentAttempts > 0,
+        repeated: this.sentAttempts > 0 || context.relayed?.repeated === true,
         bodyBytes: context.body?.length ?? 0,
         fingerprint: context.fingerprint,
         excluded: this.excluded,
+        relayed: context.relayed !== undefined,
       },
       signal,
     );
@@ -214,6 +218,14 @@
       return { kind: 'expired' };
     }
     this.excluded.push(slot.endpoint);
+    const relay =
+      slot.viaPeer === true
+        ? {
+            attemptsLeft: this.maximumAttempts - this.sentAttempts,
+            repeated: this.sentAttempts > 0,
+            fingerprint: context.fingerprint,
+          }
+        : undefined;
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
     if (slot.hedgeAfter !== undefined && context.route.idempotent) {
@@ -233,6 +245,7 @@
         endpoint: slot.endpoint,
         remainingMilliseconds: Math.max(1, context.deadlineAt - performance.now()),
       },
+      relay,
       method: context.method,
       target: context.target,
       headers: context.headers,
@@ -240,8 +253,12 @@
       signal,
     });
     hedgeDelayAbort.abort();
-    if (attemptResult.outcome.kind === 'refused') {
+    const { kind } = attemptResult.outcome;
+    if (kind === 'refused' || (relay !== undefined && kind === 'shed')) {
       this.sentAttempts -= 1;
+    } else if (relay !== undefined) {
+      // The other daemon may have made all attempts that were left.
+      this.sentAttempts = this.maximumAttempts;
     }
     const report = createSlotReport(attemptResult);
     slot.report(report);
@@ -289,12 +306,17 @@
     }
   }
 
+  private get maximumAttempts(): number {
+    const { route, relayed } = this.options.context;
+    return Math.min(route.maximumAttempts, relayed?.attemptsLeft ?? Infinity);
+  }
+
   private canStartAttempt(): boolean {
     const { context, signal } = this.options;
     return (
       !signal.aborted &&
-      this.sentAttempts < context.route.maximumAttempts &&
-      this.startedAttempts < context.route.maximumAttempts + MAXIMUM_UNSENT_ATTEMPTS &&
+      this.sentAttempts < this.maximumAttempts &&
+      this.startedAttempts < this.maximumAttempts + MAXIMUM_UNSENT_ATTEMPTS &&
       context.deadlineAt - performance.now() > MINIMUM_ATTEMPT_MILLISECONDS
     );
   }
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -15,6 +15,8 @@
   readonly bodyBytes: number;
   readonly fingerprint: string;
   readonly excluded: readonly string[];
+  /** Whether another daemon relayed the request, so that it must not be relayed again. */
+  readonly relayed: boolean;
 }
 
 /** A slot at an endpoint. Its holder calls `report` exactly once. */
@@ -25,6 +27,8 @@
   readonly hedgeAfter: number | undefined;
   /** Connections idle for longer are not reused, since the endpoint may have closed them without notice. */
   readonly maximumIdleMilliseconds: number;
+  /** Whether the address is that of another daemon, which sends the request to an endpoint. */
+  readonly viaPeer?: boolean;
   readonly report: (report: SlotReport) => void;
 }
 
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -85,6 +85,8 @@
 
   private routesKnown = true;
 
+  private acceptsRelays = true;
+
   private port = 0;
 
   constructor(slots: gateway.SlotSource, changes: Partial<Route> = {}, idleMilliseconds = 15_000) {
@@ -102,6 +104,7 @@
     this.server = new gateway.GatewayServer({
       protocol: testProtocol,
       slots,
+      isDaemon: (host) => this.acceptsRelays && host === '127.0.0.1',
       findRoutes: () => (this.routesKnown ? routes : undefined),
       waitForRoutes: async (milliseconds) => {
         const until = performance.now() + milliseconds;
@@ -127,6 +130,15 @@
     return net.connect({ host: '127.0.0.1', port: this.port, allowHalfOpen: true });
   }
 
+  get address(): string {
+    return `127.0.0.1:${this.port}`;
+  }
+
+  /** Makes the gateway take every caller for one that is no daemon. */
+  rejectRelays(): void {
+    this.acceptsRelays = false;
+  }
+
   /** Sets whether the routes are known to the gateway. */
   setRoutesKnown(known: boolean): void {
     this.routesKnown = known;
--- /dev/null
+++ b/packages/routing/gateway/test/relay.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Requests that a daemon without a path to the endpoints sends through another daemon.
+ */
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Route } from '@dogwoodstall/traffic';
+import type * as gateway from '../src/index.js';
+import { TestGateway } from './fixture.js';
+import type { Script } from './scripted-endpoint.js';
+import { respondOk, withGateway, type Setup } from './with-gateway.js';
+
+/** Grants each request the next of the given daemons. */
+class PeerSlots implements gateway.SlotSource {
+  readonly reports: string[] = [];
+
+  constructor(private readonly addresses: string[]) {}
+
+  acquire(): Promise<gateway.SlotDecision> {
+    const address = this.addresses.shift();
+    if (address === undefined) {
+      return Promise.resolve({ kind: 'refused', reason: 'no-endpoint', retryAfter: 100 });
+    }
+    return Promise.resolve({
+      kind: 'slot',
+      slot: {
+        endpoint: address,
+        address,
+        hedgeAfter: undefined,
+        maximumIdleMilliseconds: 1000,
+        viaPeer: true,
+        report: ({ outcome }) => this.reports.push(outcome),
+      },
+    });
+  }
+}
+
+async function withRelay(
+  scripts: readonly Script[],
+  route: Partial<Route>,
+  check: (entry: TestGateway, peers: PeerSlots, peer: Setup) => Promise<void>,
+): Promise<void> {
+  await withGateway(scripts, route, async (peer) => {
+    const peers = new PeerSlots([peer.gateway.address, peer.gateway.address]);
+    const entry = await new TestGateway(peers, route).listen();
+    try {
+      await check(entry, peers, peer);
+    } finally {
+      entry.close();
+    }
+  });
+}
+
+const reset: Script = (socket) => socket.resetAndDestroy();
+
+test('a relayed request reaches the endpoint once, and its response the caller', async () => {
+  await withRelay([respondOk], {}, async (entry, peers, { endpoints, slots }) => {
+    const response = await entry.send({ body: 'x' });
+    assert.equal(response?.body, 'well');
+    assert.equal(response?.headers.seal, 's');
+    assert.equal(endpoints[0]?.requests.length, 1);
+    assert.doesNotMatch(endpoints[0]?.requests[0] ?? '', /dogwoodstall-relay/i);
+    assert.equal(slots.acquisitions[0]?.relayed, true);
+    assert.deepEqual(peers.reports, ['success']);
+  });
+});
+
+test('a caller that is no daemon can not claim that its request is relayed', async () => {
+  await withRelay([respondOk], {}, async (entry, _peers, { gateway, slots }) => {
+    gateway.rejectRelays();
+    assert.equal((await entry.send({ body: 'x' }))?.status, 200);
+    const [acquired] = slots.acquisitions;
+    assert.equal(acquired?.relayed, false);
+    assert.equal(acquired?.repeated, false);
+  });
+});
+
+test('a request that may have run behind the other daemon is not sent again', async () => {
+  for (const idempotent of [false, true]) {
+    await withRelay([reset], { idempotent, maximumAttempts: 1 }, async (entry, _peers, peer) => {
+      assert.equal((await entry.send({ body: 'x' }))?.status, 502);
+      assert.equal(peer.endpoints[0]?.requests.length, 1);
+    });
+  }
+});
+
+test('the attempts of both daemons together do not exceed those of the route', async () => {
+  await withRelay([reset], { idempotent: true, maximumAttempts: 3 }, async (entry, _, peer) => {
+    assert.equal((await entry.send())?.status, 502);
+    assert.equal(peer.endpoints[0]?.requests.length, 3);
+  });
+});
+
+test('a request that the other daemon has not run is sent through the next, and refused as not run after the last', async () => {
+  await withRelay([respondOk], {}, async (entry, peers, { gateway, endpoints }) => {
+    gateway.setRoutesKnown(false);
+    const response = await entry.send({ body: 'x' });
+    assert.equal(response?.status, 503);
+    assert.ok(Number(response?.headers['retry-after']) > 0);
+    assert.deepEqual(peers.reports, ['shed', 'shed']);
+    assert.equal(endpoints[0]?.requests.length, 0);
+  });
+});
+
+test('a caller that leaves cancels its request at the endpoint behind the other daemon', async () => {
+  const silent: Script = () => {};
+  await withRelay([silent], {}, async (entry, _peers, { endpoints }) => {
+    const controller = new AbortController();
+    const response = entry.send({ body: 'x', signal: controller.signal });
+    const endpoint = endpoints[0];
+    const waitFor = async (condition: () => boolean): Promise<void> => {
+      const until = performance.now() + 1000;
+      while (!condition() && performance.now() < until) {
+        await new Promise((resolve) => {
+          setTimeout(resolve, 10);
+        });
+      }
+      assert.ok(condition());
+    };
+    await waitFor(() => endpoint?.requests.length === 1);
+    controller.abort();
+    await response;
+    await waitFor(() => endpoint?.sockets.size === 0);
+  });
+});
--- a/packages/routing/proxy/src/index.ts
+++ b/packages/routing/proxy/src/index.ts
@@ -27,5 +27,10 @@
 export { type Decision, type DecisionAttempt, DecisionRing } from './decision.js';
 export { MAXIMUM_BUFFERED_BODY_BYTES } from './caller-body.js';
 export { formatRawFailure, sendFailure } from './failure-response.js';
-export { selectResponseHeaders, selectRequestHeaders } from './headers.js';
+export {
+  EXECUTION_HEADER,
+  FLEET_HEADER_PREFIX,
+  selectRequestHeaders,
+  selectResponseHeaders,
+} from './headers.js';
 export { type CheckedRequest, checkRequest, classifyParserError } from './request-check.js';
