Keep a request with an untrusted relay header from a further hop

A daemon whose source address is not the one of its member entry, for instance behind address translation, was not recognised as the sender of a relayed request, so that two daemons without a path could have sent it back and forth until its deadline. The header now always prevents another hop; what else it says is believed of daemons only.

--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -265,7 +265,9 @@
         memoryBudget: this.bodyMemory,
         signal: abortController.signal,
       });
-      const relayed = this.readRelayState(request);
+      const fingerprint = GatewayServer.computeFingerprint(request, body.bytes);
+      const attemptsLeft = route.maximumAttempts;
+      const relayed = this.readRelayState(request, { attemptsLeft, repeated: false, fingerprint });
       const context: RequestContext = {
         requestId,
         service: chooseDestination(route, Math.random()),
@@ -275,7 +277,7 @@
         headers: this.selectHeaders(request),
         body: body.bytes,
         deadlineAt,
-        fingerprint: relayed?.fingerprint ?? GatewayServer.computeFingerprint(request, body.bytes),
+        fingerprint: relayed?.fingerprint ?? fingerprint,
         relayed,
       };
       const requestResult = await executeRequest({
@@ -306,11 +308,14 @@
     }
   }
 
-  private readRelayState({ headers, socket }: http.IncomingMessage): RelayState | undefined {
+  /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
+  private readRelayState(
+    { headers, socket }: http.IncomingMessage,
+    ofCaller: RelayState,
+  ): RelayState | undefined {
     const state = readRelayHeaders(headers);
-    return state !== undefined && this.options.isDaemon(socket.remoteAddress ?? '')
-      ? state
-      : undefined;
+    const isTrusted = this.options.isDaemon(socket.remoteAddress ?? '');
+    return state === undefined || isTrusted ? state : ofCaller;
   }
 
   private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
