Weigh the silence of a request by the chance that its daemon has lost its path

Callers of daemons with a path were refused when others lost theirs: each hanging request of a cut-off daemon raised the risk of another endpoint, until nearly all were suspects, for the second that the daemon needs to notice.

The dispatcher now estimates for each entry daemon, from all its attempts in flight, whether a lost path explains them better than as many failing endpoints, with the risk of the endpoints that others' attempts show. Any response to the daemon ends that. Silence counts by the rest of the probability, and attempts that a lost path explains to nine tenths do not occupy slots.

Test path-loss in virtual time, 25 endpoints, 7 of 20 daemons cut off: more than two suspects before, at most two after; a second test guards that endpoints which are silent to several daemons are still suspected.

--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -13,6 +13,7 @@
 import { Admission } from './admission.js';
 import { CrashRecords } from './crash-records.js';
 import { EndpointState, type Attempt, type AttemptResult } from './endpoint-state.js';
+import { EntryLossEstimates } from './entry-loss.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
 import { RetryBudgetTracker, type RetryBudget } from './retry-budget-tracker.js';
 import { ServiceTimes } from './service-times.js';
@@ -103,6 +104,8 @@
 
   private readonly grants = new Map<number, EndpointState>();
 
+  private readonly entryLoss = new EntryLossEstimates();
+
   private readonly retryBudget: RetryBudgetTracker;
 
   private readonly crashRecords = new CrashRecords();
@@ -133,7 +136,10 @@
       currentIds.add(endpoint.id);
       const state = this.states.get(endpoint.id);
       if (state === undefined) {
-        this.states.set(endpoint.id, new EndpointState(endpoint, now, this.options.limitShare));
+        this.states.set(
+          endpoint.id,
+          new EndpointState(endpoint, now, this.options.limitShare, this.entryLoss),
+        );
       } else {
         state.update(endpoint, now);
       }
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -4,6 +4,7 @@
  */
 import { type Announcement, type Endpoint, isSameLifetime } from '@dogwoodstall/traffic';
 import { AnnouncedState, type FleetAnnouncement } from './announced-state.js';
+import { EntryLossEstimates } from './entry-loss.js';
 import { EntryPaths } from './entry-paths.js';
 import {
   FailureEstimate,
@@ -20,6 +21,8 @@
 const OTHER_DAEMONS_LOAD_MILLISECONDS = 250;
 /** Time for which a response to another entry daemon shows that a connection failure concerns only one path. */
 const OTHERS_SUCCESS_MILLISECONDS = 1000;
+/** Probability of a lost path from which an attempt is assumed not to occupy a slot. */
+const LOST_PATH_PROBABILITY = 0.9;
 /** A success that takes longer than this multiple of the mean service time counts as slow. */
 const SLOW_MULTIPLE = 3;
 
@@ -60,6 +63,19 @@
   readonly outcome: AttemptOutcome | 'forgotten';
 }
 
+/** Reduces a likelihood ratio by the probability that a lost path explains the evidence. */
+function discountRatio(ratio: number, lossProbability: number): number {
+  return lossProbability + (1 - lossProbability) * ratio;
+}
+
+function weighSilence(
+  { startedAt, expected }: Attempt,
+  lossProbability: number,
+  now: number,
+): number {
+  return discountRatio(computeSilenceRatio((now - startedAt) / expected), lossProbability);
+}
+
 /** The state that a dispatcher keeps for one endpoint. */
 export class EndpointState {
   readonly attemptsInFlight = new Map<number, Attempt>();
@@ -92,6 +108,7 @@
     private description: Endpoint,
     now: number,
     private readonly getLimitShare: () => number = () => 1,
+    private readonly entryLoss = new EntryLossEstimates(),
   ) {
     this.failureEstimate = new FailureEstimate(now);
     this.warmUpUntil = now + description.warmUpMilliseconds;
@@ -132,10 +149,20 @@
   countFreeSlots(now: number): number {
     const usedByOthers =
       now - this.otherDaemonsLoadAt < OTHER_DAEMONS_LOAD_MILLISECONDS ? this.otherDaemonsLoad : 0;
-    const free = this.description.slots - this.attemptsInFlight.size - usedByOthers;
+    const free = this.description.slots - this.countUsedSlots(now) - usedByOthers;
     return this.rateLimit === undefined ? free : Math.min(free, this.rateLimit.countAllowed(now));
   }
 
+  private countUsedSlots(now: number): number {
+    let count = 0;
+    for (const attempt of this.attemptsInFlight.values()) {
+      if (this.entryLoss.estimate(attempt, now) < LOST_PATH_PROBABILITY) {
+        count += 1;
+      }
+    }
+    return count;
+  }
+
   /** Number of slots that can be kept in use; below the endpoint's own if it announces a limit. */
   get usableSlots(): number {
     const { slots } = this.description;
@@ -176,11 +203,21 @@
   /** Probability of a gray failure, including the evidence of attempts that are still without a response. */
   estimateRisk(now: number): number {
     let probability = this.failureEstimate.at(now);
-    for (const { startedAt, expected } of this.attemptsInFlight.values()) {
-      probability = updateProbability(
-        probability,
-        computeSilenceRatio((now - startedAt) / expected),
-      );
+    for (const attempt of this.attemptsInFlight.values()) {
+      const ratio = weighSilence(attempt, this.entryLoss.estimate(attempt, now), now);
+      probability = updateProbability(probability, ratio);
+    }
+    return probability;
+  }
+
+  /** The same without the evidence of one attempt. */
+  estimateRiskWithout(excludedGrantId: number, now: number): number {
+    let probability = this.failureEstimate.at(now);
+    for (const [grantId, attempt] of this.attemptsInFlight) {
+      if (grantId !== excludedGrantId) {
+        const ratio = weighSilence(attempt, this.entryLoss.findLast(attempt), now);
+        probability = updateProbability(probability, ratio);
+      }
     }
     return probability;
   }
@@ -193,6 +230,7 @@
   /** Registers a granted attempt. */
   startAttempt(grantId: number, attempt: Attempt): void {
     this.attemptsInFlight.set(grantId, attempt);
+    this.entryLoss.start(grantId, attempt, this);
     this.rateLimit?.take(attempt.startedAt);
     this.lastExpected = attempt.expected;
     this.lastGrantAt = attempt.startedAt;
@@ -205,8 +243,10 @@
     if (attempt === undefined) {
       return;
     }
+    const lossProbability = this.entryLoss.estimate(attempt, now);
     this.attemptsInFlight.delete(grantId);
-    this.applyOutcome(attempt, result, now);
+    this.entryLoss.finish(grantId, attempt.entry, !result.silent, now);
+    this.applyOutcome(attempt, result, lossProbability, now);
     if (result.load >= 0) {
       // The reported load includes the request that has just completed, so it is subtracted.
       this.otherDaemonsLoad = Math.max(0, result.load - 1 - this.attemptsInFlight.size);
@@ -214,7 +254,12 @@
     }
   }
 
-  private applyOutcome(attempt: Attempt, result: ClassifiedResult, now: number): void {
+  private applyOutcome(
+    attempt: Attempt,
+    result: ClassifiedResult,
+    lossProbability: number,
+    now: number,
+  ): void {
     const multiple = result.elapsed / attempt.expected;
     switch (result.outcome) {
       case 'success':
@@ -238,7 +283,8 @@
         return;
       case 'abandoned':
         if (result.silent) {
-          this.failureEstimate.observe(computeSilenceRatio(multiple), now);
+          const ratio = computeSilenceRatio(multiple);
+          this.failureEstimate.observe(discountRatio(ratio, lossProbability), now);
         }
         return;
       case 'refused':
--- a/packages/routing/grants/src/failure-estimate.ts
+++ b/packages/routing/grants/src/failure-estimate.ts
@@ -9,7 +9,7 @@
 /** Mean duration of a gray failure. */
 const FAILING_SECONDS = 3;
 /** Share of the requests that fail during a gray failure. */
-const FAILING_SHARE = 0.75;
+export const FAILING_SHARE = 0.75;
 /** Share of the requests that fail on a healthy endpoint. */
 const HEALTHY_FAILING_SHARE = 0.02;
 /** Bounds of the estimate; closer to 0 or 1, contrary outcomes would change it too slowly. */
--- a/packages/routing/grants/test/steady-load.ts
+++ b/packages/routing/grants/test/steady-load.ts
@@ -8,11 +8,15 @@
 const SERVICE_MILLISECONDS = 100;
 const STEP_MILLISECONDS = 7;
 const ENTRY_COUNT = 20;
+/** Time after which an entry daemon without a path returns a grant as unused. */
+const LOSS_DETECTION_MILLISECONDS = 900;
 
 /** What became of the requests of one run. */
 export interface LoadResult {
   readonly granted: number;
   readonly refused: number;
+  /** Refused requests of entry daemons that reach the endpoints. */
+  readonly refusedWithPath: number;
   /** Mean milliseconds from a request to its refusal. */
   readonly waitedForRefusal: number;
 }
@@ -21,13 +25,26 @@
   readonly endsAt: number;
   readonly service: VirtualService;
   readonly granted: Extract<grants.Decision, { kind: 'grant' }>;
+  /** Whether its entry daemon does not reach the endpoints. */
+  readonly isLost: boolean;
+}
+
+/** Returns the name of an entry daemon. */
+export function nameEntry(index: number): string {
+  return `entry-${index % ENTRY_COUNT}`;
 }
 
 /** Sends requests and lets each attempt succeed after a fixed time. */
 export class SteadyLoad {
   private running: RunningAttempt[] = [];
 
-  private readonly undecided = new Map<string, number>();
+  /** Entry daemons that do not reach the endpoints. */
+  readonly entriesWithoutPath = new Set<string>();
+
+  private readonly undecided = new Map<
+    string,
+    { readonly entry: string; readonly askedAt: number }
+  >();
 
   private readonly grantsByEndpoint = new Map<string, number[]>();
 
@@ -52,55 +69,63 @@
     const end = this.service.now + milliseconds;
     let granted = 0;
     let refused = 0;
+    let refusedWithPath = 0;
     let waited = 0;
     while (this.service.now < end) {
       this.step += 1;
       this.service.now += STEP_MILLISECONDS;
       this.finishAttempts(findLimit);
-      const entry = `entry-${this.step % ENTRY_COUNT}`;
-      this.undecided.set(
-        this.service.ask({ entry, idempotent: this.step % 3 === 0 }),
-        this.service.now,
-      );
+      const asking = nameEntry(this.step);
+      this.undecided.set(this.service.ask({ entry: asking, idempotent: this.step % 3 === 0 }), {
+        entry: asking,
+        askedAt: this.service.now,
+      });
       this.service.dispatcher.tick();
-      for (const [key, askedAt] of this.undecided) {
+      for (const [key, { entry, askedAt }] of this.undecided) {
         const decision = this.service.decisions.get(key);
         if (decision !== undefined) {
           this.undecided.delete(key);
         }
         if (decision?.kind === 'grant') {
           granted += 1;
-          this.recordGrant(decision);
+          this.recordGrant(decision, entry);
         } else if (decision?.kind === 'refuse') {
           refused += 1;
+          refusedWithPath += this.entriesWithoutPath.has(entry) ? 0 : 1;
           waited += this.service.now - askedAt;
         }
       }
     }
-    return { granted, refused, waitedForRefusal: refused === 0 ? 0 : waited / refused };
+    return {
+      granted,
+      refused,
+      refusedWithPath,
+      waitedForRefusal: refused === 0 ? 0 : waited / refused,
+    };
   }
 
-  private recordGrant(granted: RunningAttempt['granted']): void {
+  private recordGrant(granted: RunningAttempt['granted'], entry: string): void {
     const { id } = granted.endpoint;
     this.grantsByEndpoint.set(id, [...this.listGrants(id), this.service.now]);
-    const endsAt = this.service.now + SERVICE_MILLISECONDS;
-    this.running.push({ endsAt, service: this.service, granted });
+    const isLost = this.entriesWithoutPath.has(entry);
+    const endsAt = this.service.now + (isLost ? LOSS_DETECTION_MILLISECONDS : SERVICE_MILLISECONDS);
+    this.running.push({ endsAt, service: this.service, granted, isLost });
   }
 
   private finishAttempts(findLimit: (endpoint: Endpoint) => number | null): void {
     const ended = this.running.filter(({ endsAt }) => endsAt <= this.service.now);
     this.running = this.running.filter(({ endsAt }) => endsAt > this.service.now);
-    for (const { granted, service } of ended) {
+    for (const { granted, service, isLost } of ended) {
       const limit = findLimit(granted.endpoint);
       Object.assign(service, { now: this.service.now });
       service.dispatcher.report(granted.grantId, {
-        outcome: 'success',
-        elapsed: SERVICE_MILLISECONDS,
+        outcome: isLost ? 'unused' : 'success',
+        elapsed: isLost ? LOSS_DETECTION_MILLISECONDS : SERVICE_MILLISECONDS,
         load: -1,
-        silent: false,
+        silent: isLost,
         rested: 0,
         announcement:
-          limit === null
+          limit === null || isLost
             ? null
             : { requestsPerSecond: limit, leaving: false, pauseMilliseconds: 0 },
       });
