--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -143,6 +143,25 @@
   });
 });
 
+test('a connection on which nothing arrives any more is given up at the deadline, long before keep-alive probes', async () => {
+  const respondOnce: Script = (socket, request, number) => {
+    if (number !== 2) {
+      socket.write(formatResponse(request, 'well'));
+    }
+  };
+  await withGateway([respondOnce], {}, async ({ gateway, endpoints }) => {
+    const deadline = 300;
+    const headers = { Deadline: String(deadline) };
+    assert.equal((await gateway.send({ body: 'x', headers }))?.status, 200);
+    const startedAt = performance.now();
+    assert.equal((await gateway.send({ body: 'x', headers }))?.status, 504);
+    const elapsed = performance.now() - startedAt;
+    assert.ok(elapsed < deadline + 250, `gave up after ${Math.round(elapsed)} ms`);
+    assert.equal((await gateway.send({ body: 'x', headers }))?.status, 200);
+    assert.equal(endpoints[0]?.connections, 2, 'the silent connection is not used again');
+  });
+});
+
 test('requests that fail before their first attempt are reported for the log', async () => {
   await withGateway([respondOk], {}, async ({ gateway }) => {
     await gateway.send({ path: '/elsewhere/1', id: 'no-route' });
