Log announcements of endpoints that can't be read, once for each endpoint and value

An operator could not see why an endpoint that asks for less got as much as before: a value that is no decimal number announced nothing, without a trace. Nothing else changes.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -8,6 +8,7 @@
 import type { HoldReason } from './announced-holds.js';
 import { DecisionLog } from './decision-log.js';
 import type { MetricsServer } from './metrics-server.js';
+import { UnreadableAnnouncements } from './unreadable-announcements.js';
 
 /** Records the request and slot decisions of one daemon. */
 export class DecisionReporter {
@@ -23,6 +24,8 @@
   /** Has a limit of its own, so that the many grants do not displace the few changes of what endpoints announce. */
   private readonly announcementLog: DecisionLog;
 
+  private readonly unreadableAnnouncements = new UnreadableAnnouncements();
+
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
     this.logger = log.getLogger('entry');
     this.entryLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
@@ -96,6 +99,14 @@
     });
   }
 
+  /** Records a header of an endpoint's response that should announce something and can't be read. */
+  recordUnreadableAnnouncement(endpoint: string, header: string): void {
+    if (this.unreadableAnnouncements.record(endpoint, header)) {
+      this.metricsServer?.countAnnouncement('unreadable');
+      this.announcementLog.write('endpoint announcement can not be read', { endpoint, header });
+    }
+  }
+
   /** Records that this daemon has lost its path to the endpoints of a service, or has it again. */
   recordPath(service: string, lost: boolean): void {
     this.metricsServer?.countPathEvent(lost ? 'lost' : 'regained');
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -327,6 +327,8 @@
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
       maximumBufferedBytes: settings.limits.memoryMegabytes * MEGABYTE * BODY_MEMORY_SHARE,
+      onUnreadableAnnouncement: (endpoint, header) =>
+        this.reporter.recordUnreadableAnnouncement(endpoint, header),
       onDecision: (decision) => this.reporter.recordRequest(decision),
       onUnexpectedError: (requestId, error) => {
         const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -21,6 +21,7 @@
   classifyResponse: () => ({ kind: 'answer' }),
   readLoad: () => undefined,
   readAnnouncement: () => noAnnouncement,
+  listUnreadableAnnouncements: () => [],
   formatRetryAfter: String,
 };
 
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -54,6 +54,8 @@
   readonly protocol: WireProtocol;
   /** Limits the bytes of responses that all attempts buffer together. */
   readonly responseMemory: MemoryBudget;
+  /** Called with each header of an endpoint's response that should announce something and can't be read. */
+  readonly onUnreadableAnnouncement: (endpoint: string, header: string) => void;
   readonly address: string;
   /** Connections idle for longer are not reused. */
   readonly maximumIdleMilliseconds: number;
@@ -244,7 +246,11 @@
     if (!isOfEndpoint || this.options.relay !== undefined) {
       return null;
     }
-    const announcement = this.options.protocol.readAnnouncement(this.status, this.headers);
+    const { protocol, context, onUnreadableAnnouncement } = this.options;
+    for (const header of protocol.listUnreadableAnnouncements(this.status, this.headers)) {
+      onUnreadableAnnouncement(context.endpoint, header);
+    }
+    const announcement = protocol.readAnnouncement(this.status, this.headers);
     return isEmptyAnnouncement(announcement) ? null : announcement;
   }
 }
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -14,6 +14,7 @@
   CallerResponder,
   NOT_READY_RETRY_MILLISECONDS,
 } from './caller-responder.js';
+import type { AttemptOptions } from './attempt.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionPool } from './connection-pool.js';
 import { type RelayState, readRelayHeaders } from './relay.js';
@@ -47,6 +48,7 @@
   readonly waitForRoutes: (milliseconds: number) => Promise<void>;
   /** Maximum bytes of request bodies buffered at a time, across all requests; the same again for responses. */
   readonly maximumBufferedBytes: number;
+  readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
   readonly onDecision: (decision: RequestDecision) => void;
   readonly onUnexpectedError: (requestId: string, error: unknown) => void;
 }
@@ -283,7 +285,12 @@
       const requestResult = await executeRequest({
         context,
         slots,
-        attemptOptions: { pool: this.pool, protocol, responseMemory: this.responseMemory },
+        attemptOptions: {
+          pool: this.pool,
+          protocol,
+          responseMemory: this.responseMemory,
+          onUnreadableAnnouncement: this.options.onUnreadableAnnouncement,
+        },
         signal: abortController.signal,
         recordAttempt: (record) => attempts.push(record),
       });
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -42,7 +42,10 @@
 export interface RequestExecutionOptions {
   readonly context: RequestContext;
   readonly slots: SlotSource;
-  readonly attemptOptions: Pick<AttemptOptions, 'pool' | 'protocol' | 'responseMemory'>;
+  readonly attemptOptions: Pick<
+    AttemptOptions,
+    'pool' | 'protocol' | 'responseMemory' | 'onUnreadableAnnouncement'
+  >;
   /** Aborted at the deadline and when the caller disconnects. */
   readonly signal: AbortSignal;
   readonly recordAttempt: (record: AttemptRecord) => void;
--- a/packages/routing/gateway/src/wire-protocol.ts
+++ b/packages/routing/gateway/src/wire-protocol.ts
@@ -43,6 +43,11 @@
   readonly readLoad: (headers: IncomingHttpHeaders) => number | undefined;
   /** Reads what the endpoint announces about itself; values that can't be read announce nothing. */
   readonly readAnnouncement: (status: number, headers: IncomingHttpHeaders) => Announcement;
+  /** Returns the headers, each as `name: value`, that should announce something and can't be read. */
+  readonly listUnreadableAnnouncements: (
+    status: number,
+    headers: IncomingHttpHeaders,
+  ) => readonly string[];
   /** Formats the delay after which a rejected caller may retry. */
   readonly formatRetryAfter: (milliseconds: number) => string;
 }
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -60,6 +60,7 @@
   },
   readLoad: () => undefined,
   readAnnouncement: () => noAnnouncement,
+  listUnreadableAnnouncements: () => [],
   formatRetryAfter: (milliseconds) => String(milliseconds / 1000),
 };
 
@@ -113,6 +114,7 @@
         }
       },
       maximumBufferedBytes: 10_000_000,
+      onUnreadableAnnouncement: () => {},
       onDecision: (decision) => this.decisions.push(decision),
       onUnexpectedError: (_id, error) => {
         throw error;
