--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -188,8 +188,8 @@
     const cells: CellReport[] = [];
     for (const [name, dispatcher] of this.cells) {
       if (this.isActiveFor(name)) {
-        const announcements = dispatcher
-          .listAnnouncements()
+        const announcements = dispatcher.announcements
+          .list()
           .map(({ endpoint, lifetime, requestsPerSecond, leaving }): AnnouncementTuple => [
             endpoint,
             lifetime,
@@ -215,7 +215,7 @@
             requestsPerSecond,
             leaving,
           }));
-          dispatcher.importAnnouncements(relayed, source);
+          dispatcher.announcements.import(relayed, source);
         }
       }
     }
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -5,7 +5,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import type { Duplex } from 'node:stream';
-import * as hashing from '@dogwoodstall/hashing';
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
 import { type Limits, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
@@ -18,6 +17,7 @@
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionPool } from './connection-pool.js';
 import { type RelayState, readRelayHeaders } from './relay.js';
+import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
 import type { WireProtocol } from './wire-protocol.js';
 import { type BufferedBody, MemoryBudget, readBody } from './body-buffer.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
@@ -67,7 +67,6 @@
 /** Maximum fraction of the caller's deadline spent waiting for the routes. */
 const ROUTES_WAIT_FRACTION = 0.3;
 const SLOW_HEADER_CHECK_MILLISECONDS = 1000;
-const FINGERPRINT_RADIX = 36;
 
 /** Accepts requests from callers and forwards them to endpoints. */
 export class GatewayServer {
@@ -267,7 +266,7 @@
         memoryBudget: this.bodyMemory,
         signal: abortController.signal,
       });
-      const fingerprint = GatewayServer.computeFingerprint(request, body.bytes);
+      const fingerprint = computeFingerprint(request, body.bytes);
       const attemptsLeft = route.maximumAttempts;
       const relayed = this.readRelayState(request, { attemptsLeft, repeated: false, fingerprint });
       const context: RequestContext = {
@@ -276,7 +275,7 @@
         route,
         method: checked.method,
         target: request.url ?? '/',
-        headers: this.selectHeaders(request),
+        headers: selectForwardedHeaders(request, protocol),
         body: body.bytes,
         deadlineAt,
         fingerprint: relayed?.fingerprint ?? fingerprint,
@@ -364,29 +363,4 @@
       remainingMilliseconds: 0,
     });
   }
-
-  private selectHeaders(request: http.IncomingMessage): string[] {
-    const { ownedRequestHeaders } = this.options.protocol;
-    const all = proxy.selectRequestHeaders(request.rawHeaders);
-    const selected: string[] = [];
-    for (let index = 0; index < all.length; index += 2) {
-      const name = all[index] as string;
-      // undici sets the length of the buffered body itself.
-      if (!ownedRequestHeaders.has(name) && name !== 'content-length') {
-        selected.push(name, all[index + 1] as string);
-      }
-    }
-    return selected;
-  }
-
-  private static computeFingerprint(request: http.IncomingMessage, body: Buffer | null): string {
-    const hash = hashing
-      .createStreamHash64()
-      .update(`${request.socket.remoteAddress} ${request.method} ${request.headers.host}`)
-      .update(request.url ?? '');
-    if (body !== null) {
-      hash.update(body);
-    }
-    return hash.digest().toString(FINGERPRINT_RADIX);
-  }
 }
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -2,8 +2,8 @@
  * The dispatcher of one cell: tracks the state of its endpoints, grants their slots to requests, and queues or refuses
  * the requests that can't be served at once.
  */
-import { type Endpoint, noAnnouncement } from '@dogwoodstall/traffic';
-import type { FleetAnnouncement } from './announced-state.js';
+import type { Endpoint } from '@dogwoodstall/traffic';
+import { type AnnouncementChange, CellAnnouncements } from './cell-announcements.js';
 import {
   type Candidate,
   type SelectionRequest,
@@ -39,23 +39,6 @@
       readonly retryAfter: number;
     };
 
-/** A change of what an endpoint announces. */
-export interface AnnouncementChange extends FleetAnnouncement {
-  readonly endpoint: Endpoint;
-  /** Whether a response to a request showed it, or another dispatcher of the cell reported it. */
-  readonly origin: 'response' | 'dispatcher';
-  /** The daemon that received the response, or the other dispatcher. */
-  readonly source: string;
-  /** What was in force before. */
-  readonly previous: FleetAnnouncement;
-}
-
-/** What one process of an endpoint announces, as dispatchers tell each other. */
-export interface RelayedAnnouncement extends FleetAnnouncement {
-  readonly endpoint: string;
-  readonly lifetime: number;
-}
-
 /** Options of `CellDispatcher`. */
 export interface CellDispatcherOptions {
   readonly now: () => number;
@@ -70,12 +53,6 @@
   readonly onAnnouncement: (change: AnnouncementChange) => void;
 }
 
-/** Outcomes of attempts to which the endpoint itself has responded. */
-const ANSWERED_OUTCOMES: ReadonlySet<AttemptResult['outcome']> = new Set([
-  'success',
-  'error',
-  'shed',
-]);
 /** Maximum wait for an endpoint with a lower risk, as a share of the target latency. */
 const RISK_WAIT_OF_TARGET = 0.12;
 /** Risk above which a non-idempotent request waits for another endpoint, for a limited time. */
@@ -122,10 +99,14 @@
     serviceTimes: this.serviceTimes,
   });
 
+  /** What the endpoints of the cell announce about themselves. */
+  readonly announcements: CellAnnouncements;
+
   private failedShare = 0;
 
   constructor(private readonly options: CellDispatcherOptions) {
     this.retryBudget = new RetryBudgetTracker(options.retryBudget, options.now());
+    this.announcements = new CellAnnouncements(this.states, options);
   }
 
   /** Replaces the endpoints of the cell after a change of the directory. */
@@ -213,7 +194,7 @@
       now,
     );
     this.recordResult(state, attempt, result, now);
-    this.recordAnnouncement(state, attempt, result, now);
+    this.announcements.recordResult(state, attempt, result, now);
     this.serveQueue();
     return true;
   }
@@ -282,34 +263,6 @@
     }
   }
 
-  /** Lists what the endpoints announce, for the other dispatchers of the cell. */
-  listAnnouncements(): RelayedAnnouncement[] {
-    const announcements: RelayedAnnouncement[] = [];
-    for (const { endpoint, announced } of this.states.values()) {
-      if (!announced.isEmpty) {
-        announcements.push({
-          endpoint: endpoint.id,
-          lifetime: endpoint.lifetime,
-          ...announced.current,
-        });
-      }
-    }
-    return announcements;
-  }
-
-  /** Applies what another dispatcher, the active one of the cell, knows; what it does not list has ended. */
-  importAnnouncements(announcements: readonly RelayedAnnouncement[], source: string): void {
-    const now = this.options.now();
-    const byEndpoint = new Map(announcements.map((entry) => [entry.endpoint, entry]));
-    for (const [id, state] of this.states) {
-      const relayed = byEndpoint.get(id);
-      const isSame = relayed?.lifetime === state.endpoint.lifetime;
-      const stated = isSame ? relayed : noAnnouncement;
-      this.applyAnnouncement(state, stated, { origin: 'dispatcher', source, sentAt: now }, now);
-      state.drainRateLimit(now);
-    }
-  }
-
   private recordResult(
     state: EndpointState,
     attempt: Attempt,
@@ -329,37 +282,6 @@
     }
   }
 
-  private recordAnnouncement(
-    state: EndpointState,
-    { entry, startedAt }: Attempt,
-    { announcement, outcome }: AttemptResult,
-    now: number,
-  ): void {
-    if (announcement === null && !ANSWERED_OUTCOMES.has(outcome)) {
-      return;
-    }
-    // An attempt without a response of the endpoint shows nothing about what it no longer announces.
-    const sentAt = ANSWERED_OUTCOMES.has(outcome) ? startedAt : -Infinity;
-    const stated = announcement ?? noAnnouncement;
-    this.applyAnnouncement(state, stated, { origin: 'response', source: entry, sentAt }, now);
-    if (stated.pauseMilliseconds > 0) {
-      state.paths.pause(entry, now + stated.pauseMilliseconds, now);
-    }
-  }
-
-  private applyAnnouncement(
-    state: EndpointState,
-    announcement: FleetAnnouncement,
-    { sentAt, ...origin }: Pick<AnnouncementChange, 'origin' | 'source'> & { sentAt: number },
-    now: number,
-  ): void {
-    const { announced, endpoint } = state;
-    const previous = announced.current;
-    if (state.applyAnnouncement(announcement, sentAt, now)) {
-      this.options.onAnnouncement({ endpoint, ...origin, ...announced.current, previous });
-    }
-  }
-
   private hasNoUsableEndpoint(): boolean {
     for (const { isDraining } of this.states.values()) {
       if (!isDraining) {
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -2,14 +2,9 @@
  * Dispatching of requests to endpoint slots: partitions a service into cells and grants the slots of each cell.
  */
 export { type FleetAnnouncement } from './announced-state.js';
-export {
-  type AnnouncementChange,
-  type Decision,
-  type RelayedAnnouncement,
-  type CellDispatcherOptions,
-  CellDispatcher,
-} from './cell-dispatcher.js';
+export { type Decision, type CellDispatcherOptions, CellDispatcher } from './cell-dispatcher.js';
 export { type Cell, partitionIntoCells } from './cells.js';
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
 export { type RetryBudget } from './retry-budget-tracker.js';
+export type { AnnouncementChange, RelayedAnnouncement } from './cell-announcements.js';
--- a/packages/routing/grants/test/announced-limit.test.ts
+++ b/packages/routing/grants/test/announced-limit.test.ts
@@ -80,7 +80,7 @@
     load.run(1000, () => 2);
     const next = new VirtualService(endpoints);
     next.now = load.service.now;
-    next.dispatcher.importAnnouncements(load.service.dispatcher.listAnnouncements(), 'former');
+    next.dispatcher.announcements.import(load.service.dispatcher.announcements.list(), 'former');
     load.handOver(next);
   }
   for (const endpoint of endpoints) {
@@ -96,8 +96,8 @@
   const exchange = (): void => {
     for (const standby of standbys) {
       standby.now = load.service.now;
-      const announcements = load.service.dispatcher.listAnnouncements();
-      standby.dispatcher.importAnnouncements(announcements, 'active');
+      const announcements = load.service.dispatcher.announcements.list();
+      standby.dispatcher.announcements.import(announcements, 'active');
     }
   };
   for (let ping = 0; ping < 16; ping += 1) {
@@ -127,13 +127,13 @@
 test('announced-limit: what another dispatcher no longer lists, or lists for an earlier process, is not in force', () => {
   const service = new VirtualService([createEndpoint('one', { lifetime: 2 })]);
   const relayed = { endpoint: 'one', requestsPerSecond: 3, leaving: true };
-  service.dispatcher.importAnnouncements([{ ...relayed, lifetime: 1 }], 'former');
-  assert.deepEqual(service.dispatcher.listAnnouncements(), []);
-  service.dispatcher.importAnnouncements([{ ...relayed, leaving: false, lifetime: 2 }], 'former');
-  assert.equal(service.dispatcher.listAnnouncements().length, 1);
+  service.dispatcher.announcements.import([{ ...relayed, lifetime: 1 }], 'former');
+  assert.deepEqual(service.dispatcher.announcements.list(), []);
+  service.dispatcher.announcements.import([{ ...relayed, leaving: false, lifetime: 2 }], 'former');
+  assert.equal(service.dispatcher.announcements.list().length, 1);
   service.now += 10;
-  service.dispatcher.importAnnouncements([], 'former');
-  assert.deepEqual(service.dispatcher.listAnnouncements(), []);
+  service.dispatcher.announcements.import([], 'former');
+  assert.deepEqual(service.dispatcher.announcements.list(), []);
   assert.deepEqual(
     service.announcements.map(({ origin, source }) => `${origin} ${source}`),
     ['dispatcher former', 'dispatcher former'],
