--- /dev/null
+++ b/packages/daemon/gateway-daemon/test/crashing-request.test.ts
@@ -0,0 +1,131 @@
+/**
+ * A request that ends each endpoint that receives it, sent again and again at changing daemons.
+ */
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import * as undici from 'undici';
+import { CRASH_PATH } from './crashing-endpoint.js';
+import { CrashingService } from './crashing-service.js';
+import { Fleet, type FleetDaemon, METRICS_PORT, sendRequest, waitUntil } from './fleet.js';
+
+const READY_MILLISECONDS = 8000;
+const SETTLE_MILLISECONDS = 2500;
+const ENDPOINTS = 30;
+const SEND_INTERVAL_MILLISECONDS = 150;
+/** The platform allows three endpoints more, from this long after the third has ended. */
+const STABILITY_MILLISECONDS = 3000;
+const ALLOWED_LATER = 3;
+
+let lastNetwork = 90;
+
+/** Sends requests at the running daemons in turn until it is stopped. */
+class Callers {
+  private stopped = false;
+
+  private readonly finished: Promise<void>;
+
+  readonly statuses: (number | undefined)[] = [];
+
+  constructor(
+    private readonly listDaemons: () => readonly FleetDaemon[],
+    private readonly path: string,
+  ) {
+    this.finished = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.finished;
+  }
+
+  private async run(): Promise<void> {
+    const sent: Promise<void>[] = [];
+    for (let count = 0; !this.stopped; count += 1) {
+      const daemons = this.listDaemons();
+      const { host } = daemons[count % daemons.length] as FleetDaemon;
+      sent.push(
+        sendRequest(host, `${this.path}-${count}`, this.path).then((response) => {
+          this.statuses.push(response?.status);
+        }),
+      );
+      await delay(SEND_INTERVAL_MILLISECONDS);
+    }
+    await Promise.all(sent);
+  }
+}
+
+/** Returns how many slot requests a daemon has granted so far. */
+async function countGrants({ host }: FleetDaemon): Promise<number> {
+  const { body } = await undici.request(`http://${host}:${METRICS_PORT}/metrics`);
+  const pattern = /dogwoodstall_slot_decisions_total\{.*decision="grant"\} (\d+)/g;
+  const counts = [...(await body.text()).matchAll(pattern)].map(([, count]) => Number(count));
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+/** Returns the daemon that granted most slots in a short time. */
+async function findDispatcher(daemons: readonly FleetDaemon[]): Promise<FleetDaemon> {
+  const before = await Promise.all(daemons.map(countGrants));
+  await delay(500);
+  const after = await Promise.all(daemons.map(countGrants));
+  const growth = after.map((count, index) => count - (before[index] as number));
+  return daemons[growth.indexOf(Math.max(...growth))] as FleetDaemon;
+}
+
+async function withService(
+  size: number,
+  check: (fleet: Fleet, running: FleetDaemon[], service: CrashingService) => Promise<void>,
+): Promise<void> {
+  lastNetwork += 1;
+  const fleet = new Fleet(lastNetwork);
+  const service = new CrashingService();
+  fleet.store.configure(1, 'valuation');
+  try {
+    await service.start(fleet.store, ENDPOINTS);
+    const running: FleetDaemon[] = [];
+    for (let count = 0; count < size; count += 1) {
+      running.push(await fleet.start());
+    }
+    await waitUntil(
+      'all daemons are ready',
+      () => running.every(({ daemon }) => daemon.isReady),
+      READY_MILLISECONDS,
+    );
+    await delay(SETTLE_MILLISECONDS);
+    await check(fleet, running, service);
+  } finally {
+    fleet.close();
+    service.close();
+  }
+}
+
+/** Asserts that at most three endpoints were reached later than the stability time after the third. */
+function assertHeldBack({ arrivals }: CrashingService): void {
+  const third = arrivals[2]?.at ?? Infinity;
+  const later = arrivals.filter(({ at }) => at > third + STABILITY_MILLISECONDS);
+  assert.ok(
+    later.length <= ALLOWED_LATER,
+    `${arrivals.length} endpoints ended, ${later.length} of them later than 3 s after the third`,
+  );
+}
+
+test('a request that ended three endpoints is held back although its dispatchers are killed one after the other', async () => {
+  await withService(5, async (fleet, running, service) => {
+    const ordinary = new Callers(() => running, '/1');
+    const crashing = new Callers(() => running, CRASH_PATH);
+    await waitUntil('three endpoints have ended', () => service.arrivals.length >= 3, 5000);
+    for (let round = 0; round < 4; round += 1) {
+      const dispatcher = await findDispatcher(running);
+      running.splice(running.indexOf(dispatcher), 1);
+      dispatcher.daemon.close();
+      const started = await fleet.start();
+      await delay(SETTLE_MILLISECONDS);
+      running.push(started);
+    }
+    await crashing.stop();
+    await ordinary.stop();
+    assertHeldBack(service);
+    const served = ordinary.statuses.filter((status) => status === 200);
+    assert.ok(served.length > ordinary.statuses.length * 0.9, 'other requests are served');
+  });
+});
--- /dev/null
+++ b/packages/daemon/gateway-daemon/test/crashing-service.ts
@@ -0,0 +1,26 @@
+/**
+ * A service whose endpoints end on a certain request, and the arrivals of that request.
+ */
+import { type Arrival, CrashingEndpoint } from './crashing-endpoint.js';
+import type { MemoryStore } from './memory-store.js';
+
+/** The endpoints of the service. */
+export class CrashingService {
+  readonly arrivals: Arrival[] = [];
+
+  private readonly endpoints: CrashingEndpoint[] = [];
+
+  async start(store: MemoryStore, size: number): Promise<void> {
+    for (let index = 0; index < size; index += 1) {
+      const endpoint = new CrashingEndpoint(`endpoint-${index}`, store, this.arrivals);
+      this.endpoints.push(endpoint);
+      await endpoint.start();
+    }
+  }
+
+  close(): void {
+    for (const endpoint of this.endpoints) {
+      endpoint.close();
+    }
+  }
+}
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -95,12 +95,13 @@
 export function sendRequest(
   host: string,
   id = 'r1',
+  path = '/1',
 ): Promise<{ readonly status: number; readonly body: string } | undefined> {
   return new Promise((resolve) => {
     const request = http.request({
       host,
       port: CALLER_PORT,
-      path: '/1',
+      path,
       agent: false,
       headers: { Host: 'shop.example', 'Request-Id': id },
     });
