Let every daemon know the requests that crash endpoints

Callers saw endpoints end under the same request again and again: the record of it lived in one dispatcher of one cell. A new dispatcher, a second one beside it, another cell or a daemon on its own began without it, a queued request was not checked again, and a process of an endpoint that ended twice under one id counted once.

Now the daemon that sees a reset records it by endpoint and lifetime and tells four keepers, ranked by the fingerprint, and the dispatcher. Whoever learns that a request is to be refused tells all daemons; pongs repeat it to those that missed it. The entry refuses such a request without a dispatcher; dispatchers check when it arrives and when it leaves the queue. Evidence counts less when the endpoint accepts a connection directly after the reset, or when the connection had been idle.

The test of the dispatcher now feeds its records as the entry does, because reports no longer count crashes; that a reset is counted is tested at the entry.

--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/crash-record-exchange.ts
@@ -0,0 +1,213 @@
+/**
+ * Exchange of the records of requests that crash endpoints, so that any daemon can refuse such a request, whichever
+ * daemons received it before and whichever dispatch its service.
+ *
+ * A daemon that sees a reset tells a few keepers, which are the same for a fingerprint on all daemons. Whoever learns by
+ * its own evidence or as a keeper that a request is to be refused tells all daemons; those that missed it learn it with
+ * the response to a ping.
+ */
+import type * as datagrams from '@dogwoodstall/datagrams';
+import * as grants from '@dogwoodstall/grants';
+import * as hashing from '@dogwoodstall/hashing';
+import type { Member, MemberTable } from './member.js';
+
+/** Daemons that collect the evidence of a request. */
+const KEEPERS = 4;
+/** Records in one datagram, so that it stays below the size of a packet. */
+const RECORDS_PER_DATAGRAM = 2;
+/** Time after which unchanged records are sent to a daemon that pings again. */
+const REPEAT_MILLISECONDS = 3000;
+/** Requests that this daemon tells all others about, in a second; others wait for the next ping. */
+const ANNOUNCED_PER_SECOND = 10;
+const SECOND_MILLISECONDS = 1000;
+
+/** A change of what a daemon knows of a request that crashes endpoints. */
+export type CrashRecordEvent = 'counted' | 'held' | 'relayed' | 'cleared';
+
+/** A reset that this daemon saw. */
+export type SeenReset = Omit<grants.ResetAttempt, 'source' | 'isReachable'> & {
+  readonly address: string;
+};
+
+/** Options of `CrashRecordExchange`. */
+export interface CrashRecordExchangeOptions {
+  readonly members: MemberTable;
+  readonly send: (message: datagrams.Message, to: datagrams.PeerAddress) => void;
+  /** Resolves with whether an address accepts a connection. */
+  readonly connect: (address: string) => Promise<boolean>;
+  readonly onEvent: (event: CrashRecordEvent, record: grants.CrashRecord) => void;
+  /** Returns monotonic milliseconds. */
+  readonly now: () => number;
+}
+
+type RelayedRecord = datagrams.Crashes['records'][number];
+
+function toAge(at: number, now: number): number {
+  return Math.max(0, Math.round(now - at));
+}
+
+function encodeRecord(record: grants.CrashRecord, now: number): RelayedRecord {
+  const { fingerprint, clearedAt, lastAt, evidence } = record;
+  return {
+    fingerprint,
+    age: toAge(lastAt, now),
+    clearedAge: clearedAt === -Infinity ? null : toAge(clearedAt, now),
+    evidence: evidence.map(({ endpoint, lifetime, weight, source, at }) => [
+      endpoint,
+      lifetime,
+      weight,
+      source,
+      toAge(at, now),
+    ]),
+  };
+}
+
+function decodeRecord(record: RelayedRecord, now: number): grants.CrashRecord {
+  const { fingerprint, age, clearedAge, evidence } = record;
+  return {
+    fingerprint,
+    lastAt: now - age,
+    clearedAt: clearedAge === null ? -Infinity : now - clearedAge,
+    evidence: evidence.map(([endpoint, lifetime, weight, source, evidenceAge]) => ({
+      endpoint,
+      lifetime,
+      weight,
+      source,
+      at: now - evidenceAge,
+    })),
+  };
+}
+
+/** Holds and exchanges the records of one daemon. */
+export class CrashRecordExchange {
+  readonly records: grants.CrashRecords;
+
+  /** By host of the daemon: what was sent last with a pong, and when. */
+  private readonly sentWithPong = new Map<string, { readonly list: string; readonly at: number }>();
+
+  /** Times at which this daemon told all others about a request. */
+  private announcedAt: number[] = [];
+
+  constructor(private readonly options: CrashRecordExchangeOptions) {
+    this.records = new grants.CrashRecords((record) => {
+      options.onEvent('held', record);
+      this.announce(record);
+    });
+  }
+
+  /** Whether a request is to be refused. */
+  shouldRefuse(fingerprint: string): boolean {
+    return this.records.shouldRefuse(fingerprint, this.options.now());
+  }
+
+  /**
+   * Records that an endpoint reset a connection on which this daemon had sent a request. If the request met with a reset
+   * before, checks first whether the endpoint still accepts connections.
+   */
+  recordReset({ address, ...reset }: SeenReset, dispatcher: datagrams.PeerAddress): void {
+    const { members, now, connect, onEvent } = this.options;
+    const record = (isReachable: boolean | undefined): void => {
+      const attempt = { ...reset, source: members.self.host, isReachable };
+      const updated = this.records.add(attempt, now());
+      onEvent('counted', updated);
+      this.sendToKeepers(updated, dispatcher);
+    };
+    const known = this.records.find(reset.fingerprint, now());
+    if (known === undefined || known.evidence.length === 0) {
+      record(undefined);
+    } else {
+      connect(address).then(record, () => record(undefined));
+    }
+  }
+
+  /** Records that an endpoint processed a request of this daemon. */
+  recordSuccess(fingerprint: string, dispatcher: datagrams.PeerAddress): void {
+    const record = this.records.clear(fingerprint, this.options.now());
+    if (record !== undefined) {
+      this.options.onEvent('cleared', record);
+      this.sendToKeepers(record, dispatcher);
+    }
+  }
+
+  /** Merges what another daemon knows; ignores senders that are not members. */
+  receive({ final, records }: datagrams.Crashes, { host }: datagrams.PeerAddress): void {
+    if (this.options.members.findByHost(host) === undefined) {
+      return;
+    }
+    const now = this.options.now();
+    for (const relayed of records) {
+      const record = decodeRecord(relayed, now);
+      if (this.records.merge(record, now)) {
+        this.options.onEvent('relayed', record);
+        if (!final) {
+          this.announce(this.records.find(record.fingerprint, now) ?? record);
+        }
+      }
+    }
+  }
+
+  /** Sends the requests that are refused to a daemon that pinged, unless it has been told so recently. */
+  sendWithPong(to: datagrams.PeerAddress, isNew: boolean): void {
+    const now = this.options.now();
+    const crashing = this.records.listCrashing(now);
+    if (crashing.length === 0) {
+      this.sentWithPong.clear();
+      return;
+    }
+    const list = crashing.map(({ fingerprint }) => fingerprint).join(' ');
+    const sent = this.sentWithPong.get(to.host);
+    if (isNew || sent?.list !== list || now - sent.at > REPEAT_MILLISECONDS) {
+      this.sentWithPong.set(to.host, { list, at: now });
+      this.send(crashing, true, to);
+    }
+  }
+
+  private announce(record: grants.CrashRecord): void {
+    const now = this.options.now();
+    this.announcedAt = this.announcedAt.filter((at) => now - at < SECOND_MILLISECONDS);
+    if (this.announcedAt.length >= ANNOUNCED_PER_SECOND) {
+      return;
+    }
+    this.announcedAt.push(now);
+    for (const member of this.options.members.list()) {
+      this.sendToMember(record, true, member);
+    }
+  }
+
+  /** Tells the keepers of a record and the daemon that dispatches the service. */
+  private sendToKeepers(record: grants.CrashRecord, dispatcher: datagrams.PeerAddress): void {
+    const { members } = this.options;
+    const ranking = hashing.rankMembers(record.fingerprint, members.list(), ({ name }) => name);
+    const recipients = new Set(ranking.slice(0, KEEPERS));
+    const dispatching = members.findByHost(dispatcher.host);
+    if (dispatching !== undefined) {
+      recipients.add(dispatching);
+    }
+    for (const member of recipients) {
+      this.sendToMember(record, false, member);
+    }
+  }
+
+  private sendToMember(
+    record: grants.CrashRecord,
+    final: boolean,
+    { name, host, datagramPort }: Member,
+  ): void {
+    if (name !== this.options.members.self.name) {
+      this.send([record], final, { host, port: datagramPort });
+    }
+  }
+
+  private send(
+    records: readonly grants.CrashRecord[],
+    final: boolean,
+    to: datagrams.PeerAddress,
+  ): void {
+    const now = this.options.now();
+    for (let index = 0; index < records.length; index += RECORDS_PER_DATAGRAM) {
+      const part = records.slice(index, index + RECORDS_PER_DATAGRAM);
+      const content = { final, records: part.map((record) => encodeRecord(record, now)) };
+      this.options.send(['crashes', content], to);
+    }
+  }
+}
--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -6,6 +6,7 @@
 import type * as observability from '@dogwoodstall/observability';
 import type { Announcement } from '@dogwoodstall/traffic';
 import type { HoldReason } from './announced-holds.js';
+import type { CrashRecordEvent } from './crash-record-exchange.js';
 import { DecisionLog } from './decision-log.js';
 import type { MetricsServer } from './metrics-server.js';
 import { UnreadableAnnouncements } from './unreadable-announcements.js';
@@ -24,6 +25,9 @@
   /** Has a limit of its own, so that the many grants do not displace the few changes of what endpoints announce. */
   private readonly announcementLog: DecisionLog;
 
+  /** Has a limit of its own, like the log of announcements. */
+  private readonly crashLog: DecisionLog;
+
   private readonly unreadableAnnouncements = new UnreadableAnnouncements();
 
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
@@ -31,6 +35,7 @@
     this.entryLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
     this.dispatchLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
     this.announcementLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
+    this.crashLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
   }
 
   /** Records a completed request. */
@@ -107,6 +112,20 @@
     }
   }
 
+  /** Records a change of what this daemon knows of a request that crashes endpoints. */
+  recordCrash(
+    event: CrashRecordEvent,
+    { fingerprint, evidence, clearedAt }: grants.CrashRecord,
+  ): void {
+    this.metricsServer?.countCrash(event);
+    const now = performance.now();
+    this.crashLog.write(`crashing request ${event}`, {
+      fingerprint,
+      cleared: clearedAt > -Infinity,
+      evidence: evidence.map(({ at, ...rest }) => ({ ...rest, age: Math.round(now - at) })),
+    });
+  }
+
   /** Records that this daemon has lost its path to the endpoints of a service, or has it again. */
   recordPath(service: string, lost: boolean): void {
     this.metricsServer?.countPathEvent(lost ? 'lost' : 'regained');
@@ -124,6 +143,7 @@
     this.entryLog.close();
     this.dispatchLog.close();
     this.announcementLog.close();
+    this.crashLog.close();
     this.metricsServer?.close();
   }
 }
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -9,6 +9,7 @@
 import { AnnouncedHolds, type HoldReason } from './announced-holds.js';
 import type { Candidates, DispatcherTarget } from './candidates.js';
 import type { CellSelector } from './cell-selector.js';
+import type { CrashRecordExchange } from './crash-record-exchange.js';
 import type { SlotResponse } from './dispatcher-role.js';
 
 /** A slot request without a response is sent again after this time, which covers some round trips between zones. */
@@ -35,6 +36,10 @@
   readonly zone: string;
   readonly candidates: Candidates;
   readonly cells: CellSelector;
+  readonly crashRecords: Pick<
+    CrashRecordExchange,
+    'shouldRefuse' | 'recordReset' | 'recordSuccess'
+  >;
   readonly send: (message: datagrams.Message, target: DispatcherTarget) => void;
   /** Dispatcher of this daemon, which is called directly instead of by datagram. */
   readonly local: {
@@ -74,6 +79,10 @@
   retryAfter: NO_DISPATCHER_RETRY_MILLISECONDS,
 };
 
+function createCrashRefusal({ route }: gateway.SlotAcquireOptions): SlotRefusal {
+  return { kind: 'refused', reason: 'crashing', retryAfter: route.targetMilliseconds };
+}
+
 /** Acquires slots from dispatchers. */
 export class DispatcherClient implements gateway.SlotSource {
   private readonly pendingRequests = new Map<number, PendingSlotRequest>();
@@ -95,6 +104,9 @@
     const startedAt = performance.now();
     let refusal: SlotRefusal | undefined;
     while (!signal.aborted && tried.size < MAXIMUM_CELLS) {
+      if (this.options.crashRecords.shouldRefuse(ask.fingerprint)) {
+        return createCrashRefusal(ask);
+      }
       const cell = this.options.cells.select(ask.service, tried);
       if (cell === undefined) {
         break;
@@ -226,7 +238,7 @@
       const onResponse = (response: SlotResponse): void => {
         if (response[0] !== 'queued') {
           this.options.cells.recordLoad(cell, response[1].load / PERCENT);
-          settle(this.createResult(target, response));
+          settle(this.createResult(target, response, ask));
           return;
         }
         clearTimeout(timer);
@@ -248,12 +260,17 @@
   private createResult(
     target: DispatcherTarget,
     response: Exclude<SlotResponse, readonly ['queued', number]>,
+    ask: gateway.SlotAcquireOptions,
   ): SlotRequestResult {
     if (response[0] === 'grant') {
       const { endpoint, lifetime, grantId } = response[1];
+      if (this.options.crashRecords.shouldRefuse(ask.fingerprint)) {
+        this.sendReport(target, grantId, gateway.unusedReport);
+        return createCrashRefusal(ask);
+      }
       const hold = this.holds.check(endpoint, lifetime, performance.now());
       if (hold === undefined) {
-        return { kind: 'slot', slot: this.createSlot(target, response[1]) };
+        return { kind: 'slot', slot: this.createSlot(target, response[1], ask) };
       }
       this.sendReport(target, grantId, {
         ...gateway.unusedReport,
@@ -274,7 +291,11 @@
     }
   }
 
-  private createSlot(target: DispatcherTarget, grant: datagrams.Grant): gateway.Slot {
+  private createSlot(
+    target: DispatcherTarget,
+    grant: datagrams.Grant,
+    { fingerprint }: gateway.SlotAcquireOptions,
+  ): gateway.Slot {
     return {
       endpoint: grant.endpoint,
       address: grant.address,
@@ -282,6 +303,7 @@
       maximumIdleMilliseconds: grant.reuseWithin,
       report: (result) => {
         this.recordHold(grant, result.announcement);
+        this.recordCrash(target, grant, fingerprint, result);
         this.sendReport(target, grant.grantId, result);
       },
     };
@@ -297,6 +319,20 @@
     }
   }
 
+  private recordCrash(
+    target: DispatcherTarget,
+    { endpoint, lifetime, address }: datagrams.Grant,
+    fingerprint: string,
+    { outcome, silent, idleMilliseconds: rested }: gateway.SlotReport,
+  ): void {
+    if (outcome === 'success') {
+      this.options.crashRecords.recordSuccess(fingerprint, target);
+    } else if (outcome === 'reset') {
+      const reset = { fingerprint, endpoint, lifetime, address, silent, rested };
+      this.options.crashRecords.recordReset(reset, target);
+    }
+  }
+
   private sendReport(target: DispatcherTarget, grantId: number, result: gateway.SlotReport): void {
     const report: datagrams.Report = {
       grantId,
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -21,6 +21,8 @@
   /** Name of this daemon, which identifies its own slot requests. */
   readonly self: string;
   readonly directory: Directory;
+  /** Records of crashing requests, shared with the entry. */
+  readonly crashRecords: grants.CrashRecords;
   /** Returns this daemon's share of the retry budget of a cell; small when another daemon is its dispatcher. */
   readonly retryBudget: (cell: string) => grants.RetryBudget;
   /** Returns the share of announced limits that this daemon may use in a cell. */
@@ -231,6 +233,7 @@
     if (dispatcher === undefined) {
       dispatcher = new grants.CellDispatcher({
         now: () => performance.now(),
+        crashRecords: this.options.crashRecords,
         retryBudget: () => this.options.retryBudget(cell),
         limitShare: () => this.options.limitShare(cell),
         nextGrantId: () => {
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -10,6 +10,7 @@
 import { DecisionReporter } from './decision-reporter.js';
 import type { DirectorySource } from './directory-source.js';
 import { connectOnce } from './connect-once.js';
+import { CrashRecordExchange } from './crash-record-exchange.js';
 import { Directory } from './directory.js';
 import { DispatcherClient } from './dispatcher-client.js';
 import { DispatcherRole } from './dispatcher-role.js';
@@ -49,6 +50,8 @@
 
   private readonly candidates: Candidates;
 
+  private readonly crashRecords: CrashRecordExchange;
+
   private readonly dispatcherRole: DispatcherRole;
 
   private readonly dispatcherClient: DispatcherClient;
@@ -102,9 +105,17 @@
       lastStoreContactAt: () => this.watcher.lastContactAt,
       isStoreLost: () => this.watcher.isLost,
     });
+    this.crashRecords = new CrashRecordExchange({
+      members: this.members,
+      send: (message, to) => this.datagramSocket.send(message, to),
+      connect: connectOnce,
+      onEvent: (event, record) => this.reporter.recordCrash(event, record),
+      now: () => performance.now(),
+    });
     this.dispatcherRole = new DispatcherRole({
       self: settings.name,
       directory: this.directory,
+      crashRecords: this.crashRecords.records,
       retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
       limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
       onDecision: (cell, request, decision) =>
@@ -127,6 +138,7 @@
       roleAssignment: this.roleAssignment,
       peerState: this.peerState,
       candidates: () => this.candidates,
+      crashRecords: this.crashRecords,
       send: (message, to) => this.datagramSocket.send(message, to),
     });
     this.datagramSocket = this.createDatagramSocket();
@@ -270,6 +282,7 @@
     return new DispatcherClient({
       zone,
       candidates: this.candidates,
+      crashRecords: this.crashRecords,
       cells: new CellSelector({
         name: self,
         zone,
@@ -371,6 +384,9 @@
       case 'pong':
         this.pingExchange.receivePong(message[1], from);
         return;
+      case 'crashes':
+        this.crashRecords.receive(message[1], from);
+        return;
       default:
         this.dispatcherClient.receive(message, target);
     }
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -32,6 +32,8 @@
 
   private readonly pathEvents: promClient.Counter<'event'>;
 
+  private readonly crashEvents: promClient.Counter<'event'>;
+
   private readonly server: http.Server;
 
   private constructor(library: typeof promClient, read: () => MetricsSnapshot) {
@@ -68,6 +70,12 @@
       labelNames: ['event'],
       registers,
     });
+    this.crashEvents = new library.Counter({
+      name: 'dogwoodstall_crashing_requests_total',
+      help: 'Changes of what is known of requests that crash endpoints, by event',
+      labelNames: ['event'],
+      registers,
+    });
     MetricsServer.addGauges(library, registers, read);
     this.server = http.createServer((_request, response) => {
       this.respond(response).catch(() => response.destroy());
@@ -130,6 +138,11 @@
     this.pathEvents.inc({ event });
   }
 
+  /** Counts a change of what is known of a request that crashes endpoints. */
+  countCrash(event: string): void {
+    this.crashEvents.inc({ event });
+  }
+
   /** Binds the port; throws `ListenFailed`. */
   async listen(host: string, port: number): Promise<void> {
     await listenHttp(this.server, host, port);
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -4,6 +4,7 @@
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
 import type { Candidates } from './candidates.js';
+import type { CrashRecordExchange } from './crash-record-exchange.js';
 import type { Directory } from './directory.js';
 import type { DispatcherRole } from './dispatcher-role.js';
 import type { MemberTable } from './member.js';
@@ -32,6 +33,7 @@
   readonly roleAssignment: RoleAssignment;
   readonly peerState: PeerState;
   readonly candidates: () => Candidates;
+  readonly crashRecords: CrashRecordExchange;
   readonly send: (message: datagrams.Message, to: datagrams.PeerAddress) => void;
 }
 
@@ -44,13 +46,11 @@
 
   /** Responds to a ping and fetches the sender's state if it is newer. */
   receivePing(ping: datagrams.Ping, from: datagrams.PeerAddress): void {
-    this.subscribers.set(from.host, {
-      from,
-      standby: ping.standby,
-      isNew: ping.directoryRevision === 0,
-      lastPingAt: performance.now(),
-    });
+    const isNew = ping.directoryRevision === 0;
+    const lastPingAt = performance.now();
+    this.subscribers.set(from.host, { from, standby: ping.standby, isNew, lastPingAt });
     this.sendPong(from, ping.sequence, ping.standby);
+    this.options.crashRecords.sendWithPong(from, isNew);
     this.options.peerState.fetchIfNewer(ping, from.host, false);
   }
 
--- a/packages/daemon/gateway-daemon/test/crashing-request.test.ts
+++ b/packages/daemon/gateway-daemon/test/crashing-request.test.ts
@@ -109,7 +109,7 @@
   );
 }
 
-test('a request that ended three endpoints is held back although its dispatchers are killed one after the other', async () => {
+test('a request that ended three endpoints is held back although its dispatchers are killed one after the other', async (context) => {
   await withService(5, async (fleet, running, service) => {
     const ordinary = new Callers(() => running, '/1');
     const crashing = new Callers(() => running, CRASH_PATH);
@@ -124,6 +124,7 @@
     }
     await crashing.stop();
     await ordinary.stop();
+    context.diagnostic(`${service.arrivals.length} endpoints ended`);
     assertHeldBack(service);
     const served = ordinary.statuses.filter((status) => status === 200);
     assert.ok(served.length > ordinary.statuses.length * 0.9, 'other requests are served');
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -39,6 +39,12 @@
 
   lifetime = 1;
 
+  /** Whether the request is known to crash endpoints. */
+  isCrashing = false;
+
+  /** Resets and successes that were recorded. */
+  readonly crashes: string[] = [];
+
   readonly client: DispatcherClient;
 
   constructor(endpoints: readonly string[]) {
@@ -54,6 +60,11 @@
           tried.size > 0 ? undefined : cell,
         recordLoad: () => {},
       } as unknown as CellSelector,
+      crashRecords: {
+        shouldRefuse: () => this.isCrashing,
+        recordReset: ({ endpoint, lifetime }) => this.crashes.push(`${endpoint} ${lifetime}`),
+        recordSuccess: () => this.crashes.push('success'),
+      },
       send: () => {},
       local: {
         ask: ({ askId, excluded }, respond) => {
@@ -86,13 +97,16 @@
   }
 
   /** Acquires a slot and returns its endpoint, or the reason of the refusal. */
-  async use(announcement: Announcement | null = null): Promise<string> {
+  async use(
+    announcement: Announcement | null = null,
+    outcome: datagrams.Outcome = 'success',
+  ): Promise<string> {
     const decision = await this.client.acquire(slotOptions, new AbortController().signal);
     if (decision.kind === 'refused') {
       return decision.reason;
     }
     decision.slot.report({
-      outcome: 'success',
+      outcome,
       elapsed: 20,
       load: undefined,
       silent: false,
@@ -131,3 +145,17 @@
   }
   assert.equal(await dispatcher.use(), 'no-endpoint');
 });
+
+test('resets are recorded with the process of the endpoint, and a request known to crash endpoints is refused', async () => {
+  const dispatcher = new UninformedDispatcher(['one', 'other']);
+  assert.equal(await dispatcher.use(null, 'reset'), 'one');
+  dispatcher.lifetime = 2;
+  assert.equal(await dispatcher.use(null, 'reset'), 'one');
+  await dispatcher.use(null, 'error');
+  await dispatcher.use();
+  assert.deepEqual(dispatcher.crashes, ['one 1', 'one 2', 'success']);
+  dispatcher.isCrashing = true;
+  const asked = dispatcher.reports.length;
+  assert.equal(await dispatcher.use(), 'crashing');
+  assert.equal(dispatcher.reports.length, asked, 'no dispatcher was asked');
+});
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as datagrams from '@dogwoodstall/datagrams';
-import type * as grants from '@dogwoodstall/grants';
+import * as grants from '@dogwoodstall/grants';
 import * as fc from 'fast-check';
 import { Directory } from '../src/directory.js';
 import { DispatcherRole, type SlotResponse } from '../src/dispatcher-role.js';
@@ -28,6 +28,7 @@
   const role = new DispatcherRole({
     self: 'daemon-1',
     directory,
+    crashRecords: new grants.CrashRecords(),
     retryBudget: () => ({ ratio: 0.2, slack: 20, windowMilliseconds: 10_000 }),
     onDecision: (_cell, _request, decision) => decisions.push(decision),
     limitShare: () => 1,
--- a/packages/peers/datagrams/src/index.ts
+++ b/packages/peers/datagrams/src/index.ts
@@ -3,6 +3,7 @@
  */
 export {
   type Ask,
+  type Crashes,
   type Grant,
   type Message,
   type Outcome,
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -155,6 +155,28 @@
   }),
 ]);
 
+/** What a daemon knows of requests that crash endpoints. */
+export const crashesSchema = z.tuple([
+  z.literal('crashes'),
+  z.object({
+    /** Whether the sender tells all daemons itself, so that the receiver need not pass the records on. */
+    final: z.boolean(),
+    records: z.array(
+      z.object({
+        fingerprint: z.string(),
+        /** Time since the last change or refusal. */
+        age: milliseconds,
+        /** Time since the request was last processed successfully; null if it never was. */
+        clearedAge: milliseconds.nullable(),
+        /** Endpoint, lifetime, weight, host of the daemon that saw the reset, and time since then. */
+        evidence: z.array(
+          z.tuple([z.string(), z.number(), z.number().min(0).max(1), z.string(), milliseconds]),
+        ),
+      }),
+    ),
+  }),
+]);
+
 /** Any message; the position of a schema in this union is its code on the wire. */
 export const messageSchema = z.union([
   askSchema,
@@ -166,6 +188,7 @@
   acknowledgeSchema,
   pingSchema,
   pongSchema,
+  crashesSchema,
 ]);
 
 export type Message = z.infer<typeof messageSchema>;
@@ -175,4 +198,5 @@
 export type Report = z.infer<typeof reportSchema>[1];
 export type Ping = z.infer<typeof pingSchema>[1];
 export type Pong = z.infer<typeof pongSchema>[1];
+export type Crashes = z.infer<typeof crashesSchema>[1];
 export type Outcome = z.infer<typeof outcomeSchema>;
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -11,7 +11,7 @@
   listCandidates,
 } from './endpoint-selection.js';
 import { Admission } from './admission.js';
-import { CrashRecords } from './crash-records.js';
+import type { CrashRecords } from './crash-records.js';
 import { EndpointState, type Attempt, type AttemptResult } from './endpoint-state.js';
 import { EntryLossEstimates } from './entry-loss.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
@@ -49,6 +49,8 @@
   /** Called with the decision about each request that was not withdrawn. */
   readonly decide: (request: SlotRequest, decision: Decision) => void;
   readonly nextGrantId: () => number;
+  /** Records of crashing requests, shared by all cells of the daemon. */
+  readonly crashRecords: CrashRecords;
   /** Called when a response shows that an endpoint announces something else than before. */
   readonly onAnnouncement: (change: AnnouncementChange) => void;
 }
@@ -85,8 +87,6 @@
 
   private readonly retryBudget: RetryBudgetTracker;
 
-  private readonly crashRecords = new CrashRecords();
-
   private readonly serviceTimes = new ServiceTimes();
 
   private readonly reuseLimit = new ConnectionReuseLimit();
@@ -139,7 +139,7 @@
     if (!request.repeated && !request.moved) {
       this.retryBudget.countRequest(now);
     }
-    if (this.crashRecords.isCrashing(request.fingerprint, now)) {
+    if (this.options.crashRecords.shouldRefuse(request.fingerprint, now)) {
       this.refuse(request, 'crashing', request.target);
       return false;
     }
@@ -193,7 +193,7 @@
       closedWhileIdle ? { ...result, outcome: 'forgotten' } : result,
       now,
     );
-    this.recordResult(state, attempt, result, now);
+    this.recordResult(attempt, result);
     this.announcements.recordResult(state, attempt, result, now);
     this.serveQueue();
     return true;
@@ -263,18 +263,9 @@
     }
   }
 
-  private recordResult(
-    state: EndpointState,
-    attempt: Attempt,
-    result: AttemptResult,
-    now: number,
-  ): void {
-    const { id } = state.endpoint;
+  private recordResult(attempt: Attempt, result: AttemptResult): void {
     if (result.outcome === 'success') {
       this.serviceTimes.add(attempt.route, attempt.target, result.elapsed);
-      this.crashRecords.clear(attempt.fingerprint);
-    } else if (result.outcome === 'reset') {
-      this.crashRecords.add(attempt.fingerprint, id, now);
     }
     if (result.outcome !== 'unused') {
       const failed = result.outcome === 'success' ? 0 : 1;
@@ -307,6 +298,10 @@
     const now = this.options.now();
     this.queue.retain((waiter) => {
       const { request, arrivedAt } = waiter;
+      if (this.options.crashRecords.shouldRefuse(request.fingerprint, now)) {
+        this.refuse(request, 'crashing', request.target);
+        return false;
+      }
       if (now - arrivedAt > this.admission.getMaximumWait(request)) {
         this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
         return false;
@@ -359,7 +354,6 @@
       startedAt: now,
       expected,
       expiresAt: now + request.remaining - waited + LOST_REPORT_MILLISECONDS,
-      fingerprint: request.fingerprint,
     });
     this.grants.set(grantId, state);
     this.options.decide(request, {
--- a/packages/routing/grants/src/crash-records.ts
+++ b/packages/routing/grants/src/crash-records.ts
@@ -1,51 +1,190 @@
 /**
  * Records of requests that crash endpoints. A request is identified by a digest of its caller, target and body,
  * because callers retry it under a new id.
+ *
+ * The records of two daemons are merged piece by piece of their evidence, so that they may be exchanged in any order,
+ * more than once, and in parts. Evidence ends by a later success of the request or by its age, never by its absence.
  */
 
-/** Number of endpoints that a request must have crashed before it is refused. */
-const CRASHES_TO_REFUSE = 3;
-/** Retention time of a record after its last crash. */
+/** Sum of the weights of the evidence at which a request is refused. */
+const WEIGHT_TO_REFUSE = 3;
+/** Weight of a reset that does not look like the end of an idle connection. */
+const RESET_WEIGHT = 1;
+/** Weight of a reset without a response on a reused connection, which the endpoint may have closed while it was idle. */
+const IDLE_RESET_WEIGHT = 0.75;
+/** Weight of a reset by an endpoint that accepts connections directly after it, and so has probably not crashed. */
+const REACHABLE_WEIGHT = 0.4;
+/** Retention time of a record after the last crash or refusal. */
 const RECORD_MILLISECONDS = 120_000;
-/** Maximum number of records; the one with the oldest crash is evicted first. */
+/** Retention time of a record after the last crash, however often the request is refused. */
+const MAXIMUM_RECORD_MILLISECONDS = 3_600_000;
+/** Maximum number of records; the one that was changed least recently is evicted first. */
 const MAXIMUM_RECORDS = 4096;
+/** Maximum pieces of evidence of a record, more than a refused request gathers; the newest are kept. */
+const MAXIMUM_EVIDENCE = 8;
 
-interface CrashRecord {
-  readonly endpoints: Set<string>;
-  lastAt: number;
+/** That a process of an endpoint reset a connection while it had the request. */
+export interface CrashEvidence {
+  readonly endpoint: string;
+  readonly lifetime: number;
+  readonly weight: number;
+  /** Host of the daemon that saw the reset. */
+  readonly source: string;
+  /** Monotonic milliseconds of this process. */
+  readonly at: number;
 }
 
-/** Requests whose endpoints closed the connection while processing them. */
+/** What is known of one request. */
+export interface CrashRecord {
+  readonly fingerprint: string;
+  readonly evidence: readonly CrashEvidence[];
+  /** Time of the last success of the request, which ends all earlier evidence; -Infinity without any. */
+  readonly clearedAt: number;
+  /** Time of the last change or refusal. */
+  readonly lastAt: number;
+}
+
+/** An attempt that ended by a reset. */
+export interface ResetAttempt {
+  readonly fingerprint: string;
+  readonly endpoint: string;
+  readonly lifetime: number;
+  readonly source: string;
+  /** Whether no response had begun. */
+  readonly silent: boolean;
+  /** Idle time of the connection before the attempt; 0 for a new connection. */
+  readonly rested: number;
+  /** Whether the endpoint accepted a connection directly after the reset; undefined if that was not checked. */
+  readonly isReachable: boolean | undefined;
+}
+
+function createKey({ endpoint, lifetime }: Pick<CrashEvidence, 'endpoint' | 'lifetime'>): string {
+  return `${lifetime} ${endpoint}`;
+}
+
+/** A total order, newest first, so that daemons keep the same evidence whatever order it arrives in. */
+function compareAge(left: CrashEvidence, right: CrashEvidence): number {
+  if (left.at !== right.at) {
+    return right.at - left.at;
+  }
+  const leftText = `${left.weight} ${createKey(left)} ${left.source}`;
+  const rightText = `${right.weight} ${createKey(right)} ${right.source}`;
+  return Number(leftText > rightText) - Number(leftText < rightText);
+}
+
+/** Merges two records of the same request. */
+export function mergeCrashRecords(left: CrashRecord, right: CrashRecord): CrashRecord {
+  const clearedAt = Math.max(left.clearedAt, right.clearedAt);
+  const newest = new Map<string, CrashEvidence>();
+  for (const evidence of [...left.evidence, ...right.evidence].sort(compareAge)) {
+    const key = createKey(evidence);
+    if (evidence.at > clearedAt && !newest.has(key) && newest.size < MAXIMUM_EVIDENCE) {
+      newest.set(key, evidence);
+    }
+  }
+  return {
+    fingerprint: left.fingerprint,
+    evidence: [...newest.values()],
+    clearedAt,
+    lastAt: Math.max(left.lastAt, right.lastAt),
+  };
+}
+
+function computeWeight({ evidence }: CrashRecord): number {
+  return evidence.reduce((sum, { weight }) => sum + weight, 0);
+}
+
+function chooseWeight({ silent, rested, isReachable }: ResetAttempt): number {
+  if (isReachable === true) {
+    return REACHABLE_WEIGHT;
+  }
+  return silent && rested > 0 ? IDLE_RESET_WEIGHT : RESET_WEIGHT;
+}
+
+function isExpired({ evidence, lastAt }: CrashRecord, now: number): boolean {
+  const lastCrashAt = Math.max(...evidence.map(({ at }) => at));
+  return (
+    now - lastAt > RECORD_MILLISECONDS ||
+    (evidence.length > 0 && now - lastCrashAt > MAXIMUM_RECORD_MILLISECONDS)
+  );
+}
+
+/** Requests whose endpoints closed the connection while processing them, as known to one daemon. */
 export class CrashRecords {
   private readonly records = new Map<string, CrashRecord>();
 
+  /** `onCrashing` is called when this daemon learns by itself that a request is to be refused. */
+  constructor(private readonly onCrashing: (record: CrashRecord) => void = () => {}) {}
+
   /** Records that an endpoint reset the connection while processing a request. */
-  add(fingerprint: string, endpoint: string, now: number): void {
-    const record = this.records.get(fingerprint) ?? { endpoints: new Set(), lastAt: now };
-    record.endpoints.add(endpoint);
-    record.lastAt = now;
-    this.records.delete(fingerprint);
-    this.records.set(fingerprint, record);
-    if (this.records.size > MAXIMUM_RECORDS) {
-      this.records.delete(this.records.keys().next().value as string);
+  add(attempt: ResetAttempt, now: number): CrashRecord {
+    const { fingerprint, endpoint, lifetime, source } = attempt;
+    const evidence = [{ endpoint, lifetime, source, weight: chooseWeight(attempt), at: now }];
+    const update = { fingerprint, evidence, clearedAt: -Infinity, lastAt: now };
+    const isCrashing = this.merge(update, now);
+    const record = this.find(fingerprint, now) ?? update;
+    if (isCrashing) {
+      this.onCrashing(record);
     }
+    return record;
   }
 
-  /** Removes the record of a request that an endpoint has processed successfully. */
-  clear(fingerprint: string): void {
-    this.records.delete(fingerprint);
+  /** Records that an endpoint has processed a request successfully; returns its record if there was any evidence. */
+  clear(fingerprint: string, now: number): CrashRecord | undefined {
+    const record = this.find(fingerprint, now);
+    if (record === undefined || record.evidence.length === 0) {
+      return undefined;
+    }
+    this.merge({ fingerprint, evidence: [], clearedAt: now, lastAt: now }, now);
+    return this.find(fingerprint, now);
   }
 
-  /** Whether a request has crashed enough endpoints to be refused. */
-  isCrashing(fingerprint: string, now: number): boolean {
-    const record = this.records.get(fingerprint);
-    if (record === undefined) {
+  /** Whether a request has crashed enough endpoints to be refused; it is remembered for longer if so. */
+  shouldRefuse(fingerprint: string, now: number): boolean {
+    const record = this.find(fingerprint, now);
+    if (record === undefined || computeWeight(record) < WEIGHT_TO_REFUSE) {
       return false;
     }
-    if (now - record.lastAt > RECORD_MILLISECONDS) {
-      this.records.delete(fingerprint);
+    this.records.set(fingerprint, { ...record, lastAt: now });
+    return true;
+  }
+
+  /** Merges what another daemon knows; returns whether the request is to be refused from now on. */
+  merge(record: CrashRecord, now: number): boolean {
+    const { fingerprint } = record;
+    const known = this.find(fingerprint, now);
+    const merged = mergeCrashRecords(known ?? record, record);
+    this.records.delete(fingerprint);
+    if (isExpired(merged, now)) {
       return false;
     }
-    return record.endpoints.size >= CRASHES_TO_REFUSE;
+    this.records.set(fingerprint, merged);
+    if (this.records.size > MAXIMUM_RECORDS) {
+      this.records.delete(this.records.keys().next().value as string);
+    }
+    const weightBefore = known === undefined ? 0 : computeWeight(known);
+    return weightBefore < WEIGHT_TO_REFUSE && computeWeight(merged) >= WEIGHT_TO_REFUSE;
+  }
+
+  /** Returns what is known of a request. */
+  find(fingerprint: string, now: number): CrashRecord | undefined {
+    const record = this.records.get(fingerprint);
+    if (record !== undefined && isExpired(record, now)) {
+      this.records.delete(fingerprint);
+      return undefined;
+    }
+    return record;
+  }
+
+  /** Lists the requests that are refused, those changed last first. */
+  listCrashing(now: number): CrashRecord[] {
+    const crashing: CrashRecord[] = [];
+    for (const fingerprint of [...this.records.keys()]) {
+      const record = this.find(fingerprint, now);
+      if (record !== undefined && computeWeight(record) >= WEIGHT_TO_REFUSE) {
+        crashing.push(record);
+      }
+    }
+    return crashing.reverse();
   }
 }
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -35,7 +35,6 @@
   readonly startedAt: number;
   readonly expected: number;
   readonly expiresAt: number;
-  readonly fingerprint: string;
 }
 
 /** Outcome of an attempt, as reported by its entry daemon. */
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -4,6 +4,7 @@
 export { type FleetAnnouncement } from './announced-state.js';
 export { type Decision, type CellDispatcherOptions, CellDispatcher } from './cell-dispatcher.js';
 export { type Cell, partitionIntoCells } from './cells.js';
+export { type CrashRecord, CrashRecords, type ResetAttempt } from './crash-records.js';
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
 export { type RetryBudget } from './retry-budget-tracker.js';
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -77,10 +77,10 @@
 test('a request that crashed three endpoints is refused, other requests are not', () => {
   const endpoints = ['one', 'two', 'three', 'four'].map((id) => createEndpoint(id));
   const service = new VirtualService(endpoints);
-  const crashed = new Set<string>();
-  for (let count = 0; count < 3; count += 1) {
-    const key = service.ask({ fingerprint: 'poison', excluded: new Set(crashed) });
-    crashed.add(service.run('reset', 20, key).endpoint.id);
+  for (const { id, lifetime } of endpoints.slice(0, 3)) {
+    const seen = { source: 'entry-1', silent: true, rested: 0, isReachable: undefined };
+    const reset = { fingerprint: 'poison', endpoint: id, lifetime, ...seen };
+    service.crashRecords.add(reset, service.now);
   }
   const refused = service.decisions.get(service.ask({ fingerprint: 'poison' }));
   assert.ok(refused?.kind === 'refuse' && refused.reason === 'crashing');
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -32,6 +32,8 @@
 
   readonly announcements: grants.AnnouncementChange[] = [];
 
+  readonly crashRecords = new grants.CrashRecords();
+
   readonly dispatcher: grants.CellDispatcher;
 
   private lastGrantId = 0;
@@ -43,6 +45,7 @@
       now: () => this.now,
       retryBudget: () => ({ ratio: 0.2, slack: 60, windowMilliseconds: 10_000, ...budget }),
       limitShare: () => this.limitShare,
+      crashRecords: this.crashRecords,
       nextGrantId: () => {
         this.lastGrantId += 1;
         return this.lastGrantId;
--- a/packages/routing/grants/test/slot-count.test.ts
+++ b/packages/routing/grants/test/slot-count.test.ts
@@ -17,7 +17,6 @@
     startedAt: 0,
     expected: 100,
     expiresAt: 1000,
-    fingerprint: '1',
   });
   lost.finishAttempt(
     1,
