Leave out odd entries of endpoints as a whole

Another program may leave any value among the entries of the endpoints. A port of 70000 or an address with 999 as a byte was taken for an endpoint: callers got a 500 of the daemon's own, or waited for a name to be looked up. A number of slots or a warm-up without bound was believed, and an id with a line break reached the head of a request. A value nested 200,000 levels deep and numbers too large for a number were rejected before as well, and no process ended in any case.

An address that is invalid all the same counts as a refused connection. UnreadableAnnouncements became ChangeFilter, which both uses share.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -3,13 +3,12 @@
  */
 import type * as gateway from '@dogwoodstall/gateway';
 import type * as grants from '@dogwoodstall/grants';
-import type * as observability from '@dogwoodstall/observability';
+import * as observability from '@dogwoodstall/observability';
 import type { Announcement } from '@dogwoodstall/traffic';
 import type { HoldReason } from './announced-holds.js';
 import type { CrashRecordEvent } from './crash-record-exchange.js';
 import { DecisionLog } from './decision-log.js';
 import type { MetricsServer } from './metrics-server.js';
-import { UnreadableAnnouncements } from './unreadable-announcements.js';
 
 /** Endpoints named in one line. */
 const LOGGED_ENDPOINTS = 10;
@@ -31,7 +30,7 @@
   /** Has a limit of its own, like the log of announcements. */
   private readonly crashLog: DecisionLog;
 
-  private readonly unreadableAnnouncements = new UnreadableAnnouncements();
+  private readonly unreadableAnnouncements = new observability.ChangeFilter();
 
   constructor(log: observability.ProcessLog, decisionsPerSecond: number) {
     this.logger = log.getLogger('entry');
--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -12,11 +12,15 @@
 import * as z from 'zod';
 import { memberSchema } from './member.js';
 
+function selectEndpoints(entries: readonly unknown[]): Endpoint[] {
+  return entries.flatMap((entry) => endpointSchema.safeParse(entry).data ?? []);
+}
+
 /** Response to a daemon that requests the state of another one. */
 export const stateSchema = z.object({
   configuration: trafficConfigurationSchema.optional(),
-  /** Absent when the requesting daemon already has this revision. */
-  endpoints: z.array(endpointSchema).optional(),
+  /** Absent when the requesting daemon already has this revision. Older daemons may list entries that are invalid. */
+  endpoints: z.array(z.unknown()).transform(selectEndpoints).optional(),
   directoryRevision: z.number(),
   /** Absent when the requesting daemon knows the same members. */
   members: z.array(memberSchema).optional(),
--- a/packages/foundation/observability/src/index.ts
+++ b/packages/foundation/observability/src/index.ts
@@ -9,4 +9,5 @@
   ProcessLog,
   createSilentLog,
 } from './logger.js';
+export { ChangeFilter } from './change-filter.js';
 export { type Metrics, type MetricsOptions, createMetrics } from './metrics.js';
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -255,9 +255,25 @@
   }
 }
 
+function createUnsentResult(reason: string): AttemptResult {
+  return {
+    outcome: { kind: 'refused', reason },
+    elapsed: 0,
+    load: undefined,
+    silent: true,
+    idleMilliseconds: 0,
+    announcement: null,
+  };
+}
+
 /** Sends a request to an endpoint once. Never rejects; failures are reported as an outcome. */
 export function sendAttempt(options: AttemptOptions): Promise<AttemptResult> {
   return new Promise((resolve) => {
-    new Attempt(options, resolve).start();
+    try {
+      new Attempt(options, resolve).start();
+    } catch (error) {
+      // The address is invalid.
+      resolve(createUnsentResult(String(error)));
+    }
   });
 }
--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -2,7 +2,8 @@
 import { once } from 'node:events';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { formatRequest, formatResponse } from './fixture.js';
+import { TestGateway, formatRequest, formatResponse } from './fixture.js';
+import { RoundRobinSlots } from './round-robin-slots.js';
 import type { Script } from './scripted-endpoint.js';
 import { respondOk, withGateway } from './with-gateway.js';
 
@@ -182,3 +183,17 @@
     );
   });
 });
+
+test('an endpoint whose address is invalid counts as one that refused the connection', async () => {
+  for (const address of ['127.0.0.1:70000', '127.0.0.1:-1', 'no address']) {
+    const slots = new RoundRobinSlots([address]);
+    const gateway = await new TestGateway(slots).listen();
+    try {
+      const response = await gateway.send({ body: 'x' });
+      assert.equal(response?.status, 503, address);
+      assert.equal(slots.reports[0]?.outcome, 'refused', address);
+    } finally {
+      gateway.close();
+    }
+  }
+});
