Merge what endpoints announce by the age of its evidence

Many daemons then grant requests of a cell at a time, and a pong that did not list an endpoint ended its limit, also when its sender knew nothing: limits ended and returned several times a second, and each daemon granted freely in between.

Each announcement now travels with the age of its evidence, and so does the end of a limit; newer evidence wins and absence ends nothing. A daemon also keeps what endpoints told it on grants of another dispatcher, for the time when it dispatches itself. A quarter of the limit for each daemon beside the dispatcher exceeded the limit with more than four: now the standby has a quarter and all others share a fifth. A daemon whose share grows gets nothing for the time before.

The test that an unlisted announcement has ended is replaced by one that newer evidence ends it and older does not, since absence is no evidence.

--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -10,7 +10,7 @@
 import type { Candidates, DispatcherTarget } from './candidates.js';
 import type { CellSelector } from './cell-selector.js';
 import type { CrashRecordExchange } from './crash-record-exchange.js';
-import type { SlotResponse } from './dispatcher-role.js';
+import type { OwnResponse, SlotResponse } from './dispatcher-role.js';
 
 /** A slot request without a response is sent again after this time, which covers some round trips between zones. */
 const RESEND_MILLISECONDS = 25;
@@ -47,6 +47,8 @@
     readonly withdraw: (askId: number) => void;
     readonly report: (report: datagrams.Report) => void;
   };
+  /** Called with each response of an endpoint to a request that another daemon granted. */
+  readonly onResponse: (cell: string, response: OwnResponse) => void;
   /** Called when a dispatcher is skipped because it is stopping or did not respond in time. */
   readonly onFailover: (target: DispatcherTarget, cell: string) => void;
   /** Called when an endpoint tells this daemon to send it no requests for a time or for good. */
@@ -68,6 +70,8 @@
   gateway.SlotDecision | 'pass-over' | { readonly kind: 'held'; readonly endpoint: string };
 type SlotRefusal = Extract<gateway.SlotDecision, { kind: 'refused' }>;
 
+/** Outcomes of attempts to which the endpoint itself has responded. */
+const RESPONDED: ReadonlySet<gateway.SlotReport['outcome']> = new Set(['success', 'error', 'shed']);
 /** Refusals after which another cell of the service may have free capacity. */
 const redirectableReasons: ReadonlySet<SlotRefusal['reason']> = new Set([
   'overload',
@@ -238,7 +242,7 @@
       const onResponse = (response: SlotResponse): void => {
         if (response[0] !== 'queued') {
           this.options.cells.recordLoad(cell, response[1].load / PERCENT);
-          settle(this.createResult(target, response, ask));
+          settle(this.createResult(target, cell, response, ask));
           return;
         }
         clearTimeout(timer);
@@ -259,6 +263,7 @@
 
   private createResult(
     target: DispatcherTarget,
+    cell: string,
     response: Exclude<SlotResponse, readonly ['queued', number]>,
     ask: gateway.SlotAcquireOptions,
   ): SlotRequestResult {
@@ -270,7 +275,7 @@
       }
       const hold = this.holds.check(endpoint, lifetime, performance.now());
       if (hold === undefined) {
-        return { kind: 'slot', slot: this.createSlot(target, response[1], ask) };
+        return { kind: 'slot', slot: this.createSlot(target, cell, response[1], ask) };
       }
       this.sendReport(target, grantId, {
         ...gateway.unusedReport,
@@ -293,6 +298,7 @@
 
   private createSlot(
     target: DispatcherTarget,
+    cell: string,
     grant: datagrams.Grant,
     { fingerprint }: gateway.SlotAcquireOptions,
   ): gateway.Slot {
@@ -304,6 +310,11 @@
       report: (result) => {
         this.recordHold(grant, result.announcement);
         this.recordCrash(target, grant, fingerprint, result);
+        if (!target.isSelf && RESPONDED.has(result.outcome)) {
+          const { endpoint, lifetime } = grant;
+          const { announcement, elapsed } = result;
+          this.options.onResponse(cell, { endpoint, lifetime, announcement, elapsed });
+        }
         this.sendReport(target, grant.grantId, result);
       },
     };
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -3,6 +3,8 @@
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
 import * as grants from '@dogwoodstall/grants';
+import { type Announcement, noAnnouncement } from '@dogwoodstall/traffic';
+import { decodeAnnouncements, encodeAnnouncements } from './announcement-report.js';
 import type { Directory } from './directory.js';
 
 /** Response to a slot request. */
@@ -14,8 +16,6 @@
 /** The suspected endpoints of a cell and what endpoints announce, which a dispatcher reports to its standby. */
 export type CellReport = datagrams.Pong['cells'][number];
 
-type AnnouncementTuple = NonNullable<CellReport['announcements']>[number];
-
 /** Options of `DispatcherRole`. */
 export interface DispatcherRoleOptions {
   /** Name of this daemon, which identifies its own slot requests. */
@@ -53,6 +53,15 @@
 const GRANT_ID_RANGE = 4000;
 const PERCENT = 100;
 
+/** A response of an endpoint to a request of this daemon. */
+export interface OwnResponse {
+  readonly endpoint: string;
+  readonly lifetime: number;
+  readonly announcement: Announcement | null;
+  /** Milliseconds since the request was sent. */
+  readonly elapsed: number;
+}
+
 /** A slot request with its current response. */
 interface CachedResponse {
   readonly cell: string;
@@ -192,15 +201,8 @@
     const cells: CellReport[] = [];
     for (const [name, dispatcher] of this.cells) {
       if (this.isActiveFor(name)) {
-        const announcements = dispatcher.announcements
-          .list()
-          .map(({ endpoint, lifetime, requestsPerSecond, leaving }): AnnouncementTuple => [
-            endpoint,
-            lifetime,
-            requestsPerSecond,
-            leaving,
-          ]);
-        cells.push({ name, suspects: dispatcher.listSuspects(), announcements });
+        const announced = encodeAnnouncements(dispatcher.announcements.list());
+        cells.push({ name, suspects: dispatcher.listSuspects(), ...announced });
       }
     }
     return cells;
@@ -208,23 +210,28 @@
 
   /** Imports what an active dispatcher reports, for cells that this daemon does not dispatch. */
   importCellReports(cells: readonly CellReport[], source: string): void {
-    for (const { name, suspects, announcements } of cells) {
+    for (const { name, suspects, ...announced } of cells) {
       if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
         const dispatcher = this.getOrCreate(name);
         dispatcher.importSuspects(new Set(suspects));
-        if (announcements !== undefined) {
-          const relayed = announcements.map(([endpoint, lifetime, requestsPerSecond, leaving]) => ({
-            endpoint,
-            lifetime,
-            requestsPerSecond,
-            leaving,
-          }));
-          dispatcher.announcements.import(relayed, source);
+        if (announced.announcements !== undefined) {
+          dispatcher.announcements.import(decodeAnnouncements(announced), source);
         }
       }
     }
   }
 
+  /** Records what an endpoint announced to this daemon although another one granted the request. */
+  learn(cell: string, { endpoint, lifetime, announcement, elapsed }: OwnResponse): void {
+    const isKnown = this.cells.has(cell) || announcement?.requestsPerSecond != null;
+    if (isKnown && this.options.directory.hasCell(cell)) {
+      const stated = announcement ?? noAnnouncement;
+      const sentAt = performance.now() - elapsed;
+      const process = { endpoint, lifetime };
+      this.getOrCreate(cell).announcements.learn(process, stated, sentAt, this.options.self);
+    }
+  }
+
   private isActiveFor(cell: string): boolean {
     const lastAskAt = this.lastAskByCell.get(cell) ?? -Infinity;
     return performance.now() - lastAskAt < ACTIVE_MILLISECONDS;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -297,6 +297,7 @@
         withdraw: (askId) => this.dispatcherRole.withdraw(self, askId),
         report: (report) => this.dispatcherRole.report(report),
       },
+      onResponse: (cell, response) => this.dispatcherRole.learn(cell, response),
       onHold: (endpoint, announcement) => this.reporter.recordHold(endpoint, announcement),
       onHeld: (endpoint, hold) => this.reporter.recordHeldGrant(endpoint, hold),
       onFailover: ({ name }, cell) =>
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -32,8 +32,10 @@
 /** Share of the slack that all other daemons together may use. */
 const OTHER_BUDGET_SHARE = 0.3;
 
-/** Share of announced limits that daemons use which grant requests of a cell beside its dispatcher. */
-const OTHER_LIMIT_SHARE = 0.25;
+/** Share of announced limits that the standby uses while it grants requests beside the dispatcher of a cell. */
+const STANDBY_LIMIT_SHARE = 0.25;
+/** Share that all other daemons together use; with the two before it stays below the tolerance of one and a half. */
+const OTHER_LIMIT_SHARE = 0.2;
 
 /** Options of `RoleAssignment`. */
 export interface RoleAssignmentOptions {
@@ -101,8 +103,14 @@
    * grants requests although another daemon dispatches the cell.
    */
   computeLimitShare(cell: grants.Cell): number {
-    const [first] = this.options.candidates().listLeading(cell);
-    return first === this.options.members.self.name ? 1 : OTHER_LIMIT_SHARE;
+    const { members, candidates } = this.options;
+    const [first, second] = candidates().listLeading(cell);
+    if (first === members.self.name) {
+      return 1;
+    }
+    return second === members.self.name
+      ? STANDBY_LIMIT_SHARE
+      : OTHER_LIMIT_SHARE / Math.max(1, members.list().length);
   }
 
   /** Whether this daemon has to watch the store. */
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -90,6 +90,7 @@
         withdraw: () => {},
         report: (report) => this.reports.push(report),
       },
+      onResponse: () => {},
       onFailover: () => {},
       onHold: () => {},
       onHeld: (endpoint, { reason }) => this.held.push(`${endpoint} ${reason}`),
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -150,6 +150,10 @@
             z.tuple([z.string(), z.number(), z.number().nonnegative().nullable(), z.boolean()]),
           )
           .optional(),
+        /** Time since the evidence for each of these announcements. Absent from older daemons. */
+        announcementAges: z.array(milliseconds).optional(),
+        /** Limits that ended recently: id, lifetime, and time since the evidence for it. Absent from older daemons. */
+        endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
       }),
     ),
   }),
--- a/packages/routing/grants/src/announced-state.ts
+++ b/packages/routing/grants/src/announced-state.ts
@@ -15,6 +15,9 @@
   /** Time of the last response or report that stated what is in force. */
   private confirmedAt = -Infinity;
 
+  /** Time at which the request was sent whose response last ended a limit. */
+  private endedAt = -Infinity;
+
   /** What is in force. */
   get current(): FleetAnnouncement {
     return this.announcement;
@@ -35,6 +38,11 @@
     return this.requestsPerSecond === null && !this.leaving;
   }
 
+  /** Time of the evidence for the limit that is in force, or for the end of the last one. */
+  get evidenceAt(): number {
+    return this.requestsPerSecond === null ? this.endedAt : this.confirmedAt;
+  }
+
   /**
    * Applies what a response announced; `sentAt` is when its request was granted. A response without a limit ends one
    * only if its request was granted after the limit was confirmed, because reports arrive in any order. An endpoint that
@@ -43,13 +51,34 @@
   apply({ requestsPerSecond, leaving }: FleetAnnouncement, sentAt: number, now: number): boolean {
     const previous = this.announcement;
     const mayEnd = sentAt > this.confirmedAt;
-    const next: FleetAnnouncement = {
-      requestsPerSecond: requestsPerSecond ?? (mayEnd ? null : previous.requestsPerSecond),
-      leaving: leaving || previous.leaving,
-    };
     if (requestsPerSecond !== null || leaving) {
       this.confirmedAt = now;
+    } else if (mayEnd) {
+      this.endedAt = Math.max(this.endedAt, sentAt);
     }
+    return this.replace({
+      requestsPerSecond: requestsPerSecond ?? (mayEnd ? null : previous.requestsPerSecond),
+      leaving: leaving || previous.leaving,
+    });
+  }
+
+  /** Merges what another dispatcher knew by evidence of the given time; older evidence changes nothing. */
+  merge({ requestsPerSecond, leaving }: FleetAnnouncement, evidenceAt: number): boolean {
+    const previous = this.announcement;
+    const isNewer = evidenceAt > Math.max(this.confirmedAt, this.endedAt);
+    if (isNewer && requestsPerSecond !== null) {
+      this.confirmedAt = evidenceAt;
+    } else if (isNewer) {
+      this.endedAt = evidenceAt;
+    }
+    return this.replace({
+      requestsPerSecond: isNewer ? requestsPerSecond : previous.requestsPerSecond,
+      leaving: leaving || previous.leaving,
+    });
+  }
+
+  private replace(next: FleetAnnouncement): boolean {
+    const previous = this.announcement;
     const hasChanged =
       next.requestsPerSecond !== previous.requestsPerSecond || next.leaving !== previous.leaving;
     if (hasChanged) {
@@ -62,5 +91,6 @@
   clear(): void {
     this.announcement = NOTHING;
     this.confirmedAt = -Infinity;
+    this.endedAt = -Infinity;
   }
 }
--- a/packages/routing/grants/src/cell-announcements.ts
+++ b/packages/routing/grants/src/cell-announcements.ts
@@ -21,6 +21,8 @@
 export interface RelayedAnnouncement extends FleetAnnouncement {
   readonly endpoint: string;
   readonly lifetime: number;
+  /** Milliseconds since the evidence for the limit, or for its end if there is none. */
+  readonly age: number;
 }
 
 /** Options of `CellAnnouncements`. */
@@ -37,6 +39,9 @@
   'shed',
 ]);
 
+/** Time for which dispatchers tell each other that a limit has ended; longer than they are apart without a pong. */
+const ENDED_MILLISECONDS = 10_000;
+
 /** Applies announcements to the states of the endpoints. */
 export class CellAnnouncements {
   constructor(
@@ -44,14 +49,17 @@
     private readonly options: CellAnnouncementsOptions,
   ) {}
 
-  /** Lists what the endpoints announce, for the other dispatchers of the cell. */
+  /** Lists what the endpoints announce, or recently ended to announce, for the other dispatchers of the cell. */
   list(): RelayedAnnouncement[] {
+    const now = this.options.now();
     const announcements: RelayedAnnouncement[] = [];
     for (const { endpoint, announced } of this.states.values()) {
-      if (!announced.isEmpty) {
+      const age = now - announced.evidenceAt;
+      if (!announced.isEmpty || age < ENDED_MILLISECONDS) {
         announcements.push({
           endpoint: endpoint.id,
           lifetime: endpoint.lifetime,
+          age,
           ...announced.current,
         });
       }
@@ -59,19 +67,39 @@
     return announcements;
   }
 
-  /** Applies what another dispatcher, the active one of the cell, knows; what it does not list has ended. */
+  /**
+   * Merges what another dispatcher that grants requests of the cell knows. What it does not list it may not know, so that
+   * only newer evidence ends a limit.
+   */
   import(announcements: readonly RelayedAnnouncement[], source: string): void {
     const now = this.options.now();
-    const byEndpoint = new Map(announcements.map((entry) => [entry.endpoint, entry]));
-    for (const [id, state] of this.states) {
-      const relayed = byEndpoint.get(id);
-      const isSame = relayed?.lifetime === state.endpoint.lifetime;
-      const stated = isSame ? relayed : noAnnouncement;
-      this.apply(state, stated, { origin: 'dispatcher', source, sentAt: now }, now);
+    for (const { endpoint: id, lifetime, age, ...stated } of announcements) {
+      const state = this.states.get(id);
+      if (state?.endpoint.lifetime === lifetime) {
+        const previous = state.announced.current;
+        const hasChanged = state.mergeAnnouncement(stated, now - age, now);
+        this.notify(hasChanged, state, { origin: 'dispatcher', source, previous });
+      }
+    }
+    for (const state of this.states.values()) {
       state.drainRateLimit(now);
     }
   }
 
+  /** Records the response to an attempt of this daemon that another dispatcher granted. */
+  learn(
+    { endpoint, lifetime }: Pick<RelayedAnnouncement, 'endpoint' | 'lifetime'>,
+    announcement: FleetAnnouncement,
+    sentAt: number,
+    source: string,
+  ): void {
+    const state = this.states.get(endpoint);
+    if (state?.endpoint.lifetime === lifetime) {
+      const now = this.options.now();
+      this.apply(state, announcement, { origin: 'response', source, sentAt }, now);
+    }
+  }
+
   /** Applies what the response to an attempt announced, or no longer announced. */
   recordResult(
     state: EndpointState,
@@ -97,10 +125,18 @@
     { sentAt, ...origin }: Pick<AnnouncementChange, 'origin' | 'source'> & { sentAt: number },
     now: number,
   ): void {
-    const { announced, endpoint } = state;
-    const previous = announced.current;
-    if (state.applyAnnouncement(announcement, sentAt, now)) {
-      this.options.onAnnouncement({ endpoint, ...origin, ...announced.current, previous });
+    const previous = state.announced.current;
+    const hasChanged = state.applyAnnouncement(announcement, sentAt, now);
+    this.notify(hasChanged, state, { ...origin, previous });
+  }
+
+  private notify(
+    hasChanged: boolean,
+    { announced, endpoint }: EndpointState,
+    change: Pick<AnnouncementChange, 'origin' | 'source' | 'previous'>,
+  ): void {
+    if (hasChanged) {
+      this.options.onAnnouncement({ endpoint, ...change, ...announced.current });
     }
   }
 }
--- a/packages/routing/grants/src/endpoint-state.ts
+++ b/packages/routing/grants/src/endpoint-state.ts
@@ -200,6 +200,18 @@
   /** Applies what a response announced; see `AnnouncedState.apply`. */
   applyAnnouncement(announcement: FleetAnnouncement, sentAt: number, now: number): boolean {
     const hasChanged = this.announced.apply(announcement, sentAt, now);
+    this.updateRateLimit(hasChanged, now);
+    return hasChanged;
+  }
+
+  /** Merges what another dispatcher knew; see `AnnouncedState.merge`. */
+  mergeAnnouncement(announcement: FleetAnnouncement, evidenceAt: number, now: number): boolean {
+    const hasChanged = this.announced.merge(announcement, evidenceAt);
+    this.updateRateLimit(hasChanged, now);
+    return hasChanged;
+  }
+
+  private updateRateLimit(hasChanged: boolean, now: number): void {
     const { requestsPerSecond } = this.announced;
     if (requestsPerSecond === null) {
       this.rateLimit = undefined;
@@ -208,7 +220,6 @@
     } else if (hasChanged) {
       this.rateLimit.setRate(requestsPerSecond, now);
     }
-    return hasChanged;
   }
 
   /** Whether the endpoint is still in its warm-up period. */
--- a/packages/routing/grants/src/request-rate-limit.ts
+++ b/packages/routing/grants/src/request-rate-limit.ts
@@ -12,12 +12,17 @@
   /** Starts empty, because other requests were sent before the limit was known. */
   private tokens = 0;
 
+  /** Share at the last refill. */
+  private share: number;
+
   /** `getShare` returns the current share of the rate that this daemon may use. */
   constructor(
     private perSecond: number,
     private readonly getShare: () => number,
     private refilledAt: number,
-  ) {}
+  ) {
+    this.share = getShare();
+  }
 
   /** Changes the rate from now on. */
   setRate(perSecond: number, now: number): void {
@@ -48,10 +53,15 @@
     return (Math.max(MINIMUM_PER_SECOND, this.perSecond) * this.getShare()) / 1000;
   }
 
+  // After its share has changed, a daemon gets no more for the past than the lower of both.
   private refill(now: number): void {
+    const share = this.getShare();
+    const perMillisecond =
+      (Math.max(MINIMUM_PER_SECOND, this.perSecond) * Math.min(share, this.share)) / 1000;
     const capacity = 1 + this.perMillisecond * BURST_MILLISECONDS;
     const elapsed = Math.max(0, now - this.refilledAt);
-    this.tokens = Math.min(capacity, this.tokens + elapsed * this.perMillisecond);
+    this.tokens = Math.min(capacity, this.tokens + elapsed * perMillisecond);
     this.refilledAt = now;
+    this.share = share;
   }
 }
--- a/packages/routing/grants/test/announced-leaving.test.ts
+++ b/packages/routing/grants/test/announced-leaving.test.ts
@@ -52,6 +52,6 @@
   const key = service.ask({ excluded: new Set(endpoint.id === 'one' ? ['other'] : ['one']) });
   service.run('unused', 0, key, leaving);
   assert.deepEqual(service.dispatcher.announcements.list(), [
-    { endpoint: endpoint.id, lifetime: 1, requestsPerSecond: 50, leaving: true },
+    { endpoint: endpoint.id, lifetime: 1, requestsPerSecond: 50, leaving: true, age: 0 },
   ]);
 });
--- a/packages/routing/grants/test/announced-limit.test.ts
+++ b/packages/routing/grants/test/announced-limit.test.ts
@@ -124,18 +124,86 @@
   assert.ok(granted <= 4 * 8 * 8 * 0.25 * 1.2, `${granted} granted`);
 });
 
-test('announced-limit: what another dispatcher no longer lists, or lists for an earlier process, is not in force', () => {
+test('announced-limit: what another dispatcher lists for an earlier process is not in force, and newer evidence ends a limit', () => {
   const service = new VirtualService([createEndpoint('one', { lifetime: 2 })]);
-  const relayed = { endpoint: 'one', requestsPerSecond: 3, leaving: true };
-  service.dispatcher.announcements.import([{ ...relayed, lifetime: 1 }], 'former');
-  assert.deepEqual(service.dispatcher.announcements.list(), []);
-  service.dispatcher.announcements.import([{ ...relayed, leaving: false, lifetime: 2 }], 'former');
-  assert.equal(service.dispatcher.announcements.list().length, 1);
+  const { announcements } = service.dispatcher;
+  const relayed = { endpoint: 'one', requestsPerSecond: 3, leaving: false, lifetime: 2, age: 0 };
+  announcements.import([{ ...relayed, lifetime: 1 }], 'former');
+  assert.deepEqual(announcements.list(), []);
+  announcements.import([{ ...relayed, age: 100 }], 'former');
   service.now += 10;
-  service.dispatcher.announcements.import([], 'former');
-  assert.deepEqual(service.dispatcher.announcements.list(), []);
+  announcements.import([{ ...relayed, requestsPerSecond: null, age: 200 }], 'other');
+  assert.equal(announcements.list()[0]?.requestsPerSecond, 3, 'the end is older than the limit');
+  announcements.import([{ ...relayed, requestsPerSecond: null, age: 5 }], 'other');
+  assert.equal(announcements.list()[0]?.requestsPerSecond, null, 'the end is passed on');
+  announcements.import([{ ...relayed, age: 50 }], 'former');
+  assert.equal(announcements.list()[0]?.requestsPerSecond, null, 'the limit is older than its end');
+  service.now += 11_000;
+  assert.deepEqual(announcements.list(), []);
   assert.deepEqual(
     service.announcements.map(({ origin, source }) => `${origin} ${source}`),
-    ['dispatcher former', 'dispatcher former'],
+    ['dispatcher former', 'dispatcher other'],
   );
 });
+
+test('announced-limit: a dispatcher that knows nothing does not end what the others know', () => {
+  const service = new VirtualService([createEndpoint('one')]);
+  service.run('success', 20, service.ask(), {
+    requestsPerSecond: 3,
+    leaving: false,
+    pauseMilliseconds: 0,
+  });
+  service.now += 500;
+  service.dispatcher.announcements.import([], 'uninformed');
+  assert.equal(service.dispatcher.announcements.list()[0]?.requestsPerSecond, 3);
+});
+
+// Guards against limits that end with each pong of a daemon that knows none, while many daemons grant requests.
+test('announced-limit: daemons that grant a few requests beside the dispatcher keep the limits, whoever tells them nothing', () => {
+  const endpoints = createEndpoints(8);
+  const main = new VirtualService(endpoints);
+  const load = new SteadyLoad(main);
+  const startedAt = load.service.now;
+  const others = Array.from({ length: 10 }, () => new VirtualService(endpoints));
+  for (let round = 0; round < 60; round += 1) {
+    load.handOver(main);
+    load.run(200, () => 2.6);
+    const other = others[round % others.length] as VirtualService;
+    other.now = load.service.now - 10;
+    other.limitShare = 0.02;
+    other.dispatcher.announcements.import(main.dispatcher.announcements.list(), 'dispatcher');
+    other.now = load.service.now;
+    other.dispatcher.announcements.import([], 'uninformed');
+    load.handOver(other);
+    load.run(60, () => 2.6);
+  }
+  for (const endpoint of endpoints) {
+    assertWithinLimit(load.listGrants(endpoint.id), 2.6, startedAt + STABILITY_MILLISECONDS);
+  }
+});
+
+test('announced-limit: what a daemon was told itself holds when it begins to dispatch', () => {
+  const service = new VirtualService([createEndpoint('one', { slots: 8 })]);
+  const process = { endpoint: 'one', lifetime: 1 };
+  const { announcements } = service.dispatcher;
+  announcements.learn(process, { requestsPerSecond: 1, leaving: false }, service.now - 20, 'self');
+  const granted = Array.from({ length: 6 }, () => service.ask()).filter(
+    (key) => service.decisions.get(key)?.kind === 'grant',
+  );
+  assert.equal(granted.length, 0);
+});
+
+test('announced-limit: a daemon whose share grows gets no more for the time before', () => {
+  const service = new VirtualService([createEndpoint('one', { slots: 8 })]);
+  service.limitShare = 0.01;
+  service.run('success', 20, service.ask(), {
+    requestsPerSecond: 8,
+    leaving: false,
+    pauseMilliseconds: 0,
+  });
+  service.now += 5000;
+  service.limitShare = 1;
+  const keys = Array.from({ length: 8 }, () => service.ask());
+  const granted = keys.filter((key) => service.decisions.get(key)?.kind === 'grant');
+  assert.ok(granted.length <= 1, `${granted.length} granted at once`);
+});
