Serve the former cells of a service while it is divided anew

Callers of uploads were refused for two seconds. A service that crosses 40 endpoints is divided into cells of its zones (and back), and daemons learn of new endpoints at different times: dispatchers at once, entries up to two seconds later. An entry that still asked for the undivided cell was refused with 'no-endpoint', because its dispatcher no longer had a cell of that name.

A dispatcher now serves any cell whose service and zone it knows, with the endpoints that the name tells, and keeps the former cell with its estimates until nobody asks for it. Tests: dispatcher-role, two of which fail before.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -111,9 +111,20 @@
     return [...this.endpoints.values()];
   }
 
-  /** Returns the endpoints of a cell, or an empty list for an unknown cell. */
+  /**
+   * Returns the endpoints of a cell. Daemons learn at different times that a service is divided into other cells, so that
+   * the name may also be of a former cell, or of one that this daemon does not know yet.
+   */
   listEndpoints(cell: string): readonly Endpoint[] {
-    return this.cellsByName.get(cell)?.endpoints ?? [];
+    const known = this.cellsByName.get(cell);
+    if (known !== undefined) {
+      return known.endpoints;
+    }
+    const cells = this.cellsByService.get(grants.findServiceOfCell(cell)) ?? [];
+    return grants.selectEndpointsOfCell(
+      cell,
+      cells.flatMap(({ endpoints }) => endpoints),
+    );
   }
 
   /** Whether any service is divided into a cell with the given name. */
@@ -121,9 +132,11 @@
     return this.cellsByName.has(name);
   }
 
-  /** Returns the cell with the given name, or an empty cell when it is unknown. */
+  /** Returns the cell with the given name, also a former one. */
   getCell(name: string): grants.Cell {
-    return this.cellsByName.get(name) ?? { name, service: name, zone: undefined, endpoints: [] };
+    const known = this.cellsByName.get(name);
+    const service = grants.findServiceOfCell(name);
+    return known ?? { name, service, zone: undefined, endpoints: this.listEndpoints(name) };
   }
 
   /** Returns the cells of a service; there is always at least one. */
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -124,7 +124,8 @@
 
   /** Handles a slot request; `respond` is called at once and, after `queued`, again with the decision. */
   ask(entry: string, ask: datagrams.Ask, respond: (response: SlotResponse) => void): void {
-    if (!this.options.directory.hasCell(ask.cell)) {
+    const { directory } = this.options;
+    if (!directory.hasCell(ask.cell) && directory.listEndpoints(ask.cell).length === 0) {
       const retryAfter = UNKNOWN_CELL_RETRY_MILLISECONDS;
       respond([
         'refuse',
@@ -333,10 +334,11 @@
     }
   }
 
-  /** Removes the cells into which the services are no longer divided, once their last requests have ended. */
+  /** Removes the cells into which the services are no longer divided, once no daemon uses them any more. */
   private removeFormerCells(): void {
     for (const [name, dispatcher] of this.cells) {
-      if (!this.options.directory.hasCell(name) && dispatcher.isIdle) {
+      const isUnused = dispatcher.isIdle && !this.isActiveFor(name);
+      if (!this.options.directory.hasCell(name) && isUnused) {
         this.cells.delete(name);
         this.lastAskByCell.delete(name);
       }
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import * as datagrams from '@dogwoodstall/datagrams';
 import * as grants from '@dogwoodstall/grants';
+import type { Endpoint } from '@dogwoodstall/traffic';
 import * as fc from 'fast-check';
 import { Directory } from '../src/directory.js';
 import { DispatcherRole, type SlotResponse } from '../src/dispatcher-role.js';
@@ -9,20 +10,27 @@
 /** Time until the deadline of each slot request. */
 const REMAINING_MILLISECONDS = 5000;
 
-function createRole(): { role: DispatcherRole; decisions: grants.Decision[] } {
+/** Creates endpoints in two zones by turns. */
+function createEndpoints(service: string, count: number): Endpoint[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `${service}-${index + 1}`,
+    service,
+    address: `127.0.0.1:${index + 1}`,
+    zone: count > 2 && index % 2 === 1 ? 'b' : 'a',
+    slots: 2,
+    draining: false,
+    warmUpMilliseconds: 0,
+    lifetime: 1,
+  }));
+}
+
+function createRole(): {
+  role: DispatcherRole;
+  decisions: grants.Decision[];
+  setEndpoints: (endpoints: readonly Endpoint[]) => void;
+} {
   const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
-  const endpoints = ['valuation', 'archive'].flatMap((service) =>
-    [1, 2].map((number) => ({
-      id: `${service}-${number}`,
-      service,
-      address: `127.0.0.1:${number}`,
-      zone: 'a',
-      slots: 2,
-      draining: false,
-      warmUpMilliseconds: 0,
-      lifetime: 1,
-    })),
-  );
+  const endpoints = ['valuation', 'archive'].flatMap((service) => createEndpoints(service, 2));
   directory.replaceEndpoints(endpoints, 1, 'store');
   const decisions: grants.Decision[] = [];
   const role = new DispatcherRole({
@@ -35,7 +43,13 @@
     onUnused: () => {},
     onAnnouncement: () => {},
   });
-  return { role, decisions };
+  let revision = 1;
+  const setEndpoints = (changed: readonly Endpoint[]): void => {
+    revision += 1;
+    directory.replaceEndpoints(changed, revision, 'store');
+    role.updateEndpoints();
+  };
+  return { role, decisions, setEndpoints };
 }
 
 function createAsk(cell: string, askId: number): datagrams.Ask {
@@ -154,3 +168,37 @@
   assert.deepEqual([...new Set(responses)], ['refuse']);
   assert.deepEqual(role.listCellReports(), []);
 });
+
+// Guards against refusals while some daemons already know that a service is divided into other cells, and others do not.
+test('requests for the former cells of a service are granted while it is divided anew', () => {
+  const { role, setEndpoints } = createRole();
+  const ask = (cell: string, askId: number): SlotResponse[0] | undefined => {
+    let kind: SlotResponse[0] | undefined;
+    role.ask('entry', createAsk(cell, askId), (response) => {
+      [kind] = response;
+    });
+    return kind;
+  };
+  setEndpoints(createEndpoints('valuation', 38));
+  assert.equal(ask('valuation', 1), 'grant');
+  setEndpoints(createEndpoints('valuation', 44));
+  assert.equal(ask('valuation', 2), 'grant', 'the daemon that asks does not know of the division');
+  assert.equal(ask('valuation@a#0', 3), 'grant');
+  setEndpoints(createEndpoints('valuation', 38));
+  assert.equal(ask('valuation@a#0', 4), 'grant', 'it does not know of the end of the division');
+  assert.equal(ask('valuation@b#0', 5), 'grant', 'this daemon has not dispatched that cell');
+  assert.equal(ask('valuation@c#0', 6), 'refuse', 'no endpoint is in that zone');
+});
+
+test('the dispatcher of a former cell keeps its failure estimates', () => {
+  const { role, decisions, setEndpoints } = createRole();
+  const endpoints = createEndpoints('valuation', 38);
+  setEndpoints(endpoints);
+  const suspects = endpoints.slice(1).map(({ id }) => id);
+  role.importCellReports([{ name: 'valuation', suspects }], 'daemon-2');
+  setEndpoints(createEndpoints('valuation', 44).slice(0, 41));
+  role.ask('entry', createAsk('valuation', 1), () => {});
+  const [decision] = decisions;
+  assert.ok(decision?.kind === 'grant');
+  assert.equal(decision.endpoint.id, 'valuation-1');
+});
--- a/packages/routing/grants/src/cells.ts
+++ b/packages/routing/grants/src/cells.ts
@@ -19,6 +19,8 @@
 /** Target size of a cell: at 5 requests/s per endpoint, a quarter of a core suffices for its dispatcher. */
 const CELL_ENDPOINTS = 40;
 
+const CELL_NAME_PATTERN = /^(?<service>.*)@(?<zone>[^@]*)#\d+$/;
+
 function groupByZone(endpoints: readonly Endpoint[]): Map<string, Endpoint[]> {
   const zones = new Map<string, Endpoint[]>();
   for (const endpoint of endpoints) {
@@ -29,6 +31,20 @@
   return zones;
 }
 
+/** Returns the service of a cell, whatever the service is divided into now. */
+export function findServiceOfCell(name: string): string {
+  return CELL_NAME_PATTERN.exec(name)?.groups?.service ?? name;
+}
+
+/**
+ * Selects the endpoints of a cell into which the service is no longer divided, or not yet as far as this daemon knows.
+ * They are the endpoints that the cell had, as far as its name tells.
+ */
+export function selectEndpointsOfCell(name: string, endpoints: readonly Endpoint[]): Endpoint[] {
+  const { zone } = CELL_NAME_PATTERN.exec(name)?.groups ?? {};
+  return endpoints.filter((endpoint) => zone === undefined || endpoint.zone === zone);
+}
+
 /** Assigns each endpoint of a service to exactly one cell. */
 export function partitionIntoCells(service: string, endpoints: readonly Endpoint[]): Cell[] {
   if (endpoints.length <= CELL_ENDPOINTS) {
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -8,7 +8,12 @@
   type UnusedEndpoint,
   CellDispatcher,
 } from './cell-dispatcher.js';
-export { type Cell, partitionIntoCells } from './cells.js';
+export {
+  type Cell,
+  findServiceOfCell,
+  partitionIntoCells,
+  selectEndpointsOfCell,
+} from './cells.js';
 export { type CrashRecord, CrashRecords, type ResetAttempt } from './crash-records.js';
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
