Bound the records that go with a pong

Read in the diff: with many refused requests each ping would have been answered with all their records, up to 2,048 datagrams, and each ping looked through all records. A pong now brings at most 16 records in 8 datagrams, and the refused requests are kept in a set of their own. The new test counts the datagrams for 500 refused requests; they were 250 by the code before.

--- a/packages/daemon/gateway-daemon/src/crash-record-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/crash-record-exchange.ts
@@ -15,6 +15,8 @@
 const KEEPERS = 4;
 /** Records in one datagram, so that it stays below the size of a packet. */
 const RECORDS_PER_DATAGRAM = 2;
+/** Records sent with a pong, those changed last. */
+const RECORDS_WITH_PONG = 16;
 /** Time after which unchanged records are sent to a daemon that pings again. */
 const REPEAT_MILLISECONDS = 3000;
 /** Requests that this daemon tells all others about, in a second; others wait for the next ping. */
@@ -149,7 +151,7 @@
   /** Sends the requests that are refused to a daemon that pinged, unless it has been told so recently. */
   sendWithPong(to: datagrams.PeerAddress, isNew: boolean): void {
     const now = this.options.now();
-    const crashing = this.records.listCrashing(now);
+    const crashing = this.records.listCrashing(now).slice(0, RECORDS_WITH_PONG);
     if (crashing.length === 0) {
       this.sentWithPong.clear();
       return;
--- a/packages/daemon/gateway-daemon/test/crash-record-exchange.test.ts
+++ b/packages/daemon/gateway-daemon/test/crash-record-exchange.test.ts
@@ -136,6 +136,22 @@
   assert.equal(fleet.sent, 0);
 });
 
+test('many refused requests do not make the datagrams of a pong grow without bound', () => {
+  const fleet = new ExchangeFleet(2);
+  const endpoints = ['e1', 'e2', 'e3'];
+  for (let index = 0; index < 500; index += 1) {
+    const evidence = endpoints.map((endpoint) => ({
+      ...{ endpoint, lifetime: 1, weight: 1 },
+      ...{ source: '10.0.0.1', at: fleet.now },
+    }));
+    const times = { clearedAt: -Infinity, lastAt: fleet.now };
+    fleet.at(0).records.merge({ fingerprint: String(index), evidence, ...times }, fleet.now);
+  }
+  fleet.sent = 0;
+  fleet.at(0).sendWithPong({ host: createMember(1).host, port: PORT }, true);
+  assert.ok(fleet.sent > 0 && fleet.sent <= 8, `${fleet.sent} datagrams`);
+});
+
 test('a request whose endpoints accept connections after each reset is not refused', async () => {
   const fleet = new ExchangeFleet(6);
   fleet.accepts = true;
--- a/packages/routing/grants/src/crash-records.ts
+++ b/packages/routing/grants/src/crash-records.ts
@@ -113,6 +113,9 @@
 export class CrashRecords {
   private readonly records = new Map<string, CrashRecord>();
 
+  /** Fingerprints of the requests that are refused, those changed last at the end. */
+  private readonly crashing = new Set<string>();
+
   /** `onCrashing` is called when this daemon learns by itself that a request is to be refused. */
   constructor(private readonly onCrashing: (record: CrashRecord) => void = () => {}) {}
 
@@ -154,13 +157,16 @@
     const { fingerprint } = record;
     const known = this.find(fingerprint, now);
     const merged = mergeCrashRecords(known ?? record, record);
-    this.records.delete(fingerprint);
+    this.delete(fingerprint);
     if (isExpired(merged, now)) {
       return false;
     }
     this.records.set(fingerprint, merged);
+    if (computeWeight(merged) >= WEIGHT_TO_REFUSE) {
+      this.crashing.add(fingerprint);
+    }
     if (this.records.size > MAXIMUM_RECORDS) {
-      this.records.delete(this.records.keys().next().value as string);
+      this.delete(this.records.keys().next().value as string);
     }
     const weightBefore = known === undefined ? 0 : computeWeight(known);
     return weightBefore < WEIGHT_TO_REFUSE && computeWeight(merged) >= WEIGHT_TO_REFUSE;
@@ -170,7 +176,7 @@
   find(fingerprint: string, now: number): CrashRecord | undefined {
     const record = this.records.get(fingerprint);
     if (record !== undefined && isExpired(record, now)) {
-      this.records.delete(fingerprint);
+      this.delete(fingerprint);
       return undefined;
     }
     return record;
@@ -178,13 +184,12 @@
 
   /** Lists the requests that are refused, those changed last first. */
   listCrashing(now: number): CrashRecord[] {
-    const crashing: CrashRecord[] = [];
-    for (const fingerprint of [...this.records.keys()]) {
-      const record = this.find(fingerprint, now);
-      if (record !== undefined && computeWeight(record) >= WEIGHT_TO_REFUSE) {
-        crashing.push(record);
-      }
-    }
-    return crashing.reverse();
+    const records = [...this.crashing].map((fingerprint) => this.find(fingerprint, now));
+    return records.filter((record) => record !== undefined).reverse();
+  }
+
+  private delete(fingerprint: string): void {
+    this.records.delete(fingerprint);
+    this.crashing.delete(fingerprint);
   }
 }
