Tell other dispatchers of a limit's end only if there was a limit

Read in the diff: since announcements carry the age of their evidence, each response without a limit counted as the end of one, so that pongs named every endpoint that had responded in the last 10 s, 35 bytes each. Only the response that ends a limit counts now. The new test fails before.

--- a/packages/routing/grants/src/announced-state.ts
+++ b/packages/routing/grants/src/announced-state.ts
@@ -53,8 +53,8 @@
     const mayEnd = sentAt > this.confirmedAt;
     if (requestsPerSecond !== null || leaving) {
       this.confirmedAt = now;
-    } else if (mayEnd) {
-      this.endedAt = Math.max(this.endedAt, sentAt);
+    } else if (mayEnd && previous.requestsPerSecond !== null) {
+      this.endedAt = sentAt;
     }
     return this.replace({
       requestsPerSecond: requestsPerSecond ?? (mayEnd ? null : previous.requestsPerSecond),
--- a/packages/routing/grants/test/announced-limit.test.ts
+++ b/packages/routing/grants/test/announced-limit.test.ts
@@ -207,3 +207,11 @@
   const granted = keys.filter((key) => service.decisions.get(key)?.kind === 'grant');
   assert.ok(granted.length <= 1, `${granted.length} granted at once`);
 });
+
+test('announced-limit: endpoints that never announced anything are not told to other dispatchers', () => {
+  const service = new VirtualService([createEndpoint('one')]);
+  for (let count = 0; count < 3; count += 1) {
+    service.run('success', 20);
+  }
+  assert.deepEqual(service.dispatcher.announcements.list(), []);
+});
