--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,12 +1,13 @@
 /**
- * Suspends the daemon that dispatches a service for five seconds, in each of some rounds, while endpoints are replaced.
+ * Suspends the daemon that reads the endpoints from the store for five seconds, in each of some rounds, while endpoints
+ * are replaced.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import { runCase } from '../stand-ins/deployment.mjs';
 
 const DAEMONS = 10;
-const ENDPOINTS = 12;
-const REQUESTS_PER_SECOND = 120;
+const ENDPOINTS = 16;
+const REQUESTS_PER_SECOND = 80;
 const ROUNDS = 5;
 const REPLACED_IN_ROUND = 3;
 const REPLACE_MILLISECONDS = 800;
@@ -30,28 +31,28 @@
       : { path: `/photos/new/${Math.random()}` },
   );
   await delay(3000);
-  const [dispatcher, reader] = await Promise.all([
-    deployment.findDispatcher(),
+  const [reader, dispatcher] = await Promise.all([
     deployment.findReader(),
+    deployment.findDispatcher(),
   ]);
-  deployment.record(`${reader.name} reads the endpoints most often`);
   deployment.record(`${dispatcher.name} dispatches most requests`);
+  deployment.record(`${reader.name} reads the endpoints most often`);
   for (let round = 0; round < ROUNDS; round += 1) {
     if (trouble) {
-      deployment.record(`${dispatcher.name} is suspended`);
-      dispatcher.signal('SIGSTOP');
+      deployment.record(`${reader.name} is suspended`);
+      reader.signal('SIGSTOP');
     }
     for (let count = 0; count < REPLACED_IN_ROUND; count += 1) {
       await delay(REPLACE_MILLISECONDS);
       await deployment.replaceEndpoint('photos', {
-        reports: true,
+        reports: false,
         serveMilliseconds: SERVE_MILLISECONDS,
       });
     }
     await delay(FREEZE_MILLISECONDS - REPLACED_IN_ROUND * REPLACE_MILLISECONDS);
     if (trouble) {
-      deployment.record(`${dispatcher.name} goes on`);
-      dispatcher.signal('SIGCONT');
+      deployment.record(`${reader.name} goes on`);
+      reader.signal('SIGCONT');
     }
     await delay(CALM_MILLISECONDS);
   }
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,13 +1,12 @@
 /**
- * Suspends the daemon that reads the endpoints from the store for five seconds, in each of some rounds, while endpoints
- * are replaced.
+ * Suspends the daemon that dispatches a service for five seconds, in each of some rounds, while endpoints are replaced.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import { runCase } from '../stand-ins/deployment.mjs';
 
 const DAEMONS = 10;
-const ENDPOINTS = 16;
-const REQUESTS_PER_SECOND = 80;
+const ENDPOINTS = 12;
+const REQUESTS_PER_SECOND = 120;
 const ROUNDS = 5;
 const REPLACED_IN_ROUND = 3;
 const REPLACE_MILLISECONDS = 800;
@@ -31,28 +30,28 @@
       : { path: `/photos/new/${Math.random()}` },
   );
   await delay(3000);
-  const [reader, dispatcher] = await Promise.all([
-    deployment.findReader(),
+  const [dispatcher, reader] = await Promise.all([
     deployment.findDispatcher(),
+    deployment.findReader(),
   ]);
-  deployment.record(`${dispatcher.name} dispatches most requests`);
   deployment.record(`${reader.name} reads the endpoints most often`);
+  deployment.record(`${dispatcher.name} dispatches most requests`);
   for (let round = 0; round < ROUNDS; round += 1) {
     if (trouble) {
-      deployment.record(`${reader.name} is suspended`);
-      reader.signal('SIGSTOP');
+      deployment.record(`${dispatcher.name} is suspended`);
+      dispatcher.signal('SIGSTOP');
     }
     for (let count = 0; count < REPLACED_IN_ROUND; count += 1) {
       await delay(REPLACE_MILLISECONDS);
       await deployment.replaceEndpoint('photos', {
-        reports: false,
+        reports: true,
         serveMilliseconds: SERVE_MILLISECONDS,
       });
     }
     await delay(FREEZE_MILLISECONDS - REPLACED_IN_ROUND * REPLACE_MILLISECONDS);
     if (trouble) {
-      deployment.record(`${reader.name} goes on`);
-      reader.signal('SIGCONT');
+      deployment.record(`${dispatcher.name} goes on`);
+      dispatcher.signal('SIGCONT');
     }
     await delay(CALM_MILLISECONDS);
   }
--- a/review/stand-ins/daemon.mjs
+++ b/review/stand-ins/daemon.mjs
@@ -54,6 +54,14 @@
     this.process.kill(name);
   }
 
+  /** Kills the process and starts it again, as the platform does. */
+  async restart() {
+    this.signal('SIGKILL');
+    await this.exited;
+    this.start();
+    this.disturbedAt = performance.now();
+  }
+
   async close() {
     if (this.process !== undefined && this.process.exitCode === null) {
       this.process.kill('SIGCONT');
--- a/review/stand-ins/endpoint.mjs
+++ b/review/stand-ins/endpoint.mjs
@@ -7,6 +7,7 @@
 const HEARTBEAT_MILLISECONDS = 1500;
 const IDLE_MILLISECONDS = 10_000;
 const QUEUE_CAPACITY = 8;
+const RESTART_MILLISECONDS = 2500;
 
 export class Endpoint {
   running = 0;
@@ -24,18 +25,23 @@
   /** Time at which the store accepted that the endpoint drains or is gone. */
   leftAt = Infinity;
 
-  constructor({ id, service, host, zone, slots, workMilliseconds, store, record }) {
-    Object.assign(this, { id, service, host, zone, slots, workMilliseconds, store, record });
+  constructor(options) {
+    Object.assign(this, options);
     this.born = Date.now();
-    this.server = http.createServer((request, response) => this.receive(request, response));
-    this.server.keepAliveTimeout = IDLE_MILLISECONDS;
   }
 
-  async start() {
+  start() {
+    return this.listen(0);
+  }
+
+  async listen(port) {
+    this.server = http.createServer((request, response) => this.receive(request, response));
+    this.server.keepAliveTimeout = IDLE_MILLISECONDS;
     await new Promise((resolve) => {
-      this.server.listen(0, this.host, resolve);
+      this.server.listen(port, this.host, resolve);
     });
-    this.address = `${this.host}:${this.server.address().port}`;
+    this.port = this.server.address().port;
+    this.address = `${this.host}:${this.port}`;
     this.registered = true;
     this.writeEntry();
     // Endpoints that start together don't write together.
@@ -78,6 +84,7 @@
   }
 
   stop() {
+    this.stopped = true;
     clearInterval(this.timer);
     this.registered = false;
     this.store.remove(`servers/${this.id}`);
@@ -85,6 +92,33 @@
     this.server.closeAllConnections();
   }
 
+  /**
+   * Ends like a process that crashes, or silently like a machine that loses power, and starts again under its id and
+   * address after some seconds.
+   */
+  crash(requestId) {
+    this.record(`${this.id} crashes`);
+    this.onCrash?.(requestId);
+    clearInterval(this.timer);
+    this.registered = false;
+    const { server } = this;
+    if (this.crashesSilently !== true) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.running = 0;
+    this.queue = [];
+    this.born = undefined;
+    setTimeout(() => {
+      server.close();
+      server.closeAllConnections();
+      if (!this.stopped) {
+        this.born = Date.now();
+        this.listen(this.port).catch((error) => this.record(`error: ${error}`));
+      }
+    }, RESTART_MILLISECONDS);
+  }
+
   receive(request, response) {
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
@@ -93,6 +127,9 @@
   }
 
   handle(request, response) {
+    if (this.born === undefined) {
+      return;
+    }
     const requestId = request.headers['request-id'] ?? '';
     const base = {
       'Request-Id': requestId,
@@ -129,8 +166,16 @@
     this.running += 1;
     this.record(`${this.id} runs ${requestId}`);
     this.onRun?.(requestId);
+    if (this.crashingPath !== undefined && response.req.url === this.crashingPath) {
+      this.crash(requestId);
+      return;
+    }
+    const { born } = this;
     setTimeout(
       () => {
+        if (this.born !== born || this.stopped) {
+          return;
+        }
         this.running -= 1;
         const text = `${this.id} ${requestId}`;
         const headers = {
