Write the record of each case from its own folder

Cause: record.txt was written by a shared module only, so that no file of a case named it, and a case that was ended early left none.

Each case passes the path of its record, which is written when the process ends in any way.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,6 +1,7 @@
 /**
  * Suspends the daemon that dispatches a service for five seconds, in each of some rounds, while endpoints are replaced.
  */
+import * as path from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { runCase } from '../stand-ins/deployment.mjs';
 
@@ -60,4 +61,4 @@
   return deployment.describeLateArrivals();
 }
 
-await runCase(import.meta.dirname, play);
+await runCase(path.join(import.meta.dirname, 'record.txt'), play);
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -2,6 +2,7 @@
  * A request that crashes each endpoint that runs it comes again and again, while all daemons are killed at the same
  * moment and started again.
  */
+import * as path from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { bounds, runCase } from '../stand-ins/deployment.mjs';
 
@@ -70,4 +71,4 @@
     : [];
 }
 
-await runCase(import.meta.dirname, play);
+await runCase(path.join(import.meta.dirname, 'record.txt'), play);
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -74,8 +74,7 @@
 
   requestCount = 0;
 
-  constructor(folder) {
-    this.folder = folder;
+  constructor() {
     this.temporary = fs.mkdtempSync(path.join(os.tmpdir(), 'dogwoodstall-review-'));
   }
 
@@ -283,7 +282,6 @@
       endpoint.stop();
     }
     this.store.close();
-    fs.writeFileSync(path.join(this.folder, 'record.txt'), `${this.lines.join('\n')}\n`);
     if (process.env.KEEP_LOGS === undefined) {
       fs.rmSync(this.temporary, { recursive: true });
     } else {
@@ -293,15 +291,16 @@
 }
 
 /**
- * Runs a case; ends the process with 0 if the rule held, 1 if it was broken and 2 if the case could not run. `play`
+ * Runs a case and writes its record to a file; ends the process with 0 if the rule held, 1 if it was broken and 2 if the case could not run. `play`
  * returns the violations as texts.
  */
-export async function runCase(folder, play) {
-  const deployment = new Deployment(folder);
+export async function runCase(recordFile, play) {
+  const deployment = new Deployment();
   const end = () => process.exit(2);
   process.on('SIGTERM', end);
   process.on('SIGINT', end);
   process.on('exit', () => {
+    fs.writeFileSync(recordFile, `${deployment.lines.join('\n')}\n`);
     for (const { process: child } of deployment.daemons) {
       child?.kill('SIGKILL');
     }
