Don't take a suspension of the store's reader for an outage

Cause: StoreContactTracker took the gap in the reader's own contacts for an outage. The reader then kept the endpoints whose removal it read, for 2.3 s, and published this list at the newest revision, so that all daemons replaced their correct list by it.

Change: an outage needs a failed call between two contacts, and a call that was pending during a suspension is repeated instead of counted. Each daemon keeps lapsed endpoints for itself; what daemons exchange is the store's list at a revision that the store gave. A response up to an older revision than the known one is ignored, since it may have waited in the socket.

Ruled out: a late removal by the standby. Its list was right until the reader published its own.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -43,6 +43,11 @@
 export interface DirectoryOptions {
   readonly onConfiguration: (configuration: TrafficConfiguration, source: string) => void;
   readonly onEndpoints: (source: string) => void;
+  /**
+   * Returns the monotonic milliseconds until which an endpoint that the store no longer lists is kept, because its entry
+   * may have expired during an outage. Each daemon decides this by itself and tells no other one of such endpoints.
+   */
+  readonly toleranceEndsAt?: () => number;
 }
 
 /** The known configuration and endpoints. */
@@ -51,6 +56,11 @@
 
   private readonly endpoints = new Map<string, Endpoint>();
 
+  /** Times at which endpoints are removed that the store no longer lists, by id. */
+  private readonly lapsed = new Map<string, number>();
+
+  private lapseTimer: NodeJS.Timeout | undefined;
+
   private revision = 0;
 
   /** Resolvers that are called once the configuration and the endpoints are known. */
@@ -70,7 +80,7 @@
     return this.routeIndex?.configuration.version ?? 0;
   }
 
-  /** Revision of the store at the last change of an endpoint. */
+  /** Revision of the store at the last change of an endpoint; `listStored` is complete up to it. */
   get endpointRevision(): number {
     return this.revision;
   }
@@ -107,10 +117,21 @@
     }
   }
 
+  /** Stops the timer of lapsed endpoints. */
+  close(): void {
+    clearTimeout(this.lapseTimer);
+  }
+
+  /** Lists the endpoints that may be used. */
   listAll(): Endpoint[] {
     return [...this.endpoints.values()];
   }
 
+  /** Lists the endpoints that the store lists at the current revision. */
+  listStored(): Endpoint[] {
+    return this.listAll().filter(({ id }) => !this.lapsed.has(id));
+  }
+
   /**
    * Returns the endpoints of a cell. Daemons learn at different times that a service is divided into other cells, so that
    * the name may also be of a former cell, or of one that this daemon does not know yet.
@@ -168,8 +189,7 @@
     let changed = this.revision === 0;
     for (const id of this.endpoints.keys()) {
       if (!ids.has(id)) {
-        this.endpoints.delete(id);
-        changed = true;
+        changed = this.remove(id) || changed;
       }
     }
     for (const endpoint of endpoints) {
@@ -178,34 +198,77 @@
     this.finishChange(changed, revision, source);
   }
 
-  /** Applies the changes that the store reported since the last revision. */
+  /**
+   * Applies the changes that the store reported up to a revision. Changes up to an older revision than that of the
+   * endpoints are ignored, because later ones may be known; returns whether they were applied.
+   */
   changeEndpoints(
     puts: readonly Endpoint[],
     removed: readonly string[],
     revision: number,
     source: string,
-  ): void {
+  ): boolean {
+    if (revision < this.revision) {
+      return false;
+    }
     let changed = false;
     for (const endpoint of puts) {
       changed = this.put(endpoint) || changed;
     }
     for (const id of removed) {
-      changed = this.endpoints.delete(id) || changed;
-    }
-    if (changed) {
-      this.finishChange(changed, Math.max(revision, this.revision + 1), source);
+      changed = this.remove(id) || changed;
     }
+    this.finishChange(changed, revision, source);
+    return true;
   }
 
+  /** Returns whether the endpoint was not listed like this before. */
   private put(endpoint: Endpoint): boolean {
+    const wasLapsed = this.lapsed.delete(endpoint.id);
     const known = this.endpoints.get(endpoint.id);
     if (known !== undefined && isSameEndpoint(known, endpoint)) {
-      return false;
+      return wasLapsed;
     }
     this.endpoints.set(endpoint.id, endpoint);
     return true;
   }
 
+  /** Removes an endpoint, at once or when its entry can no longer return; returns whether it was listed before. */
+  private remove(id: string): boolean {
+    if (!this.endpoints.has(id) || this.lapsed.has(id)) {
+      return false;
+    }
+    const toleranceEndsAt = this.options.toleranceEndsAt?.() ?? -Infinity;
+    if (performance.now() < toleranceEndsAt) {
+      this.lapsed.set(id, toleranceEndsAt);
+      this.scheduleRemoval();
+    } else {
+      this.endpoints.delete(id);
+    }
+    return true;
+  }
+
+  private scheduleRemoval(): void {
+    clearTimeout(this.lapseTimer);
+    if (this.lapsed.size > 0) {
+      const nextAt = Math.min(...this.lapsed.values());
+      this.lapseTimer = setTimeout(() => this.removeLapsed(), nextAt - performance.now());
+    }
+  }
+
+  private removeLapsed(): void {
+    const now = performance.now();
+    for (const [id, removeAt] of this.lapsed) {
+      if (now >= removeAt) {
+        this.lapsed.delete(id);
+        this.endpoints.delete(id);
+      }
+    }
+    this.scheduleRemoval();
+    // The revision stays, because the store's list has not changed.
+    this.finishChange(true, this.revision, 'outage tolerance');
+  }
+
   private finishChange(changed: boolean, revision: number, source: string): void {
     if (!changed) {
       return;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -27,6 +27,7 @@
 import { StateServer } from './state-server.js';
 import { StoreContactTracker } from './store-contact-tracker.js';
 import { StoreWatcher } from './store-watcher.js';
+import { type Suspension, SuspensionDetector } from './suspension-detector.js';
 
 /** Options of `GatewayDaemon`. */
 export interface GatewayDaemonOptions {
@@ -74,6 +75,8 @@
 
   private readonly storeContact = new StoreContactTracker();
 
+  private readonly suspension: SuspensionDetector;
+
   private readonly pingExchange: PingExchange;
 
   private readonly endpointPaths: EndpointPaths;
@@ -93,6 +96,11 @@
     this.logger = log.getLogger('daemon');
     this.reporter = new DecisionReporter(log, settings.log.decisionsPerSecond);
     this.members = new MemberTable(createMemberEntry(settings));
+    this.suspension = new SuspensionDetector({
+      now: () => performance.now(),
+      wallClock: () => Date.now(),
+      onResume: (suspension) => this.resume(suspension),
+    });
     this.directory = this.createDirectory();
     this.roleAssignment = new RoleAssignment({
       members: this.members,
@@ -151,6 +159,7 @@
       source: options.source,
       directory: this.directory,
       storeContact: this.storeContact,
+      suspension: this.suspension,
       isResponsible: () => this.roleAssignment.isResponsibleForStore(),
       isStandby: () => this.roleAssignment.isStandbyForStore(),
       onLost: () => this.pingExchange.announceToAll(),
@@ -179,6 +188,7 @@
       this.reporter.metricsServer = await MetricsServer.create(() => this.readMetrics());
       await this.reporter.metricsServer.listen(peer.host, listen.metricsPort);
     }
+    this.suspension.start();
     this.dispatcherRole.start();
     this.candidates.start();
     this.watcher.start();
@@ -212,8 +222,10 @@
       return;
     }
     this.closed = true;
+    this.suspension.stop();
     this.watcher.stop();
     this.peerState.close();
+    this.directory.close();
     this.candidates.stop();
     this.dispatcherRole.stop();
     this.dispatcherClient.close();
@@ -228,6 +240,7 @@
   private createDirectory(): Directory {
     const logger = this.options.log.getLogger('directory');
     return new Directory({
+      toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
         logger.info('configuration is in force', { version, routes: routes.length, source });
         this.pingExchange.announceToAll();
@@ -362,7 +375,15 @@
     };
   }
 
+  private resume({ steadyMilliseconds, wallMilliseconds }: Suspension): void {
+    this.logger.warn('daemon was suspended', {
+      steadyMilliseconds: Math.round(steadyMilliseconds),
+      wallMilliseconds: Math.round(wallMilliseconds),
+    });
+  }
+
   private receive(message: datagrams.Message, from: datagrams.PeerAddress): void {
+    this.suspension.check();
     const target: DispatcherTarget = { name: '', isSelf: false, ...from };
     switch (message[0]) {
       case 'ask':
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -156,7 +156,7 @@
     const { routes, endpointRevision } = this.options.directory;
     return {
       ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
-      ...(withEndpoints && { endpoints: this.options.directory.listAll() }),
+      ...(withEndpoints && { endpoints: this.options.directory.listStored() }),
       ...(withMembers && { members: this.options.members.list() }),
       directoryRevision: endpointRevision,
     };
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -69,6 +69,8 @@
     this.contactBySender.set(sender, contactAt);
     if (ageMilliseconds < LOST_AGE_MILLISECONDS) {
       this.options.storeContact.record(contactAt);
+    } else {
+      this.options.storeContact.recordFailure(performance.now());
     }
   }
 
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -8,6 +8,7 @@
 import type { DirectorySource } from './directory-source.js';
 import type { Directory } from './directory.js';
 import type { StoreContactTracker } from './store-contact-tracker.js';
+import type { SuspensionDetector } from './suspension-detector.js';
 
 /** Pause between two watch calls for endpoints: heartbeats change entries many times a second, and calls are paid for. */
 const ENDPOINT_PAUSE_MILLISECONDS = 350;
@@ -30,6 +31,7 @@
   readonly source: DirectorySource;
   readonly directory: Directory;
   readonly storeContact: StoreContactTracker;
+  readonly suspension: Pick<SuspensionDetector, 'check' | 'resumedAt'>;
   readonly isResponsible: () => boolean;
   /** Whether another daemon that ranks before this one watches the store too. */
   readonly isStandby: () => boolean;
@@ -46,9 +48,6 @@
 
   private lost = false;
 
-  /** Endpoints whose entries expired around an outage, with the time at which they are removed. */
-  private readonly expired = new Map<string, number>();
-
   constructor(private readonly options: StoreWatcherOptions) {}
 
   /** Monotonic milliseconds of the last response of the store. */
@@ -105,7 +104,7 @@
       source.readEndpoints(signal),
     );
     this.recordContact();
-    this.replaceAll(snapshot.endpoints, snapshot.revision);
+    directory.replaceEndpoints(snapshot.endpoints, snapshot.revision, 'store');
     let { revision } = snapshot;
     while (this.options.isResponsible()) {
       const pause = this.options.isStandby()
@@ -124,15 +123,17 @@
       for (const change of changes.changes) {
         if (change.kind === 'put') {
           puts.push(change.endpoint);
-          this.expired.delete(change.endpoint.id);
-        } else if (performance.now() < this.options.storeContact.toleranceEndsAt) {
-          this.expired.set(change.id, this.options.storeContact.toleranceEndsAt);
         } else {
           removed.push(change.id);
         }
       }
-      removed.push(...this.takeExpired());
-      directory.changeEndpoints(puts, removed, revision, 'store');
+      if (
+        !directory.changeEndpoints(puts, removed, revision, 'store') &&
+        changes.changes.length > 0
+      ) {
+        // Another daemon knew later changes already. Reads all endpoints, in case its list lacks one of these.
+        return;
+      }
     }
   };
 
@@ -154,45 +155,23 @@
     }
   };
 
-  // Keeps known endpoints that are missing in a complete read after an outage, because their entries may have expired.
-  private replaceAll(endpoints: readonly Endpoint[], revision: number): void {
-    const { directory } = this.options;
-    const kept = [...endpoints];
-    const ids = new Set(endpoints.map(({ id }) => id));
-    const now = performance.now();
-    for (const id of ids) {
-      this.expired.delete(id);
-    }
-    const { toleranceEndsAt } = this.options.storeContact;
-    if (now < toleranceEndsAt) {
-      for (const known of directory.listAll()) {
-        if (!ids.has(known.id)) {
-          this.expired.set(known.id, this.expired.get(known.id) ?? toleranceEndsAt);
-          kept.push(known);
-        }
-      }
-    }
-    directory.replaceEndpoints(kept, revision, 'store');
-  }
-
-  /** Removes and returns the endpoints whose entries were not registered again in time. */
-  private takeExpired(): string[] {
-    const now = performance.now();
-    const ids: string[] = [];
-    for (const [id, removeAt] of this.expired) {
-      if (now >= removeAt) {
-        ids.push(id);
-        this.expired.delete(id);
-      }
-    }
-    return ids;
-  }
-
-  private callWithTimeout<Value>(
+  private async callWithTimeout<Value>(
     milliseconds: number,
     send: (signal: AbortSignal) => Promise<Value>,
   ): Promise<Value> {
-    return results.callWithTimeout(milliseconds, this.closing.signal, send);
+    const { suspension } = this.options;
+    for (;;) {
+      const startedAt = performance.now();
+      try {
+        return await results.callWithTimeout(milliseconds, this.closing.signal, send);
+      } catch (error) {
+        suspension.check();
+        // The timeout of a call that was pending during a suspension says nothing about the store.
+        if (suspension.resumedAt < startedAt || this.closing.signal.aborted) {
+          throw error;
+        }
+      }
+    }
   }
 
   private recordContact(): void {
@@ -209,6 +188,7 @@
   }
 
   private recordFailure(error: unknown): void {
+    this.options.storeContact.recordFailure(performance.now());
     if (!this.lost) {
       this.lost = true;
       const { kind, message } = results.toFailure(error);
--- a/packages/daemon/gateway-daemon/test/store-contact-tracker.test.ts
+++ b/packages/daemon/gateway-daemon/test/store-contact-tracker.test.ts
@@ -5,8 +5,10 @@
 test('missing entries are tolerated only after a gap in which no daemon reached the store', () => {
   const tracker = new StoreContactTracker();
   tracker.record(0);
+  tracker.recordFailure(1000);
   tracker.record(1500);
   assert.ok(tracker.toleranceEndsAt < 1500);
+  tracker.recordFailure(2500);
   tracker.record(9000);
   assert.ok(tracker.toleranceEndsAt > 9000 + 2000);
 });
@@ -14,6 +16,7 @@
 test('contacts that peers report late neither hide an outage nor start one', () => {
   const tracker = new StoreContactTracker();
   tracker.record(0);
+  tracker.recordFailure(1000);
   tracker.record(5000);
   const { toleranceEndsAt } = tracker;
   tracker.record(4900);
@@ -21,6 +24,14 @@
   assert.equal(tracker.toleranceEndsAt, toleranceEndsAt);
 });
 
+test('a gap in which no call failed is no outage, because nobody may have called', () => {
+  const tracker = new StoreContactTracker();
+  tracker.recordFailure(0);
+  tracker.record(100);
+  tracker.record(9000);
+  assert.ok(tracker.toleranceEndsAt < 9000);
+});
+
 test('the first contact of a daemon that has just started is no outage', () => {
   const tracker = new StoreContactTracker();
   tracker.record(100_000);
--- a/packages/daemon/gateway-daemon/test/store-watcher.test.ts
+++ b/packages/daemon/gateway-daemon/test/store-watcher.test.ts
@@ -6,6 +6,7 @@
 import { Directory } from '../src/directory.js';
 import { StoreContactTracker } from '../src/store-contact-tracker.js';
 import { StoreWatcher } from '../src/store-watcher.js';
+import { SuspensionDetector } from '../src/suspension-detector.js';
 import { waitUntil } from './fleet.js';
 import { MemorySource } from './memory-source.js';
 import { MemoryStore } from './memory-store.js';
@@ -13,6 +14,7 @@
 const OUTAGE_MILLISECONDS = 2500;
 /** Shorter than the time for which expired entries are kept after an outage. */
 const REMOVAL_MILLISECONDS = 1500;
+const SUSPENSION_MILLISECONDS = 3000;
 
 const endpoint: Omit<Endpoint, 'id'> = {
   service: 'valuation',
@@ -24,6 +26,19 @@
   lifetime: 1,
 };
 
+function createSuspensionDetector(): SuspensionDetector {
+  return new SuspensionDetector({
+    now: () => performance.now(),
+    wallClock: () => Date.now(),
+    onResume: () => {},
+  });
+}
+
+/** Blocks this process as SIGSTOP does: clocks go on, while timers and network events wait. */
+function suspendProcess(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /** Removes an entry after an outage for this daemon; returns whether the watcher removes the endpoint soon after. */
 async function isRemovedAfterOutage(peersReachStore: boolean): Promise<boolean> {
   const store = new MemoryStore();
@@ -32,11 +47,16 @@
   }
   const source = new MemorySource(store);
   const storeContact = new StoreContactTracker();
-  const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const directory = new Directory({
+    onConfiguration: () => {},
+    onEndpoints: () => {},
+    toleranceEndsAt: () => storeContact.toleranceEndsAt,
+  });
   const watcher = new StoreWatcher({
     source,
     directory,
     storeContact,
+    suspension: createSuspensionDetector(),
     isResponsible: () => true,
     isStandby: () => false,
     onLost: () => {},
@@ -60,6 +80,7 @@
     return directory.listAll().length === 1;
   } finally {
     watcher.stop();
+    directory.close();
   }
 }
 
@@ -83,6 +104,7 @@
       source,
       directory,
       storeContact: new StoreContactTracker(),
+      suspension: createSuspensionDetector(),
       isResponsible: () => true,
       isStandby: () => standby,
       onLost: () => {},
@@ -110,3 +132,47 @@
     }
   }
 });
+
+// Guards against endpoints that are used again after they left, because the daemon that reads the store was suspended.
+test('a daemon that was suspended does not take its own pause for an outage of the store', async () => {
+  const store = new MemoryStore();
+  for (const id of ['one', 'two']) {
+    store.put({ ...endpoint, id });
+  }
+  const storeContact = new StoreContactTracker();
+  const directory = new Directory({
+    onConfiguration: () => {},
+    onEndpoints: () => {},
+    toleranceEndsAt: () => storeContact.toleranceEndsAt,
+  });
+  const suspension = createSuspensionDetector();
+  const watcher = new StoreWatcher({
+    source: new MemorySource(store),
+    directory,
+    storeContact,
+    suspension,
+    isResponsible: () => true,
+    isStandby: () => false,
+    onLost: () => assert.fail('the store is available'),
+    logger: createSilentLog().getLogger('store'),
+  });
+  suspension.start();
+  watcher.start();
+  try {
+    await waitUntil('both endpoints are known', () => directory.listAll().length === 2, 1000);
+    for (const id of ['one', 'two']) {
+      await delay(600);
+      store.remove(id);
+      suspendProcess(SUSPENSION_MILLISECONDS);
+      await waitUntil(
+        `${id} is removed`,
+        () => directory.listAll().every((known) => known.id !== id),
+        REMOVAL_MILLISECONDS,
+      );
+    }
+  } finally {
+    watcher.stop();
+    suspension.stop();
+    directory.close();
+  }
+});
