Verify the endpoints after a suspension before dispatching again

Cause: nothing in a daemon knew that it had not been running. It answered the pings that waited in its socket as settled and granted slots from its old list until the newer one had arrived; entries used such grants though they knew better.

Change: after a suspension a daemon is unsettled, refuses slot requests of others with `stopping`, drops its queue and its cached responses and pings its peers again. An entry returns a grant at an endpoint that it knows to be draining, with that reason.

--- a/packages/daemon/gateway-daemon/src/announced-holds.ts
+++ b/packages/daemon/gateway-daemon/src/announced-holds.ts
@@ -18,8 +18,8 @@
 
 /** Why an endpoint is not used. */
 export interface HoldReason {
-  readonly reason: 'leaving' | 'pause';
-  /** Milliseconds since the endpoint announced it. */
+  readonly reason: 'leaving' | 'pause' | 'draining';
+  /** Milliseconds since the endpoint announced it; 0 for `draining`, which the store lists. */
   readonly age: number;
   /** What the dispatcher is told. */
   readonly announcement: Announcement;
--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -26,7 +26,6 @@
   responsive: boolean;
   /** Whether the daemon knows enough to dispatch. */
   settled: boolean;
-  sequence: number;
 }
 
 /** Interval between pings of the first responsive candidate by a daemon that may take over its role. */
@@ -66,7 +65,6 @@
     lastPingAt: -Infinity,
     responsive: false,
     settled: false,
-    sequence: 0,
   };
 }
 
@@ -79,6 +77,12 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Sequence number of the last ping to any daemon. */
+  private lastSequence = 0;
+
+  /** Sequence number of the last ping before the latest suspension of this daemon. */
+  private suspendedSequence = 0;
+
   constructor(private readonly options: CandidatesOptions) {}
 
   start(): void {
@@ -159,6 +163,20 @@
     this.tick();
   }
 
+  /**
+   * Pings all monitored daemons again after this daemon was suspended. Responses to earlier pings may be old, and those
+   * that are missing say nothing about the other daemons.
+   */
+  resume(): void {
+    this.suspendedSequence = this.lastSequence;
+    this.pingAll();
+  }
+
+  /** Whether a pong is the response to a ping that was sent after the latest suspension of this daemon. */
+  isCurrent({ sequence }: Pick<datagrams.Pong, 'sequence'>): boolean {
+    return sequence > this.suspendedSequence;
+  }
+
   /** Records that a daemon did not respond to a slot request. */
   markUnresponsive(name: string): void {
     this.setResponsive(name, false);
@@ -309,12 +327,12 @@
     if (contact.pendingSince !== undefined || now - contact.lastPingAt < interval) {
       return;
     }
-    contact.sequence += 1;
+    this.lastSequence += 1;
     contact.pendingSince = now;
     contact.lastPingAt = now;
     const { name } = this.options.members.self;
     this.options.send(
-      ['ping', { sequence: contact.sequence, name, standby, ...this.options.getVersions() }],
+      ['ping', { sequence: this.lastSequence, name, standby, ...this.options.getVersions() }],
       this.toTarget(member),
     );
   }
--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -16,6 +16,8 @@
   return entries.flatMap((entry) => endpointSchema.safeParse(entry).data ?? []);
 }
 
+const MAXIMUM_DRAINED = 4096;
+
 /** Response to a daemon that requests the state of another one. */
 export const stateSchema = z.object({
   configuration: trafficConfigurationSchema.optional(),
@@ -61,6 +63,9 @@
 
   private lapseTimer: NodeJS.Timeout | undefined;
 
+  /** Endpoints that were draining when they were removed, oldest first, by id. */
+  private readonly drained = new Map<string, Endpoint>();
+
   private revision = 0;
 
   /** Resolvers that are called once the configuration and the endpoints are known. */
@@ -127,6 +132,12 @@
     return [...this.endpoints.values()];
   }
 
+  /** Whether a process of an endpoint is known to be draining, or was until its removal. */
+  isLeaving(id: string, lifetime: number): boolean {
+    const known = this.endpoints.get(id) ?? this.drained.get(id);
+    return known !== undefined && known.draining && known.lifetime === lifetime;
+  }
+
   /** Lists the endpoints that the store lists at the current revision. */
   listStored(): Endpoint[] {
     return this.listAll().filter(({ id }) => !this.lapsed.has(id));
@@ -230,6 +241,7 @@
       return wasLapsed;
     }
     this.endpoints.set(endpoint.id, endpoint);
+    this.drained.delete(endpoint.id);
     return true;
   }
 
@@ -243,11 +255,22 @@
       this.lapsed.set(id, toleranceEndsAt);
       this.scheduleRemoval();
     } else {
-      this.endpoints.delete(id);
+      this.delete(id);
     }
     return true;
   }
 
+  private delete(id: string): void {
+    const endpoint = this.endpoints.get(id);
+    this.endpoints.delete(id);
+    if (endpoint?.draining === true) {
+      this.drained.set(id, endpoint);
+    }
+    if (this.drained.size > MAXIMUM_DRAINED) {
+      this.drained.delete(this.drained.keys().next().value as string);
+    }
+  }
+
   private scheduleRemoval(): void {
     clearTimeout(this.lapseTimer);
     if (this.lapsed.size > 0) {
@@ -261,7 +284,7 @@
     for (const [id, removeAt] of this.lapsed) {
       if (now >= removeAt) {
         this.lapsed.delete(id);
-        this.endpoints.delete(id);
+        this.delete(id);
       }
     }
     this.scheduleRemoval();
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -47,6 +47,8 @@
     readonly withdraw: (askId: number) => void;
     readonly report: (report: datagrams.Report) => void;
   };
+  /** Whether this daemon knows that a process of an endpoint drains or has left after that. */
+  readonly isLeaving: (endpoint: string, lifetime: number) => boolean;
   /** Called with each response of an endpoint to a request that another daemon granted. */
   readonly onResponse: (cell: string, response: OwnResponse) => void;
   /** Called when a dispatcher is skipped because it is stopping or did not respond in time. */
@@ -83,6 +85,12 @@
   retryAfter: NO_DISPATCHER_RETRY_MILLISECONDS,
 };
 
+const drainingHold: HoldReason = {
+  reason: 'draining',
+  age: 0,
+  announcement: { requestsPerSecond: null, leaving: true, pauseMilliseconds: 0 },
+};
+
 function createCrashRefusal({ route }: gateway.SlotAcquireOptions): SlotRefusal {
   return { kind: 'refused', reason: 'crashing', retryAfter: route.targetMilliseconds };
 }
@@ -273,7 +281,9 @@
         this.sendReport(target, grantId, gateway.unusedReport);
         return createCrashRefusal(ask);
       }
-      const hold = this.holds.check(endpoint, lifetime, performance.now());
+      const hold =
+        this.holds.check(endpoint, lifetime, performance.now()) ??
+        (this.options.isLeaving(endpoint, lifetime) ? drainingHold : undefined);
       if (hold === undefined) {
         return { kind: 'slot', slot: this.createSlot(target, cell, response[1], ask) };
       }
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -27,6 +27,8 @@
   readonly retryBudget: (cell: string) => grants.RetryBudget;
   /** Returns the share of announced limits that this daemon may use in a cell. */
   readonly limitShare: (cell: string) => number;
+  /** Whether the endpoints may have left while this daemon was suspended. */
+  readonly isVerifying: () => boolean;
   readonly onDecision: (
     cell: string,
     request: grants.SlotRequest,
@@ -113,6 +115,14 @@
     }
   }
 
+  /** Ends what was queued or decided before a suspension, since the endpoints may have left meanwhile. */
+  resume(): void {
+    for (const dispatcher of this.cells.values()) {
+      dispatcher.stop();
+    }
+    this.responses.clear();
+  }
+
   start(): void {
     this.cleanupTimer = setInterval(() => this.cleanUp(), CLEANUP_MILLISECONDS);
   }
@@ -142,8 +152,9 @@
       respond(known.response);
       return;
     }
-    // A stopping daemon still serves its own requests, because there may be no other daemon that responds.
-    if (this.isStopping && entry !== this.options.self) {
+    // The daemon still serves its own requests then, because there may be no other daemon that responds.
+    const sendsToOthers = this.isStopping || this.options.isVerifying();
+    if (sendsToOthers && entry !== this.options.self) {
       respond(['refuse', { askId: ask.askId, reason: 'stopping', retryAfter: 0, load: 0 }]);
       return;
     }
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -126,6 +126,7 @@
       crashRecords: this.crashRecords.records,
       retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
       limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
+      isVerifying: () => this.roleAssignment.isVerifying,
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
       onUnused: (cell, endpoints) => this.reporter.recordUnused(cell, endpoints),
@@ -162,6 +163,7 @@
       suspension: this.suspension,
       isResponsible: () => this.roleAssignment.isResponsibleForStore(),
       isStandby: () => this.roleAssignment.isStandbyForStore(),
+      onCurrent: () => this.roleAssignment.confirmEndpoints(),
       onLost: () => this.pingExchange.announceToAll(),
       logger: log.getLogger('store'),
     });
@@ -306,10 +308,14 @@
       }),
       send: (message, target) => this.datagramSocket.send(message, target),
       local: {
-        ask: (ask, respond) => this.dispatcherRole.ask(self, ask, respond),
+        ask: (ask, respond) => {
+          this.suspension.check();
+          this.dispatcherRole.ask(self, ask, respond);
+        },
         withdraw: (askId) => this.dispatcherRole.withdraw(self, askId),
         report: (report) => this.dispatcherRole.report(report),
       },
+      isLeaving: (endpoint, lifetime) => this.directory.isLeaving(endpoint, lifetime),
       onResponse: (cell, response) => this.dispatcherRole.learn(cell, response),
       onHold: (endpoint, announcement) => this.reporter.recordHold(endpoint, announcement),
       onHeld: (endpoint, hold) => this.reporter.recordHeldGrant(endpoint, hold),
@@ -380,6 +386,9 @@
       steadyMilliseconds: Math.round(steadyMilliseconds),
       wallMilliseconds: Math.round(wallMilliseconds),
     });
+    this.roleAssignment.beginVerification();
+    this.dispatcherRole.resume();
+    this.candidates.resume();
   }
 
   private receive(message: datagrams.Message, from: datagrams.PeerAddress): void {
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -56,7 +56,8 @@
 
   /** Processes the state that another daemon reports; pongs of unknown daemons are ignored. */
   receivePong(pong: datagrams.Pong, from: datagrams.PeerAddress): void {
-    const { members, candidates, roleAssignment, dispatcherRole, peerState } = this.options;
+    const { members, candidates, roleAssignment, dispatcherRole, peerState, directory } =
+      this.options;
     const member = members.findByHost(from.host);
     if (member === undefined) {
       return;
@@ -65,6 +66,10 @@
     roleAssignment.recordStoreContact(member.name, pong.storeAge);
     dispatcherRole.importCellReports(pong.cells, member.name);
     peerState.fetchIfNewer(pong, from.host, pong.memberDigest !== members.digest);
+    const mayConfirm = pong.settled && !pong.stopping && candidates().isCurrent(pong);
+    if (mayConfirm && pong.directoryRevision <= directory.endpointRevision) {
+      roleAssignment.confirmEndpoints();
+    }
   }
 
   /** Sends a pong to every daemon that pinged recently. */
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -56,6 +56,12 @@
 export class RoleAssignment {
   private readonly startedAt = performance.now();
 
+  /** Start of the time in which this daemon does not dispatch yet. */
+  private settlingSince = this.startedAt;
+
+  /** Whether endpoints may have left while this daemon was suspended. */
+  private verifying = false;
+
   /** Time of the last contact with the store, by the daemon that reported it. */
   private readonly contactBySender = new Map<string, number>();
 
@@ -79,14 +85,35 @@
    * other daemon does, for instance because all start together.
    */
   isSettled(): boolean {
-    const elapsed = performance.now() - this.startedAt;
+    const elapsed = performance.now() - this.settlingSince;
     const isAlone = elapsed > ALONE_MILLISECONDS && !this.options.candidates().hasUsablePeer();
     if (this.options.directory.hasEndpoints && (isAlone || elapsed > SETTLE_MILLISECONDS)) {
       this.settled = true;
+      this.verifying = false;
     }
     return this.settled;
   }
 
+  /** Whether this daemon was suspended and has not verified its endpoints since. */
+  get isVerifying(): boolean {
+    return this.verifying && !this.isSettled();
+  }
+
+  /** Ends all dispatching after a suspension, until the endpoints are verified or no other daemon can verify them. */
+  beginVerification(): void {
+    this.verifying ||= this.settled;
+    this.settled = false;
+    this.settlingSince = performance.now();
+  }
+
+  /** Records that the endpoints are those of the store, or of a settled daemon, at a time after the suspension. */
+  confirmEndpoints(): void {
+    if (this.verifying) {
+      this.settled = true;
+      this.verifying = false;
+    }
+  }
+
   /** Returns this daemon's share of the retry budget of a cell. The cells of a service share the fleet's slack evenly. */
   computeRetryBudget(cell: grants.Cell): grants.RetryBudget {
     const { ratio, slack: fleetSlack, windowSeconds } = this.options.retries();
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -35,6 +35,8 @@
   readonly isResponsible: () => boolean;
   /** Whether another daemon that ranks before this one watches the store too. */
   readonly isStandby: () => boolean;
+  /** Called when the endpoints are those of the store at a time after the latest suspension of this daemon. */
+  readonly onCurrent: () => void;
   /** Called when the store stops responding to this daemon. */
   readonly onLost: () => void;
   readonly logger: observability.ComponentLogger;
@@ -99,12 +101,16 @@
   }
 
   private readonly watchEndpoints = async (): Promise<void> => {
-    const { source, directory } = this.options;
+    const { source, directory, suspension, onCurrent } = this.options;
+    const readAt = performance.now();
     const snapshot = await this.callWithTimeout(CALL_TIMEOUT_MILLISECONDS, (signal) =>
       source.readEndpoints(signal),
     );
     this.recordContact();
     directory.replaceEndpoints(snapshot.endpoints, snapshot.revision, 'store');
+    if (readAt > suspension.resumedAt) {
+      onCurrent();
+    }
     let { revision } = snapshot;
     while (this.options.isResponsible()) {
       const pause = this.options.isStandby()
@@ -113,6 +119,7 @@
       await delay(pause, undefined, { signal: this.closing.signal });
       const wait = ENDPOINT_WAIT_MILLISECONDS;
       const after = revision;
+      const watchedAt = performance.now();
       const changes = await this.callWithTimeout(wait + CALL_TIMEOUT_MILLISECONDS, (signal) =>
         source.watchEndpoints(after, wait, signal),
       );
@@ -134,6 +141,9 @@
         // Another daemon knew later changes already. Reads all endpoints, in case its list lacks one of these.
         return;
       }
+      if (watchedAt > suspension.resumedAt) {
+        onCurrent();
+      }
     }
   };
 
--- a/packages/daemon/gateway-daemon/src/suspension-detector.ts
+++ b/packages/daemon/gateway-daemon/src/suspension-detector.ts
@@ -43,7 +43,8 @@
   }
 
   start(): void {
-    this.check();
+    this.steadyAt = this.options.now();
+    this.wallAt = this.options.wallClock();
     this.timer = setInterval(() => this.check(), CHECK_MILLISECONDS);
   }
 
--- a/packages/daemon/gateway-daemon/test/directory.test.ts
+++ b/packages/daemon/gateway-daemon/test/directory.test.ts
@@ -55,6 +55,19 @@
   directory.close();
 });
 
+test('an endpoint that was draining is known to leave after its removal, until its id starts again', () => {
+  const directory = createDirectory(-Infinity);
+  const draining = { ...createEndpoint('one'), draining: true };
+  directory.changeEndpoints([draining], [], 11, 'store');
+  assert.equal(directory.isLeaving('one', 1), true);
+  assert.equal(directory.isLeaving('one', 2), false);
+  directory.changeEndpoints([], ['one', 'two'], 12, 'store');
+  assert.equal(directory.isLeaving('one', 1), true);
+  assert.equal(directory.isLeaving('two', 1), false, 'an entry that only expired');
+  directory.changeEndpoints([{ ...draining, draining: false }], [], 13, 'store');
+  assert.equal(directory.isLeaving('one', 1), false);
+});
+
 // Guards against a response of the store that waited while the process was suspended and undoes what a peer knew.
 test('changes up to an older revision than that of the endpoints are ignored', () => {
   const directory = createDirectory(-Infinity);
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -39,6 +39,9 @@
 
   lifetime = 1;
 
+  /** Endpoints, with their lifetimes, that the entry knows to be draining. */
+  readonly drained = new Set<string>();
+
   /** Whether the request is known to crash endpoints. */
   isCrashing = false;
 
@@ -65,6 +68,7 @@
         recordReset: ({ endpoint, lifetime }) => this.crashes.push(`${endpoint} ${lifetime}`),
         recordSuccess: () => this.crashes.push('success'),
       },
+      isLeaving: (endpoint, lifetime) => this.drained.has(`${endpoint} ${lifetime}`),
       send: () => {},
       local: {
         ask: ({ askId, excluded }, respond) => {
@@ -129,6 +133,18 @@
   assert.equal(await dispatcher.use(), 'one', 'a new process at the id');
 });
 
+// Guards against a dispatcher that knows less than the entry, for instance because it could not fetch newer endpoints.
+test('a daemon does not use an endpoint that it knows to be draining, and tells the dispatcher', async () => {
+  const dispatcher = new UninformedDispatcher(['one', 'other']);
+  dispatcher.drained.add('one 1');
+  assert.equal(await dispatcher.use(), 'other');
+  assert.deepEqual(dispatcher.held, ['one draining']);
+  const unused = dispatcher.reports.find(({ outcome }) => outcome === 'unused');
+  assert.equal(unused?.announcement?.leaving, true);
+  dispatcher.lifetime = 2;
+  assert.equal(await dispatcher.use(), 'one', 'a new process at the id');
+});
+
 test('a daemon does not use an endpoint during the pause that it asked for', async () => {
   const dispatcher = new UninformedDispatcher(['one', 'other']);
   assert.equal(await dispatcher.use({ ...noAnnouncement, pauseMilliseconds: 200 }), 'one');
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -24,7 +24,7 @@
   }));
 }
 
-function createRole(): {
+function createRole(isVerifying: () => boolean = () => false): {
   role: DispatcherRole;
   decisions: grants.Decision[];
   setEndpoints: (endpoints: readonly Endpoint[]) => void;
@@ -39,6 +39,7 @@
     crashRecords: new grants.CrashRecords(),
     retryBudget: () => ({ ratio: 0.2, slack: 20, windowMilliseconds: 10_000 }),
     onDecision: (_cell, _request, decision) => decisions.push(decision),
+    isVerifying,
     limitShare: () => 1,
     onUnused: () => {},
     onAnnouncement: () => {},
@@ -95,6 +96,35 @@
   assert.deepEqual(responses, ['refuse', 'grant']);
 });
 
+// Guards against grants of endpoints that left while the dispatcher was suspended.
+test('a dispatcher that was suspended sends other daemons to the next one until it has verified its endpoints', () => {
+  let verifying = false;
+  const { role, decisions } = createRole(() => verifying);
+  const responses: string[] = [];
+  const respond = ([kind, content]: SlotResponse): void => {
+    const reason = kind === 'refuse' ? ` ${content.reason}` : '';
+    responses.push(`${kind}${reason}`);
+  };
+  for (let askId = 1; decisions.length === askId - 1; askId += 1) {
+    role.ask('entry', createAsk('valuation', askId), respond);
+  }
+  assert.equal(responses.pop(), 'queued');
+  verifying = true;
+  role.resume();
+  assert.equal(responses.pop(), 'refuse stopping', 'the queued request');
+  role.ask('entry', createAsk('valuation', 1), respond);
+  assert.equal(
+    responses.pop(),
+    'refuse stopping',
+    'a request that was granted before is sent again',
+  );
+  role.ask('daemon-1', createAsk('archive', 1), respond);
+  assert.equal(responses.pop(), 'grant', 'its own request');
+  verifying = false;
+  role.ask('entry', createAsk('archive', 100), respond);
+  assert.equal(responses.pop(), 'grant');
+});
+
 /** Any message that decodes, whatever it says. */
 const messageArbitrary = fc.oneof(
   fc.record({
--- a/packages/daemon/gateway-daemon/test/store-watcher.test.ts
+++ b/packages/daemon/gateway-daemon/test/store-watcher.test.ts
@@ -59,6 +59,7 @@
     suspension: createSuspensionDetector(),
     isResponsible: () => true,
     isStandby: () => false,
+    onCurrent: () => {},
     onLost: () => {},
     logger: createSilentLog().getLogger('store'),
   });
@@ -107,6 +108,7 @@
       suspension: createSuspensionDetector(),
       isResponsible: () => true,
       isStandby: () => standby,
+      onCurrent: () => {},
       onLost: () => {},
       logger: createSilentLog().getLogger('store'),
     });
@@ -153,6 +155,7 @@
     suspension,
     isResponsible: () => true,
     isStandby: () => false,
+    onCurrent: () => {},
     onLost: () => assert.fail('the store is available'),
     logger: createSilentLog().getLogger('store'),
   });
