Keep the records of crashing requests in the store

Cause: the records lived in the memory of the daemons only.

Change: one entry of the platform's store holds them, replaced under a condition on its revision. The daemons that collect the evidence of a request save it one after the other from a weight of 2 on, one crash before it is refused; a daemon that watches the store loads the entry once after its start and tells the collecting daemons. A success removes the record; old ones end ten minutes after the last crash.

Ruled out: leases (nobody is left to renew them), a read by every daemon (the existing exchange spreads the records), saving at the refusal only (a kill between the third and the fourth crash would lose all).

--- a/packages/daemon/gateway-daemon/src/crash-record-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/crash-record-exchange.ts
@@ -19,12 +19,14 @@
 const RECORDS_WITH_PONG = 16;
 /** Time after which unchanged records are sent to a daemon that pings again. */
 const REPEAT_MILLISECONDS = 3000;
+/** Time after which restored records are sent again, since the others may have started a little later. */
+const RESTORE_REPEAT_MILLISECONDS = 3000;
 /** Requests that this daemon tells all others about, in a second; others wait for the next ping. */
 const ANNOUNCED_PER_SECOND = 10;
 const SECOND_MILLISECONDS = 1000;
 
 /** A change of what a daemon knows of a request that crashes endpoints. */
-export type CrashRecordEvent = 'counted' | 'held' | 'relayed' | 'cleared';
+export type CrashRecordEvent = 'counted' | 'held' | 'relayed' | 'cleared' | 'restored';
 
 /** A reset that this daemon saw. */
 export type SeenReset = Omit<grants.ResetAttempt, 'source' | 'isReachable'> & {
@@ -38,6 +40,11 @@
   /** Resolves with whether an address accepts a connection. */
   readonly connect: (address: string) => Promise<boolean>;
   readonly onEvent: (event: CrashRecordEvent, record: grants.CrashRecord) => void;
+  /**
+   * Called with each change of a record that this daemon saw or collects. `position` counts the daemons that collect it
+   * too and come first.
+   */
+  readonly onEvidence: (record: grants.CrashRecord, position: number) => void;
   /** Returns monotonic milliseconds. */
   readonly now: () => number;
 }
@@ -131,6 +138,24 @@
     }
   }
 
+  /** Merges records from before a restart of all daemons, and tells those that collect them. */
+  restore(records: readonly grants.CrashRecord[]): void {
+    for (const record of records) {
+      this.records.merge(record, this.options.now());
+      this.options.onEvent('restored', record);
+    }
+    const send = (): void => {
+      for (const { fingerprint } of records) {
+        const record = this.records.find(fingerprint, this.options.now());
+        if (record !== undefined) {
+          this.sendToKeepers(record, this.options.members.self);
+        }
+      }
+    };
+    send();
+    setTimeout(send, RESTORE_REPEAT_MILLISECONDS).unref();
+  }
+
   /** Merges what another daemon knows; ignores senders that are not members. */
   receive({ final, records }: datagrams.Crashes, { host }: datagrams.PeerAddress): void {
     if (this.options.members.findByHost(host) === undefined) {
@@ -145,6 +170,11 @@
           this.announce(this.records.find(record.fingerprint, now) ?? record);
         }
       }
+      const merged = final ? undefined : this.records.find(record.fingerprint, now);
+      const position = this.rankKeepers(record.fingerprint).indexOf(this.options.members.self);
+      if (merged !== undefined && position >= 0) {
+        this.options.onEvidence(merged, position);
+      }
     }
   }
 
@@ -176,11 +206,22 @@
     }
   }
 
+  /** Returns the daemons that collect the evidence of a request, in a fixed order. */
+  private rankKeepers(fingerprint: string): Member[] {
+    const members = this.options.members.list();
+    return hashing.rankMembers(fingerprint, members, ({ name }) => name).slice(0, KEEPERS);
+  }
+
   /** Tells the keepers of a record and the daemon that dispatches the service. */
-  private sendToKeepers(record: grants.CrashRecord, dispatcher: datagrams.PeerAddress): void {
+  private sendToKeepers(
+    record: grants.CrashRecord,
+    dispatcher: Pick<datagrams.PeerAddress, 'host'>,
+  ): void {
     const { members } = this.options;
-    const ranking = hashing.rankMembers(record.fingerprint, members.list(), ({ name }) => name);
-    const recipients = new Set(ranking.slice(0, KEEPERS));
+    const keepers = this.rankKeepers(record.fingerprint);
+    const position = keepers.indexOf(members.self);
+    this.options.onEvidence(record, position >= 0 ? position : keepers.length);
+    const recipients = new Set(keepers);
     const dispatching = members.findByHost(dispatcher.host);
     if (dispatching !== undefined) {
       recipients.add(dispatching);
--- a/packages/daemon/gateway-daemon/src/directory-source.ts
+++ b/packages/daemon/gateway-daemon/src/directory-source.ts
@@ -2,6 +2,7 @@
  * The interface through which a daemon reads the platform's key-value store.
  */
 import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
+import * as z from 'zod';
 import type { Member } from './member.js';
 
 /** One change of the endpoints. */
@@ -21,6 +22,32 @@
   readonly revision: number;
 }
 
+/** What the store holds of a request that crashes endpoints. */
+export const storedCrashRecordSchema = z.object({
+  fingerprint: z.string(),
+  evidence: z
+    .array(
+      z.object({
+        endpoint: z.string(),
+        lifetime: z.number(),
+        weight: z.number().min(0).max(1),
+        /** Host of the daemon that saw the crash. */
+        source: z.string(),
+        /** Epoch milliseconds. */
+        crashedAt: z.number(),
+      }),
+    )
+    .min(1),
+});
+
+export type StoredCrashRecord = z.infer<typeof storedCrashRecordSchema>;
+
+/** The stored records of crashing requests at a revision of their entry, 0 when there is none. */
+export interface VersionedCrashRecords {
+  readonly records: readonly StoredCrashRecord[];
+  readonly revision: number;
+}
+
 /** Access to the platform's store; calls throw a `FailureError` when the store is unavailable or rejects them. */
 export interface DirectorySource {
   readEndpoints(signal: AbortSignal): Promise<{
@@ -47,4 +74,11 @@
   ): Promise<readonly Member[]>;
   /** Registers a daemon. */
   writeMember(member: Member, signal: AbortSignal): Promise<void>;
+  readCrashRecords(signal: AbortSignal): Promise<VersionedCrashRecords>;
+  /** Replaces the records of a revision; throws `StoreConditionFailed` when they have changed since. */
+  writeCrashRecords(
+    records: readonly StoredCrashRecord[],
+    expectedRevision: number,
+    signal: AbortSignal,
+  ): Promise<void>;
 }
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -11,6 +11,7 @@
 import type { DirectorySource } from './directory-source.js';
 import { connectOnce } from './connect-once.js';
 import { CrashRecordExchange } from './crash-record-exchange.js';
+import { CrashRecordStore } from './crash-record-store.js';
 import { Directory } from './directory.js';
 import { DispatcherClient } from './dispatcher-client.js';
 import { DispatcherRole } from './dispatcher-role.js';
@@ -53,6 +54,8 @@
 
   private readonly crashRecords: CrashRecordExchange;
 
+  private readonly crashRecordStore: CrashRecordStore;
+
   private readonly dispatcherRole: DispatcherRole;
 
   private readonly dispatcherClient: DispatcherClient;
@@ -118,8 +121,16 @@
       send: (message, to) => this.datagramSocket.send(message, to),
       connect: connectOnce,
       onEvent: (event, record) => this.reporter.recordCrash(event, record),
+      onEvidence: (record, position) => this.crashRecordStore.update(record, position),
       now: () => performance.now(),
     });
+    this.crashRecordStore = new CrashRecordStore({
+      source: options.source,
+      onLoaded: (records) => this.crashRecords.restore(records),
+      now: () => performance.now(),
+      wallClock: () => Date.now(),
+      logger: log.getLogger('store'),
+    });
     this.dispatcherRole = new DispatcherRole({
       self: settings.name,
       directory: this.directory,
@@ -163,7 +174,10 @@
       suspension: this.suspension,
       isResponsible: () => this.roleAssignment.isResponsibleForStore(),
       isStandby: () => this.roleAssignment.isStandbyForStore(),
-      onCurrent: () => this.roleAssignment.confirmEndpoints(),
+      onCurrent: () => {
+        this.roleAssignment.confirmEndpoints();
+        this.crashRecordStore.load();
+      },
       onLost: () => this.pingExchange.announceToAll(),
       logger: log.getLogger('store'),
     });
@@ -226,6 +240,7 @@
     this.closed = true;
     this.suspension.stop();
     this.watcher.stop();
+    this.crashRecordStore.close();
     this.peerState.close();
     this.directory.close();
     this.candidates.stop();
--- a/packages/daemon/gateway-daemon/src/index.ts
+++ b/packages/daemon/gateway-daemon/src/index.ts
@@ -9,5 +9,8 @@
   type DirectorySource,
   type EndpointChange,
   type EndpointChanges,
+  type StoredCrashRecord,
   type VersionedConfiguration,
+  type VersionedCrashRecords,
+  storedCrashRecordSchema,
 } from './directory-source.js';
--- a/packages/daemon/gateway-daemon/test/crash-record-exchange.test.ts
+++ b/packages/daemon/gateway-daemon/test/crash-record-exchange.test.ts
@@ -51,6 +51,7 @@
       send: (message, to) => this.deliver(message, to, self.host),
       connect: () => Promise.resolve(this.accepts),
       onEvent: () => {},
+      onEvidence: () => {},
       now: () => this.now,
     });
     this.exchanges.set(self.host, exchange);
--- a/packages/daemon/gateway-daemon/test/crashing-request.test.ts
+++ b/packages/daemon/gateway-daemon/test/crashing-request.test.ts
@@ -130,3 +130,25 @@
     assert.ok(served.length > ordinary.statuses.length * 0.9, 'other requests are served');
   });
 });
+
+// Guards against records that live in the memory of the daemons only.
+test('a request that ended three endpoints is held back although all daemons are killed at the same moment', async (context) => {
+  await withService(5, async (fleet, running, service) => {
+    const ordinary = new Callers(() => running, '/1');
+    const crashing = new Callers(() => running, CRASH_PATH);
+    await waitUntil('three endpoints have ended', () => service.arrivals.length >= 3, 5000);
+    for (let round = 0; round < 3; round += 1) {
+      await delay(SETTLE_MILLISECONDS);
+      const killed = running.splice(0);
+      killed.forEach(({ daemon }) => daemon.close());
+      for (const { host } of killed) {
+        running.push(await fleet.restart(host));
+      }
+      await delay(STABILITY_MILLISECONDS);
+    }
+    await crashing.stop();
+    await ordinary.stop();
+    context.diagnostic(`${service.arrivals.length} endpoints ended`);
+    assertHeldBack(service);
+  });
+});
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -54,12 +54,26 @@
     unavailable = false,
     graceSeconds = 3,
   ): Promise<FleetDaemon> {
-    const host = `127.0.${this.network}.${this.daemons.length + 1}`;
+    return this.run(this.daemons.length + 1, seeds, unavailable, graceSeconds);
+  }
+
+  /** Starts a daemon again that was closed, under its name and host. */
+  restart(host: string): Promise<FleetDaemon> {
+    return this.run(Number(host.split('.').at(-1)), [], false, 3);
+  }
+
+  private async run(
+    number: number,
+    seeds: readonly string[],
+    unavailable: boolean,
+    graceSeconds: number,
+  ): Promise<FleetDaemon> {
+    const host = `127.0.${this.network}.${number}`;
     const source = new MemorySource(this.store);
     source.unavailable = unavailable;
     const daemon = new gatewayDaemon.GatewayDaemon({
       settings: gatewayDaemon.gatewaySettingsSchema.parse({
-        name: `daemon-${this.daemons.length + 1}`,
+        name: `daemon-${number}`,
         zone: 'a',
         seeds: seeds.map((seed) => `${seed}:${PEER_PORT}`),
         listen: {
--- a/packages/daemon/gateway-daemon/test/memory-source.ts
+++ b/packages/daemon/gateway-daemon/test/memory-source.ts
@@ -70,6 +70,23 @@
     });
   }
 
+  readCrashRecords(): Promise<gatewayDaemon.VersionedCrashRecords> {
+    return this.respond(() => this.store.crashRecords);
+  }
+
+  writeCrashRecords(
+    records: readonly gatewayDaemon.StoredCrashRecord[],
+    expectedRevision: number,
+  ): Promise<void> {
+    return this.respond(() => {
+      if (this.store.crashRecords.revision !== expectedRevision) {
+        throw new FailureError('StoreConditionFailed');
+      }
+      this.store.revision += 1;
+      this.store.crashRecords = { records, revision: this.store.revision };
+    });
+  }
+
   private async waitFor(
     hasChanged: () => boolean,
     wait: number,
@@ -86,6 +103,8 @@
     if (this.unavailable) {
       return Promise.reject(new FailureError('StoreUnavailable'));
     }
-    return Promise.resolve(read());
+    return new Promise((resolve) => {
+      resolve(read());
+    });
   }
 }
--- a/packages/daemon/gateway-daemon/test/memory-store.ts
+++ b/packages/daemon/gateway-daemon/test/memory-store.ts
@@ -23,6 +23,8 @@
 
   readonly members = new Map<string, gatewayDaemon.Member>();
 
+  crashRecords: gatewayDaemon.VersionedCrashRecords = { records: [], revision: 0 };
+
   put(endpoint: Endpoint): void {
     this.revision += 1;
     this.endpoints.set(endpoint.id, endpoint);
--- a/packages/routing/grants/src/crash-records.ts
+++ b/packages/routing/grants/src/crash-records.ts
@@ -7,7 +7,7 @@
  */
 
 /** Sum of the weights of the evidence at which a request is refused. */
-const WEIGHT_TO_REFUSE = 3;
+export const WEIGHT_TO_REFUSE = 3;
 /** Weight of a reset that does not look like the end of an idle connection. */
 const RESET_WEIGHT = 1;
 /** Weight of a reset without a response on a reused connection, which the endpoint may have closed while it was idle. */
@@ -90,7 +90,8 @@
   };
 }
 
-function computeWeight({ evidence }: CrashRecord): number {
+/** Returns the sum of the weights of the evidence against a request. */
+export function computeCrashWeight({ evidence }: CrashRecord): number {
   return evidence.reduce((sum, { weight }) => sum + weight, 0);
 }
 
@@ -145,7 +146,7 @@
   /** Whether a request has crashed enough endpoints to be refused; it is remembered for longer if so. */
   shouldRefuse(fingerprint: string, now: number): boolean {
     const record = this.find(fingerprint, now);
-    if (record === undefined || computeWeight(record) < WEIGHT_TO_REFUSE) {
+    if (record === undefined || computeCrashWeight(record) < WEIGHT_TO_REFUSE) {
       return false;
     }
     this.records.set(fingerprint, { ...record, lastAt: now });
@@ -162,14 +163,14 @@
       return false;
     }
     this.records.set(fingerprint, merged);
-    if (computeWeight(merged) >= WEIGHT_TO_REFUSE) {
+    if (computeCrashWeight(merged) >= WEIGHT_TO_REFUSE) {
       this.crashing.add(fingerprint);
     }
     if (this.records.size > MAXIMUM_RECORDS) {
       this.delete(this.records.keys().next().value as string);
     }
-    const weightBefore = known === undefined ? 0 : computeWeight(known);
-    return weightBefore < WEIGHT_TO_REFUSE && computeWeight(merged) >= WEIGHT_TO_REFUSE;
+    const weightBefore = known === undefined ? 0 : computeCrashWeight(known);
+    return weightBefore < WEIGHT_TO_REFUSE && computeCrashWeight(merged) >= WEIGHT_TO_REFUSE;
   }
 
   /** Returns what is known of a request. */
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -14,7 +14,14 @@
   partitionIntoCells,
   selectEndpointsOfCell,
 } from './cells.js';
-export { type CrashRecord, CrashRecords, type ResetAttempt } from './crash-records.js';
+export {
+  type CrashRecord,
+  CrashRecords,
+  type ResetAttempt,
+  WEIGHT_TO_REFUSE,
+  computeCrashWeight,
+  mergeCrashRecords,
+} from './crash-records.js';
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
 export { type RetryBudget } from './retry-budget-tracker.js';
