Copy the pieces of bodies into blocks

Callers: eight endless responses in chunks of one byte ended a daemon with the heap limit of its deployment (SIGABRT); all connections of other callers were reset.

Cause: the limits on buffered bytes counted the bytes of the pieces, which were kept as they came. A piece of one byte costs about a hundred bytes of heap, and keeps the framing that was read together with it.

Responses are written block by block instead of being joined first.

Ruled out: endless heads, noise, trailers and bodies in pieces of 64 KB, which were bounded already (unbounded-bytes.test.ts).

--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { type Announcement, isEmptyAnnouncement } from '@dogwoodstall/traffic';
 import type { Dispatcher } from 'undici';
+import { BodyBlocks } from './body-blocks.js';
 import type { MemoryBudget } from './body-buffer.js';
 import type { ConnectionPool } from './connection-pool.js';
 import { type RelayState, classifyRelayedResponse, listRelayHeaders } from './relay.js';
@@ -18,7 +19,8 @@
 export interface EndpointResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
+  /** The parts of the body, in order. */
+  readonly body: readonly Buffer[];
 }
 
 /** The outcome of an attempt. */
@@ -86,9 +88,7 @@
 
   private classification: ResponseClassification | undefined;
 
-  private readonly chunks: Buffer[] = [];
-
-  private length = 0;
+  private readonly body: BodyBlocks;
 
   private settled = false;
 
@@ -96,6 +96,7 @@
     private readonly options: AttemptOptions,
     private readonly resolve: (result: AttemptResult) => void,
   ) {
+    this.body = new BodyBlocks(options.responseMemory);
     this.connection = options.pool.acquire(options.address, options.maximumIdleMilliseconds);
     this.idleMilliseconds = this.connection.idleMilliseconds;
   }
@@ -168,12 +169,9 @@
     if (this.settled) {
       return;
     }
-    if (this.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
+    if (this.body.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
       this.fail({ kind: 'broken', reason: 'response exceeds the maximum buffered size' });
-    } else if (this.options.responseMemory.reserve(chunk.length)) {
-      this.length += chunk.length;
-      this.chunks.push(chunk);
-    } else {
+    } else if (!this.body.append(chunk)) {
       this.fail({ kind: 'broken', reason: 'responses exceed the memory of the daemon' });
     }
   }
@@ -199,7 +197,7 @@
     } else if (classification.kind === 'misdirected') {
       this.settle({ kind: 'misdirected' });
     } else {
-      const body = Buffer.concat(this.chunks, this.length);
+      const body = this.body.list();
       this.settle({
         kind: 'answer',
         response: { status: this.status, headers: this.headers, body },
@@ -227,8 +225,7 @@
 
   private settle(outcome: AttemptOutcome): void {
     this.settled = true;
-    this.options.responseMemory.release(this.length);
-    this.chunks.length = 0;
+    this.body.release();
     this.options.signal.removeEventListener('abort', this.onAbort);
     this.resolve({
       outcome,
--- a/packages/routing/gateway/src/body-buffer.ts
+++ b/packages/routing/gateway/src/body-buffer.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { FailureError } from '@dogwoodstall/results';
+import { BodyBlocks } from './body-blocks.js';
 
 function toError(reason: unknown): Error {
   return reason instanceof Error ? reason : new FailureError('CallerCancelled');
@@ -57,20 +58,16 @@
   if ((contentLength ?? 0) > maximumBytes) {
     throw new FailureError('RequestBodyTooLarge');
   }
-  const chunks: Buffer[] = [];
-  let length = 0;
-  const release = (): void => memoryBudget.release(length);
+  const blocks = new BodyBlocks(memoryBudget, contentLength);
+  const release = (): void => blocks.release();
   try {
     await new Promise<void>((resolve, reject) => {
       const onAbort = (): void => reject(toError(signal.reason));
       signal.addEventListener('abort', onAbort, { once: true });
       request.on('data', (chunk: Buffer) => {
-        if (length + chunk.length > maximumBytes) {
+        if (blocks.length + chunk.length > maximumBytes) {
           reject(new FailureError('RequestBodyTooLarge'));
-        } else if (memoryBudget.reserve(chunk.length)) {
-          length += chunk.length;
-          chunks.push(chunk);
-        } else {
+        } else if (!blocks.append(chunk)) {
           reject(new FailureError('DaemonMemoryFull'));
         }
       });
@@ -86,5 +83,7 @@
     release();
     throw error;
   }
-  return { bytes: Buffer.concat(chunks, length), release };
+  const [first, ...others] = blocks.list();
+  const bytes = first !== undefined && others.length === 0 ? first : Buffer.concat(blocks.list());
+  return { bytes, release };
 }
--- a/packages/routing/gateway/src/caller-responder.ts
+++ b/packages/routing/gateway/src/caller-responder.ts
@@ -45,17 +45,22 @@
     if (response.destroyed) {
       return;
     }
+    const { body } = endpointResponse;
     const headers: http.OutgoingHttpHeaders = proxy.selectResponseHeaders(endpointResponse.headers);
     const bodiless = request.method === 'HEAD' || BODILESS_STATUSES.has(endpointResponse.status);
     if (!bodiless) {
-      headers['content-length'] = String(endpointResponse.body.length);
+      const length = body.reduce((sum, part) => sum + part.length, 0);
+      headers['content-length'] = String(length);
     }
     if (requestId !== undefined) {
       headers[this.protocol.requestIdHeader] = requestId;
     }
     this.disableKeepAliveIfStopping(response);
     response.writeHead(endpointResponse.status, headers);
-    response.end(bodiless ? undefined : endpointResponse.body);
+    for (const part of bodiless ? [] : body.slice(0, -1)) {
+      response.write(part);
+    }
+    response.end(bodiless ? undefined : body.at(-1));
   }
 
   /** Sends a failure that the gateway itself reports. */
