Count responses until their callers have read them

Callers: 24 callers that ask for 20 MB each and read nothing made a daemon use 567 MB resident, beside uploads 519 MB, where its machine has 350 MB and ends a process over it, with all other requests.

Cause: a response returned its memory to the limit when the endpoint had sent it, while its bytes wait for the caller; and bodies and responses had limits of their own that together exceed the memory.

Change: a response counts until the caller's connection has taken it. If memory is needed, responses whose callers' deadlines have passed are given up.

Ruled out: stopping to read from the endpoint while memory is full, since responses that are half received would wait for each other until their deadlines.

Suspected, not shown: that this is how processes ended on the users' machines.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -38,8 +38,10 @@
   readonly log: observability.ProcessLog;
 }
 
-/** Fraction of the memory limit for buffered request bodies. */
+/** Fraction of the memory limit for buffered request bodies, and for responses. */
 const BODY_MEMORY_SHARE = 0.3;
+/** The same for both together; the rest is needed by the program and for bodies that are freed or copied. */
+const TOTAL_BODY_MEMORY_SHARE = 0.36;
 const MEGABYTE = 1_048_576;
 
 /** Proxies the HTTP traffic of callers to the endpoints of services. */
@@ -376,6 +378,8 @@
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
       maximumBufferedBytes: settings.limits.memoryMegabytes * MEGABYTE * BODY_MEMORY_SHARE,
+      maximumTotalBytes: settings.limits.memoryMegabytes * MEGABYTE * TOTAL_BODY_MEMORY_SHARE,
+      onGivenUp: (bytes) => log.getLogger('entry').warn('unread response was given up', { bytes }),
       onUnreadableAnnouncement: (endpoint, header) =>
         this.reporter.recordUnreadableAnnouncement(endpoint, header),
       onDecision: (decision) => this.reporter.recordRequest(decision),
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -6,7 +6,7 @@
 import { type Announcement, isEmptyAnnouncement } from '@dogwoodstall/traffic';
 import type { Dispatcher } from 'undici';
 import { BodyBlocks } from './body-blocks.js';
-import type { MemoryBudget } from './body-buffer.js';
+import type { MemoryShare } from './memory-share.js';
 import type { ConnectionPool } from './connection-pool.js';
 import { type RelayState, classifyRelayedResponse, listRelayHeaders } from './relay.js';
 import type { AttemptContext, ResponseClassification, WireProtocol } from './wire-protocol.js';
@@ -54,8 +54,8 @@
 export interface AttemptOptions {
   readonly pool: ConnectionPool;
   readonly protocol: WireProtocol;
-  /** Limits the bytes of responses that all attempts buffer together. */
-  readonly responseMemory: MemoryBudget;
+  /** Memory for responses; that of an answer is held until the caller's request ends. */
+  readonly responseMemory: MemoryShare;
   /** Called with each header of an endpoint's response that should announce something and can't be read. */
   readonly onUnreadableAnnouncement: (endpoint: string, header: string) => void;
   readonly address: string;
@@ -225,7 +225,9 @@
 
   private settle(outcome: AttemptOutcome): void {
     this.settled = true;
-    this.body.release();
+    if (outcome.kind !== 'answer') {
+      this.body.release();
+    }
     this.options.signal.removeEventListener('abort', this.onAbort);
     this.resolve({
       outcome,
--- a/packages/routing/gateway/src/body-buffer.ts
+++ b/packages/routing/gateway/src/body-buffer.ts
@@ -1,35 +1,15 @@
 /**
- * Buffers bodies in memory, within a limit on the total across all requests.
+ * Buffers request bodies in memory, within a limit on the total across all requests.
  */
 import type { IncomingMessage } from 'node:http';
 import { FailureError } from '@dogwoodstall/results';
 import { BodyBlocks } from './body-blocks.js';
+import type { MemoryShare } from './memory-share.js';
 
 function toError(reason: unknown): Error {
   return reason instanceof Error ? reason : new FailureError('CallerCancelled');
 }
 
-/** Tracks the bytes buffered by all requests against a shared limit. */
-export class MemoryBudget {
-  private reservedBytes = 0;
-
-  constructor(private readonly maximumBytes: number) {}
-
-  /** Reserves bytes; returns false, without reserving any, if the limit would be exceeded. */
-  reserve(bytes: number): boolean {
-    if (this.reservedBytes + bytes > this.maximumBytes) {
-      return false;
-    }
-    this.reservedBytes += bytes;
-    return true;
-  }
-
-  /** Returns reserved bytes to the shared limit. */
-  release(bytes: number): void {
-    this.reservedBytes -= bytes;
-  }
-}
-
 /** A fully received request body. */
 export interface BufferedBody {
   readonly bytes: Buffer | null;
@@ -40,7 +20,7 @@
 export interface ReadBodyOptions {
   readonly contentLength: number | undefined;
   readonly maximumBytes: number;
-  readonly memoryBudget: MemoryBudget;
+  readonly memoryShare: MemoryShare;
   readonly signal: AbortSignal;
 }
 
@@ -50,7 +30,7 @@
  */
 export async function readBody(
   request: IncomingMessage,
-  { contentLength, maximumBytes, memoryBudget, signal }: ReadBodyOptions,
+  { contentLength, maximumBytes, memoryShare, signal }: ReadBodyOptions,
 ): Promise<BufferedBody> {
   if (contentLength === 0) {
     return { bytes: null, release: () => {} };
@@ -58,7 +38,7 @@
   if ((contentLength ?? 0) > maximumBytes) {
     throw new FailureError('RequestBodyTooLarge');
   }
-  const blocks = new BodyBlocks(memoryBudget, contentLength);
+  const blocks = new BodyBlocks(memoryShare, contentLength);
   const release = (): void => blocks.release();
   try {
     await new Promise<void>((resolve, reject) => {
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -19,7 +19,10 @@
 import { type RelayState, readRelayHeaders } from './relay.js';
 import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
 import type { WireProtocol } from './wire-protocol.js';
-import { type BufferedBody, MemoryBudget, readBody } from './body-buffer.js';
+import { type BufferedBody, readBody } from './body-buffer.js';
+import { MemoryBudget } from './memory-budget.js';
+import { MemoryShare } from './memory-share.js';
+import { UnreadResponses } from './unread-responses.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
 import type { SlotSource } from './slots.js';
 
@@ -46,8 +49,12 @@
   readonly findRoutes: () => RouteIndex | undefined;
   /** Resolves when routes become active, or after the given time at the latest. */
   readonly waitForRoutes: (milliseconds: number) => Promise<void>;
-  /** Maximum bytes of request bodies buffered at a time, across all requests; the same again for responses. */
+  /** Maximum bytes of request bodies buffered at a time, across all requests; the same for responses. */
   readonly maximumBufferedBytes: number;
+  /** Maximum bytes of request bodies and responses together. */
+  readonly maximumTotalBytes: number;
+  /** Called with the bytes of a response that was given up because its caller did not read it before its deadline. */
+  readonly onGivenUp: (bytes: number) => void;
   readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
   readonly onDecision: (decision: RequestDecision) => void;
   readonly onUnexpectedError: (requestId: string, error: unknown) => void;
@@ -76,6 +83,8 @@
 
   private readonly callerConnections: CallerConnections;
 
+  private readonly unreadResponses: UnreadResponses;
+
   private readonly bodyMemory: MemoryBudget;
 
   private readonly responseMemory: MemoryBudget;
@@ -95,8 +104,12 @@
   private readonly stopAbort = new AbortController();
 
   constructor(private readonly options: GatewayServerOptions) {
-    this.bodyMemory = new MemoryBudget(options.maximumBufferedBytes);
-    this.responseMemory = new MemoryBudget(options.maximumBufferedBytes);
+    this.unreadResponses = new UnreadResponses(options.onGivenUp);
+    const reclaim = (bytes: number): void => this.unreadResponses.reclaim(bytes);
+    const total = new MemoryBudget({ maximumBytes: options.maximumTotalBytes, reclaim });
+    const limit = { maximumBytes: options.maximumBufferedBytes, parent: total, reclaim };
+    this.bodyMemory = new MemoryBudget(limit);
+    this.responseMemory = new MemoryBudget(limit);
     this.responder = new CallerResponder(options.protocol, () => this.stopping);
     this.callerConnections = new CallerConnections(() => this.limits.idleMilliseconds);
     this.server = this.createServer();
@@ -231,6 +244,8 @@
   private async processRequest(incoming: IncomingRequest): Promise<void> {
     const { request, response, requestId, arrivedAt } = incoming;
     const { protocol, slots } = this.options;
+    const responseShare = new MemoryShare(this.responseMemory);
+    response.once('close', () => responseShare.close());
     const checked = proxy.checkRequest(request);
     const routes = await this.findRoutes(request);
     if (routes === undefined || this.rejecting) {
@@ -263,7 +278,7 @@
       body = await readBody(request, {
         contentLength: checked.contentLength,
         maximumBytes: routes.configuration.limits.bodyBytes,
-        memoryBudget: this.bodyMemory,
+        memoryShare: new MemoryShare(this.bodyMemory),
         signal: abortController.signal,
       });
       const fingerprint = computeFingerprint(request, body.bytes);
@@ -287,7 +302,7 @@
         attemptOptions: {
           pool: this.pool,
           protocol,
-          responseMemory: this.responseMemory,
+          responseMemory: responseShare,
           onUnreadableAnnouncement: this.options.onUnreadableAnnouncement,
         },
         signal: abortController.signal,
@@ -295,6 +310,7 @@
       });
       response.off('close', onClose);
       const { status, result } = this.responder.sendResult(incoming, requestResult);
+      this.unreadResponses.add({ response, memoryShare: responseShare, deadlineAt });
       this.options.onDecision({
         requestId: requestId ?? '',
         route: route.name,
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -80,6 +80,9 @@
 export class TestGateway {
   readonly decisions: gateway.RequestDecision[] = [];
 
+  /** Bytes of the responses that were given up. */
+  readonly givenUp: number[] = [];
+
   readonly server: gateway.GatewayServer;
 
   readonly agent = new http.Agent({ keepAlive: true });
@@ -114,6 +117,8 @@
         }
       },
       maximumBufferedBytes: 10_000_000,
+      maximumTotalBytes: 12_000_000,
+      onGivenUp: (bytes) => this.givenUp.push(bytes),
       onUnreadableAnnouncement: () => {},
       onDecision: (decision) => this.decisions.push(decision),
       onUnexpectedError: (_id, error) => {
