Count the retries of other dispatchers against the budget

Callers: requests were repeated more often than the operator allows while dispatchers were replaced, which loads services that fail already.

Cause: each dispatcher of a cell counted its retries from zero. The first two of the ranking have the whole budget, so that a standby that takes over spends the slack once more.

Change: dispatchers tell their standbys, with the pongs that carry suspects, how many requests and retries each process counted in its window and how old the count is; whoever grants retries counts all of them. A daemon that starts again has another process name, so that it learns what it spent before.

--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -20,6 +20,8 @@
 export interface DispatcherRoleOptions {
   /** Name of this daemon, which identifies its own slot requests. */
   readonly self: string;
+  /** Name of this process, which differs from that of an earlier process of this daemon. */
+  readonly processName: string;
   readonly directory: Directory;
   /** Records of crashing requests, shared with the entry. */
   readonly crashRecords: grants.CrashRecords;
@@ -214,7 +216,8 @@
     for (const [name, dispatcher] of this.cells) {
       if (this.isActiveFor(name)) {
         const announced = encodeAnnouncements(dispatcher.announcements.list());
-        cells.push({ name, suspects: dispatcher.listSuspects(), ...announced });
+        const retries = this.encodeRetries(dispatcher);
+        cells.push({ name, suspects: dispatcher.listSuspects(), ...announced, retries });
       }
     }
     return cells;
@@ -222,7 +225,10 @@
 
   /** Imports what an active dispatcher reports, for cells that this daemon does not dispatch. */
   importCellReports(cells: readonly CellReport[], source: string): void {
-    for (const { name, suspects, ...announced } of cells) {
+    for (const { name, suspects, retries = [], ...announced } of cells) {
+      if (retries.length > 0 && this.options.directory.hasCell(name)) {
+        this.importRetries(this.getOrCreate(name), retries);
+      }
       if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
         const dispatcher = this.getOrCreate(name);
         dispatcher.importSuspects(new Set(suspects));
@@ -244,6 +250,35 @@
     }
   }
 
+  private encodeRetries(dispatcher: grants.CellDispatcher): NonNullable<CellReport['retries']> {
+    const now = performance.now();
+    return dispatcher
+      .listCountedRetries(this.options.processName)
+      .map(({ process, requests, retries, at }) => [
+        process,
+        requests,
+        retries,
+        Math.round(Math.max(0, now - at)),
+      ]);
+  }
+
+  private importRetries(
+    dispatcher: grants.CellDispatcher,
+    retries: NonNullable<CellReport['retries']>,
+  ): void {
+    const now = performance.now();
+    const { processName } = this.options;
+    const ofOthers = retries.filter(([process]) => process !== processName);
+    dispatcher.importCountedRetries(
+      ofOthers.map(([process, requests, retried, age]) => ({
+        process,
+        requests,
+        retries: retried,
+        at: now - age,
+      })),
+    );
+  }
+
   private isActiveFor(cell: string): boolean {
     const lastAskAt = this.lastAskByCell.get(cell) ?? -Infinity;
     return performance.now() - lastAskAt < ACTIVE_MILLISECONDS;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -135,6 +135,7 @@
     });
     this.dispatcherRole = new DispatcherRole({
       self: settings.name,
+      processName: `${settings.name} ${this.members.self.startedAt}`,
       directory: this.directory,
       crashRecords: this.crashRecords.records,
       retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
--- a/packages/daemon/gateway-daemon/test/crashing-request.test.ts
+++ b/packages/daemon/gateway-daemon/test/crashing-request.test.ts
@@ -4,10 +4,9 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import * as undici from 'undici';
 import { CRASH_PATH } from './crashing-endpoint.js';
 import { CrashingService } from './crashing-service.js';
-import { Fleet, type FleetDaemon, METRICS_PORT, sendRequest, waitUntil } from './fleet.js';
+import { Fleet, type FleetDaemon, findDispatcher, sendRequest, waitUntil } from './fleet.js';
 
 const READY_MILLISECONDS = 8000;
 const SETTLE_MILLISECONDS = 2500;
@@ -55,23 +54,6 @@
   }
 }
 
-/** Returns how many slot requests a daemon has granted so far. */
-async function countGrants({ host }: FleetDaemon): Promise<number> {
-  const { body } = await undici.request(`http://${host}:${METRICS_PORT}/metrics`);
-  const pattern = /dogwoodstall_slot_decisions_total\{.*decision="grant"\} (\d+)/g;
-  const counts = [...(await body.text()).matchAll(pattern)].map(([, count]) => Number(count));
-  return counts.reduce((sum, count) => sum + count, 0);
-}
-
-/** Returns the daemon that granted most slots in a short time. */
-async function findDispatcher(daemons: readonly FleetDaemon[]): Promise<FleetDaemon> {
-  const before = await Promise.all(daemons.map(countGrants));
-  await delay(500);
-  const after = await Promise.all(daemons.map(countGrants));
-  const growth = after.map((count, index) => count - (before[index] as number));
-  return daemons[growth.indexOf(Math.max(...growth))] as FleetDaemon;
-}
-
 async function withService(
   size: number,
   check: (fleet: Fleet, running: FleetDaemon[], service: CrashingService) => Promise<void>,
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -35,6 +35,7 @@
   const decisions: grants.Decision[] = [];
   const role = new DispatcherRole({
     self: 'daemon-1',
+    processName: 'daemon-1 1',
     directory,
     crashRecords: new grants.CrashRecords(),
     retryBudget: () => ({ ratio: 0.2, slack: 20, windowMilliseconds: 10_000 }),
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -6,6 +6,7 @@
 import type { WireProtocol } from '@dogwoodstall/gateway';
 import { createSilentLog } from '@dogwoodstall/observability';
 import { noAnnouncement } from '@dogwoodstall/traffic';
+import * as undici from 'undici';
 import * as gatewayDaemon from '../src/index.js';
 import { MemorySource } from './memory-source.js';
 import { MemoryStore } from './memory-store.js';
@@ -146,3 +147,20 @@
     await delay(20);
   }
 }
+
+/** Returns how many slot requests a daemon has granted so far. */
+async function countGrants({ host }: FleetDaemon): Promise<number> {
+  const { body } = await undici.request(`http://${host}:${METRICS_PORT}/metrics`);
+  const pattern = /dogwoodstall_slot_decisions_total\{.*decision="grant"\} (\d+)/g;
+  const counts = [...(await body.text()).matchAll(pattern)].map(([, count]) => Number(count));
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+/** Returns the daemon that granted most slots in a short time. */
+export async function findDispatcher(daemons: readonly FleetDaemon[]): Promise<FleetDaemon> {
+  const before = await Promise.all(daemons.map(countGrants));
+  await delay(500);
+  const after = await Promise.all(daemons.map(countGrants));
+  const growth = after.map((count, index) => count - (before[index] as number));
+  return daemons[growth.indexOf(Math.max(...growth))] as FleetDaemon;
+}
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -154,6 +154,20 @@
         announcementAges: z.array(milliseconds).optional(),
         /** Limits that ended recently: id, lifetime, and time since the evidence for it. Absent from older daemons. */
         endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
+        /**
+         * Requests and retries of the cell in a window of the retry budget: name of the process that counted them, both
+         * numbers, and the age of the count. Absent from older daemons.
+         */
+        retries: z
+          .array(
+            z.tuple([
+              z.string(),
+              z.number().int().nonnegative(),
+              z.number().int().nonnegative(),
+              milliseconds,
+            ]),
+          )
+          .optional(),
       }),
     ),
   }),
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -16,7 +16,11 @@
 import { EntryLossEstimates } from './entry-loss.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
 import { FailedShare } from './failed-share.js';
-import { RetryBudgetTracker, type RetryBudget } from './retry-budget-tracker.js';
+import {
+  type CountedRetries,
+  type RetryBudget,
+  RetryBudgetTracker,
+} from './retry-budget-tracker.js';
 import { ServiceTimes } from './service-times.js';
 import { SUSPECT_RISK, countSlots, computeLoad } from './slot-count.js';
 import type { SlotRequest } from './slot-request.js';
@@ -284,6 +288,16 @@
     return unused;
   }
 
+  /** Lists the retries that this process, under the given name, and other dispatchers of the cell counted. */
+  listCountedRetries(process: string): CountedRetries[] {
+    return this.retryBudget.listCounted(process, this.options.now());
+  }
+
+  /** Counts the retries that other dispatchers granted against the budget. */
+  importCountedRetries(counted: readonly CountedRetries[]): void {
+    this.retryBudget.importCounted(counted);
+  }
+
   /** Applies the suspects that another dispatcher reported to endpoints that this one has not used recently. */
   importSuspects(suspects: ReadonlySet<string>): void {
     const now = this.options.now();
--- a/packages/routing/grants/test/retry-budget-tracker.test.ts
+++ b/packages/routing/grants/test/retry-budget-tracker.test.ts
@@ -48,3 +48,40 @@
   assert.equal(count.count(1100), 1);
   assert.equal(count.count(10_000), 0);
 });
+
+/** After the first window of a tracker that started at 0. */
+const START = 20_000;
+
+function takeAll(tracker: RetryBudgetTracker, now: number): number {
+  let taken = 0;
+  while (tracker.tryTake(now)) {
+    taken += 1;
+  }
+  return taken;
+}
+
+// Guards against a budget that each dispatcher of a cell counts from zero.
+test('dispatchers that take over one after the other share one budget', () => {
+  const first = new RetryBudgetTracker(() => budget, 0);
+  const standby = new RetryBudgetTracker(() => budget, 0);
+  const third = new RetryBudgetTracker(() => budget, 0);
+  let taken = takeAll(first, START);
+  standby.importCounted(first.listCounted('first', START));
+  taken += takeAll(standby, START + 1000);
+  third.importCounted(standby.listCounted('standby', START + 1000));
+  taken += takeAll(third, START + 2000);
+  assert.ok(taken > 0 && taken <= budget.slack, `${taken} retries`);
+});
+
+test('the counts of another dispatcher bring its requests too, are replaced by later ones, and end', () => {
+  const tracker = new RetryBudgetTracker(() => budget, 0);
+  const before = tracker.countRemaining(START);
+  tracker.importCounted([{ process: 'first', requests: 200, retries: 30, at: START }]);
+  const imported = tracker.countRemaining(START);
+  assert.ok(imported <= before + budget.ratio * 200 - 30);
+  tracker.importCounted([{ process: 'first', requests: 0, retries: 10, at: START - 1 }]);
+  assert.equal(tracker.countRemaining(START), imported, 'an earlier count');
+  tracker.importCounted([{ process: 'first', requests: 0, retries: 10, at: START + 1 }]);
+  assert.equal(tracker.countRemaining(START + 1), before - 10);
+  assert.equal(tracker.countRemaining(START + budget.windowMilliseconds + 2), before);
+});
