Log the connection and the failure of each attempt

The log could not tell an endpoint that refuses a request twice from the copy of a refusal that is taken for an answer: an attempt named its endpoint and outcome, not the connection. `request ended` now has the number of the connection and of the requests that it carried, and why there was no complete response; dogwoodstall_attempt_failures_total counts the reasons.

--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -39,6 +39,8 @@
 
   private readonly attempts: promClient.Counter<'outcome'>;
 
+  private readonly failedAttempts: promClient.Counter<'reason'>;
+
   private readonly slots: promClient.Counter<'cell' | 'decision'>;
 
   private readonly announcements: promClient.Counter<'event'>;
@@ -74,6 +76,12 @@
       labelNames: ['outcome'],
       registers,
     });
+    this.failedAttempts = new library.Counter({
+      name: 'dogwoodstall_attempt_failures_total',
+      help: 'Attempts without a complete response, by reason',
+      labelNames: ['reason'],
+      registers,
+    });
     this.slots = new library.Counter({
       name: 'dogwoodstall_slot_decisions_total',
       help: 'Slots that this daemon granted or refused as a dispatcher',
@@ -240,8 +248,11 @@
   /** Counts a completed request and its attempts. */
   countRequest({ service, result, status, milliseconds, attempts }: RequestDecision): void {
     this.requests.observe({ service, result, status: String(status) }, milliseconds / 1000);
-    for (const { outcome } of attempts) {
+    for (const { outcome, reason } of attempts) {
       this.attempts.inc({ outcome });
+      if (reason !== undefined) {
+        this.failedAttempts.inc({ reason });
+      }
     }
   }
 
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -51,6 +51,15 @@
   readonly idleMilliseconds: number;
   /** What the endpoint announced; null if nothing or if there was no complete response. */
   readonly announcement: Announcement | null;
+  /** Undefined if there was no connection. */
+  readonly connection: AttemptConnection | undefined;
+}
+
+/** The connection of an attempt, for the log. */
+export interface AttemptConnection {
+  readonly number: number;
+  /** Number of requests that it carried, this one included. */
+  readonly requests: number;
 }
 
 /** Options of `sendAttempt`. */
@@ -243,6 +252,7 @@
       silent: this.status === 0,
       idleMilliseconds: this.idleMilliseconds,
       announcement: this.readAnnouncement(outcome),
+      connection: { number: this.connection.number, requests: this.connection.requests },
     });
   }
 
@@ -269,6 +279,7 @@
     silent: true,
     idleMilliseconds: 0,
     announcement: null,
+    connection: undefined,
   };
 }
 
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -22,8 +22,16 @@
   readonly onSocketClosed: () => void;
 }
 
+let lastNumber = 0;
+
 /** A connection to one endpoint that carries one request at a time. */
 export class EndpointConnection {
+  /** Distinguishes the connections of this process in the log. */
+  readonly number: number;
+
+  /** Number of requests that were sent on the connection. */
+  requests = 0;
+
   /** Whether the connection failed with an error; undici reports such a failure as a regular end of the response. */
   broken = false;
 
@@ -42,6 +50,8 @@
     address: string,
     private readonly options: EndpointConnectionOptions,
   ) {
+    lastNumber += 1;
+    this.number = lastNumber;
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (connectOptions, callback) => {
@@ -75,6 +85,7 @@
 
   /** Sends a request. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.requests += 1;
     this.client.dispatch(options, handler);
   }
 
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -7,6 +7,7 @@
 import { FailureError, type ResultName } from '@dogwoodstall/results';
 import type { Route } from '@dogwoodstall/traffic';
 import {
+  type AttemptConnection,
   type AttemptOutcome,
   type AttemptOptions,
   type AttemptResult,
@@ -21,6 +22,9 @@
   readonly endpoint: string;
   readonly outcome: string;
   readonly milliseconds: number;
+  /** Why the attempt got no complete response; undefined if it got one. */
+  readonly reason: string | undefined;
+  readonly connection: AttemptConnection | undefined;
 }
 
 /** A request, independent of the connection it arrived on. */
@@ -104,7 +108,10 @@
   stopping: 'NotReady',
 };
 
-function createSlotReport({ outcome: attemptOutcome, ...measurements }: AttemptResult): SlotReport {
+function createSlotReport({
+  outcome: attemptOutcome,
+  ...measurements
+}: Omit<AttemptResult, 'connection'>): SlotReport {
   if (attemptOutcome.kind === 'answer') {
     const outcome = attemptOutcome.response.status >= 500 ? 'error' : 'success';
     return { outcome, ...measurements };
@@ -272,12 +279,15 @@
       this.sentAttempts = this.maximumAttempts;
     }
     const superseded = kind === 'abandoned' && !this.options.signal.aborted;
-    const report = { ...createSlotReport(attemptResult), superseded };
+    const { connection, ...measuredAttempt } = attemptResult;
+    const report = { ...createSlotReport(measuredAttempt), superseded };
     slot.report(report);
     this.options.recordAttempt({
       endpoint: slot.endpoint,
       outcome: report.outcome,
       milliseconds: Math.round(report.elapsed),
+      reason: 'reason' in attemptResult.outcome ? attemptResult.outcome.reason : undefined,
+      connection,
     });
     return { kind: 'ended', attemptResult };
   }
