Send no request id twice on one connection

Callers got 503 (not run) for a request that ran, or it ran twice. Cause: a response is recognised by the request id that it bears, and connections are pooled by address. After a refusal the next attempt of the same request could go to another endpoint id at the same address, on the connection that carried the refusal; a copy of the refusal bears the right id. The class: what identifies a response is taken from the response alone. The same holds for a caller that sends an id again, for a daemon that is asked twice, and for requests without an id.

A connection remembers now what it has carried: an id goes out once per connection, whichever request, caller or daemon sends it. After a refusal its copy may still precede the next response, so that requests that must not repeat take another connection until a response has arrived; idempotent ones go on using it. Ids are kept as hashes, 256 at most, then the connection is closed.

Ruled out: excluding addresses per request, since another request with the id, or a relayed one, does not know of it; leaving the connection alone for a while, since a copy that comes with the next request comes at any time; reading on after a response to another request, which the HTTP client does not offer.

--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -73,6 +73,7 @@
   readonly address: string;
   /** Connections idle for longer are not reused. */
   readonly maximumIdleMilliseconds: number;
+  readonly idempotent: boolean;
   readonly context: AttemptContext;
   /** Set if the address is that of another daemon. */
   readonly relay?: RelayState | undefined;
@@ -109,7 +110,12 @@
     private readonly resolve: (result: AttemptResult) => void,
   ) {
     this.body = new BodyBlocks(options.responseMemory);
-    this.connection = options.pool.acquire(options.address, options.maximumIdleMilliseconds);
+    const { requestId } = options.context;
+    this.connection = options.pool.acquire(
+      options.address,
+      { requestId, idempotent: options.idempotent },
+      options.maximumIdleMilliseconds,
+    );
     this.idleMilliseconds = this.connection.idleMilliseconds;
   }
 
@@ -123,6 +129,7 @@
     signal.addEventListener('abort', this.onAbort, { once: true });
     try {
       this.connection.dispatch(
+        context.requestId,
         {
           path: target,
           method,
@@ -199,9 +206,12 @@
       this.fail({ kind: 'broken', reason: 'connection closed before the response was complete' });
       return;
     }
+    const { classification } = this;
+    const isRefusal = classification?.kind === 'not-run' || classification?.kind === 'misdirected';
+    // Another daemon answers each request once.
+    this.connection.history.recordResponse(isRefusal && this.options.relay === undefined);
     // Surplus bytes may arrive along with the response; the connection is pooled only after they have been parsed.
     setImmediate(() => this.options.pool.release(this.options.address, this.connection));
-    const { classification } = this;
     if (classification === undefined || classification.kind === 'foreign') {
       this.fail({ kind: 'broken', reason: 'response has no headers' });
     } else if (classification.kind === 'not-run') {
--- a/packages/routing/gateway/src/connection-pool.ts
+++ b/packages/routing/gateway/src/connection-pool.ts
@@ -1,6 +1,7 @@
 /**
- * Pools idle connections to endpoints. The most recently used connection is reused first.
+ * Pools idle connections to endpoints. The most recently used connection that may carry a request is reused first.
  */
+import type { CarriedRequest } from './connection-history.js';
 import { EndpointConnection } from './endpoint-connection.js';
 
 /** Maximum number of idle connections per endpoint. */
@@ -22,15 +23,19 @@
     return this.openCount;
   }
 
-  /** Returns a connection that has been idle for at most the given time, or opens a new one. */
-  acquire(address: string, maximumIdleMilliseconds: number): EndpointConnection {
-    const connections = this.idle.get(address);
-    for (let next = connections?.at(-1); next !== undefined; next = connections?.at(-1)) {
-      this.remove(address, next);
-      if (!next.closed && next.idleMilliseconds <= maximumIdleMilliseconds) {
-        return next;
+  /** Returns a connection for a request that has been idle for at most the given time, or opens a new one. */
+  acquire(
+    address: string,
+    request: CarriedRequest,
+    maximumIdleMilliseconds: number,
+  ): EndpointConnection {
+    for (const connection of [...(this.idle.get(address) ?? [])].reverse()) {
+      if (connection.closed || connection.idleMilliseconds > maximumIdleMilliseconds) {
+        this.closeConnection(address, connection);
+      } else if (connection.history.mayCarry(request)) {
+        this.remove(address, connection);
+        return connection;
       }
-      next.destroy();
     }
     return new EndpointConnection(address, {
       onClosed: (closed) => {
@@ -48,7 +53,7 @@
 
   /** Returns a connection to the pool after its last response was received completely. */
   release(address: string, connection: EndpointConnection): void {
-    if (connection.closed || connection.broken) {
+    if (connection.closed || connection.broken || connection.history.isFull) {
       connection.destroy();
       return;
     }
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -3,6 +3,7 @@
  */
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher, buildConnector } from 'undici';
+import { ConnectionHistory } from './connection-history.js';
 
 /** Connect timeout; covers several round trips between availability zones and one retransmission on a fast network. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -32,6 +33,8 @@
   /** Number of requests that were sent on the connection. */
   requests = 0;
 
+  readonly history = new ConnectionHistory();
+
   /** Whether the connection failed with an error; undici reports such a failure as a regular end of the response. */
   broken = false;
 
@@ -83,9 +86,14 @@
     return this.idleSince === undefined ? 0 : performance.now() - this.idleSince;
   }
 
-  /** Sends a request. */
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  /** Sends a request; its id is the one by which its response is recognised. */
+  dispatch(
+    requestId: string | undefined,
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
     this.requests += 1;
+    this.history.add(requestId);
     this.client.dispatch(options, handler);
   }
 
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -254,6 +254,7 @@
       ...this.options.attemptOptions,
       address: slot.address,
       maximumIdleMilliseconds: slot.maximumIdleMilliseconds,
+      idempotent: context.route.idempotent,
       context: {
         requestId: context.requestId,
         endpoint: slot.endpoint,
--- a/packages/routing/gateway/test/connections.test.ts
+++ b/packages/routing/gateway/test/connections.test.ts
@@ -17,6 +17,17 @@
   });
 });
 
+// Guards against ids that a connection holds for as long as it lives.
+test('a connection is replaced after some hundred requests', async () => {
+  await withGateway([respondOk], {}, async ({ gateway, endpoints }) => {
+    for (let count = 0; count < 300; count += 1) {
+      assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+      await delay(1);
+    }
+    assert.equal(endpoints[0]?.connections, 2);
+  });
+});
+
 test('a request that matches no route is rejected with 404 and reaches no endpoint', async () => {
   await withGateway([respondOk], {}, async ({ gateway, slots }) => {
     assert.equal((await gateway.send({ path: '/elsewhere/' }))?.status, 404);
