--- /dev/null
+++ b/packages/routing/gateway/test/deadline.test.ts
@@ -0,0 +1,28 @@
+/**
+ * Deadlines of requests that wait before they are sent to an endpoint.
+ */
+import * as assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { withGateway } from './with-gateway.js';
+
+const DEADLINE_MILLISECONDS = 800;
+const ROUTES_KNOWN_AFTER_MILLISECONDS = 200;
+const TOLERANCE_MILLISECONDS = 100;
+
+// Guards against a deadline that starts only when the routes are known.
+test('a request that waited for the routes is answered at its deadline', async () => {
+  const silent = (): void => {};
+  await withGateway([silent], { maximumAttempts: 1 }, async ({ gateway }) => {
+    gateway.setRoutesKnown(false);
+    const startedAt = performance.now();
+    const headers = { Deadline: String(DEADLINE_MILLISECONDS) };
+    const response = gateway.send({ body: 'x', headers });
+    await delay(ROUTES_KNOWN_AFTER_MILLISECONDS);
+    gateway.setRoutesKnown(true);
+    assert.equal((await response)?.status, 504);
+    const elapsed = performance.now() - startedAt;
+    const latest = DEADLINE_MILLISECONDS + TOLERANCE_MILLISECONDS;
+    assert.ok(elapsed < latest, `answered after ${Math.round(elapsed)} ms`);
+  });
+});
--- a/packages/routing/gateway/test/repeated-responses.test.ts
+++ b/packages/routing/gateway/test/repeated-responses.test.ts
@@ -89,6 +89,16 @@
   });
 });
 
+// Guards against a history that only keeps requests that must not repeat from a connection after a refusal.
+test('a copy of a refusal is not taken for the response when a request that may repeat is sent again', async () => {
+  const route = { maximumAttempts: 2, idempotent: true };
+  await withRefusals(1, route, async ({ gateway, runs }) => {
+    const response = await gateway.send({ id: 'r1', body: 'x' });
+    assert.equal(runs.length, 1);
+    assert.equal(response?.status, 200);
+  });
+});
+
 // Guards against state that ends with the request: its caller, or a daemon that relays it, may send the id again.
 test('a copy of a refusal is not taken for the response when the caller sends the request again under its id', async () => {
   await withRefusals(1, { maximumAttempts: 1 }, async ({ gateway, runs }) => {
