Skip copies of earlier responses instead of avoiding their connections

An endpoint that sheds load accepts fewer connections. Idempotent requests still lost attempts to copies.

The HTTP client ends a request with the first response on its connection. What it reads is filtered now: a response that bears the id of an earlier request of the connection is dropped, with its body, and the one behind it is read. Since no connection carries an id twice, such a response can't be the awaited one. Connections stay in use after refusals; the filter reads nothing on the first request of a connection, and only the head of one response on later ones. What can't be such a copy, or ends with its connection, is passed on as it came.

Metric dogwoodstall_repeated_responses_total.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -146,6 +146,11 @@
     });
   }
 
+  /** Records a copy of an earlier response that an endpoint sent where the next one was due. */
+  recordRepeatedResponse(): void {
+    this.metricsServer?.countRepeatedResponse();
+  }
+
   /** Records a header of an endpoint's response that should announce something and can't be read. */
   recordUnreadableAnnouncement(endpoint: string, header: string): void {
     if (this.unreadableAnnouncements.record(endpoint, header)) {
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -524,6 +524,7 @@
       connectionLimits: this.connectionLimits,
       onDescriptorEvent: (event, count) => this.reporter.recordDescriptorEvent(event, count),
       onGivenUp: (bytes) => log.getLogger('entry').warn('unread response was given up', { bytes }),
+      onRepeatedResponse: () => this.reporter.recordRepeatedResponse(),
       onUnreadableAnnouncement: (endpoint, header) =>
         this.reporter.recordUnreadableAnnouncement(endpoint, header),
       onDecision: (decision) => this.reporter.recordRequest(decision),
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -41,6 +41,8 @@
 
   private readonly failedAttempts: promClient.Counter<'reason'>;
 
+  private readonly repeatedResponses: promClient.Counter;
+
   private readonly slots: promClient.Counter<'cell' | 'decision'>;
 
   private readonly announcements: promClient.Counter<'event'>;
@@ -82,6 +84,11 @@
       labelNames: ['reason'],
       registers,
     });
+    this.repeatedResponses = new library.Counter({
+      name: 'dogwoodstall_repeated_responses_total',
+      help: 'Copies of earlier responses that endpoints sent where the next one was due',
+      registers,
+    });
     this.slots = new library.Counter({
       name: 'dogwoodstall_slot_decisions_total',
       help: 'Slots that this daemon granted or refused as a dispatcher',
@@ -256,6 +263,11 @@
     }
   }
 
+  /** Counts a copy of an earlier response. */
+  countRepeatedResponse(): void {
+    this.repeatedResponses.inc();
+  }
+
   /** Counts a decision on a slot request. */
   countSlot(cell: string, decision: string): void {
     this.slots.inc({ cell, decision });
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -73,7 +73,6 @@
   readonly address: string;
   /** Connections idle for longer are not reused. */
   readonly maximumIdleMilliseconds: number;
-  readonly idempotent: boolean;
   readonly context: AttemptContext;
   /** Set if the address is that of another daemon. */
   readonly relay?: RelayState | undefined;
@@ -113,7 +112,7 @@
     const { requestId } = options.context;
     this.connection = options.pool.acquire(
       options.address,
-      { requestId, idempotent: options.idempotent },
+      requestId,
       options.maximumIdleMilliseconds,
     );
     this.idleMilliseconds = this.connection.idleMilliseconds;
@@ -207,9 +206,6 @@
       return;
     }
     const { classification } = this;
-    const isRefusal = classification?.kind === 'not-run' || classification?.kind === 'misdirected';
-    // Another daemon answers each request once.
-    this.connection.history.recordResponse(isRefusal && this.options.relay === undefined);
     // Surplus bytes may arrive along with the response; the connection is pooled only after they have been parsed.
     setImmediate(() => this.options.pool.release(this.options.address, this.connection));
     if (classification === undefined || classification.kind === 'foreign') {
--- a/packages/routing/gateway/src/connection-pool.ts
+++ b/packages/routing/gateway/src/connection-pool.ts
@@ -1,12 +1,21 @@
 /**
  * Pools idle connections to endpoints. The most recently used connection that may carry a request is reused first.
  */
-import type { CarriedRequest } from './connection-history.js';
 import { EndpointConnection } from './endpoint-connection.js';
 
 /** Maximum number of idle connections per endpoint. */
 const MAXIMUM_IDLE_CONNECTIONS = 4;
 
+/** Options of `ConnectionPool`. */
+export interface ConnectionPoolOptions {
+  /** Lower-case name of the header by which a response names its request. */
+  readonly requestIdHeader: string;
+  /** Maximum number of idle connections to all endpoints. */
+  readonly maximumIdleConnections: number;
+  /** Called for each copy of an earlier response that is removed. */
+  readonly onRepeatedResponse: () => void;
+}
+
 /** Opens connections and pools idle ones by address. */
 export class ConnectionPool {
   private readonly idle = new Map<string, EndpointConnection[]>();
@@ -16,32 +25,34 @@
 
   private openCount = 0;
 
-  constructor(private readonly maximumIdleConnections = Infinity) {}
+  constructor(private readonly options: ConnectionPoolOptions) {}
 
   /** Number of connections that are open or being opened. */
   get openConnections(): number {
     return this.openCount;
   }
 
-  /** Returns a connection for a request that has been idle for at most the given time, or opens a new one. */
+  /** Returns a connection for a request with the given id that has been idle for at most the given time, or opens a new one. */
   acquire(
     address: string,
-    request: CarriedRequest,
+    requestId: string | undefined,
     maximumIdleMilliseconds: number,
   ): EndpointConnection {
     for (const connection of [...(this.idle.get(address) ?? [])].reverse()) {
       if (connection.closed || connection.idleMilliseconds > maximumIdleMilliseconds) {
         this.closeConnection(address, connection);
-      } else if (connection.history.mayCarry(request)) {
+      } else if (connection.history.mayCarry(requestId)) {
         this.remove(address, connection);
         return connection;
       }
     }
     return new EndpointConnection(address, {
+      requestIdHeader: this.options.requestIdHeader,
       onClosed: (closed) => {
         this.remove(address, closed);
         closed.destroy();
       },
+      onRepeatedResponse: this.options.onRepeatedResponse,
       onSocketOpened: () => {
         this.openCount += 1;
       },
@@ -65,8 +76,9 @@
     if (connections.length > MAXIMUM_IDLE_CONNECTIONS) {
       this.closeConnection(address, connections[0] as EndpointConnection);
     }
-    if (this.idleOrder.size > this.maximumIdleConnections) {
-      this.closeLongestIdle(this.idleOrder.size - this.maximumIdleConnections);
+    const excess = this.idleOrder.size - this.options.maximumIdleConnections;
+    if (excess > 0) {
+      this.closeLongestIdle(excess);
     }
   }
 
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 import { ConnectionHistory } from './connection-history.js';
+import { RepeatedResponseFilter } from './repeated-response-filter.js';
 
 /** Connect timeout; covers several round trips between availability zones and one retransmission on a fast network. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -16,6 +17,10 @@
 
 /** Options of `EndpointConnection`. */
 export interface EndpointConnectionOptions {
+  /** Lower-case name of the header by which a response names its request. */
+  readonly requestIdHeader: string;
+  /** Called for each copy of an earlier response that is removed. */
+  readonly onRepeatedResponse: () => void;
   /** Called when an established connection has ended. */
   readonly onClosed: (connection: EndpointConnection) => void;
   /** Called when the connection takes a descriptor, and when it no longer does. */
@@ -35,6 +40,8 @@
 
   readonly history = new ConnectionHistory();
 
+  private readonly filter: RepeatedResponseFilter;
+
   /** Whether the connection failed with an error; undici reports such a failure as a regular end of the response. */
   broken = false;
 
@@ -55,6 +62,11 @@
   ) {
     lastNumber += 1;
     this.number = lastNumber;
+    this.filter = new RepeatedResponseFilter({
+      history: this.history,
+      requestIdHeader: options.requestIdHeader,
+      onRemoved: options.onRepeatedResponse,
+    });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (connectOptions, callback) => {
@@ -92,8 +104,11 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void {
+    if (this.requests > 0) {
+      this.filter.expectResponse();
+    }
     this.requests += 1;
-    this.history.add(requestId);
+    this.history.add({ requestId, method: options.method });
     this.client.dispatch(options, handler);
   }
 
@@ -106,6 +121,21 @@
     this.forgetSocket();
   }
 
+  /** Undici reads a socket by calling its `read`. */
+  private filterResponses(socket: Socket): void {
+    const read = socket.read.bind(socket) as () => Buffer | null;
+    const readFiltered = (): Buffer | null => {
+      for (let chunk = read(); chunk !== null; chunk = read()) {
+        const rest = this.filter.filter(chunk);
+        if (rest.length > 0) {
+          return rest;
+        }
+      }
+      return null;
+    };
+    Object.assign(socket, { read: readFiltered });
+  }
+
   private forgetSocket(): void {
     if (this.socket !== undefined) {
       this.socket = undefined;
@@ -117,6 +147,7 @@
   private watchSocket(socket: Socket | null | undefined): void {
     if (socket) {
       this.socket = socket;
+      this.filterResponses(socket);
       socket.once('close', () => this.forgetSocket());
       socket.on('error', () => {
         this.broken = true;
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -59,6 +59,8 @@
   readonly onDescriptorEvent: (event: DescriptorEvent, count: number) => void;
   /** Called with the bytes of a response that was given up because its caller did not read it before its deadline. */
   readonly onGivenUp: (bytes: number) => void;
+  /** Called for each copy of an earlier response that an endpoint sent and that was removed. */
+  readonly onRepeatedResponse: () => void;
   readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
   readonly onDecision: (decision: RequestDecision) => void;
   /** Called with an error of the listening server, such as one of accepting a connection. */
@@ -122,7 +124,11 @@
     this.responseMemory = new MemoryBudget(limit);
     this.responder = new CallerResponder(options.protocol, () => this.stopping);
     this.callerConnections = new CallerConnections(() => this.limits.idleMilliseconds);
-    this.pool = new ConnectionPool(options.connectionLimits.idleEndpointConnections);
+    this.pool = new ConnectionPool({
+      requestIdHeader: options.protocol.requestIdHeader,
+      maximumIdleConnections: options.connectionLimits.idleEndpointConnections,
+      onRepeatedResponse: options.onRepeatedResponse,
+    });
     this.connectionLimiter = new ConnectionLimiter({
       limits: options.connectionLimits,
       callers: this.callerConnections,
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -254,7 +254,6 @@
       ...this.options.attemptOptions,
       address: slot.address,
       maximumIdleMilliseconds: slot.maximumIdleMilliseconds,
-      idempotent: context.route.idempotent,
       context: {
         requestId: context.requestId,
         endpoint: slot.endpoint,
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -83,6 +83,9 @@
   /** Bytes of the responses that were given up. */
   readonly givenUp: number[] = [];
 
+  /** Copies of earlier responses that were removed. */
+  repeatedResponses = 0;
+
   /** Number of each event for lack of descriptors. */
   readonly descriptorEvents = new Map<gateway.DescriptorEvent, number>();
 
@@ -132,6 +135,9 @@
       onDescriptorEvent: (event, count) =>
         this.descriptorEvents.set(event, (this.descriptorEvents.get(event) ?? 0) + count),
       onGivenUp: (bytes) => this.givenUp.push(bytes),
+      onRepeatedResponse: () => {
+        this.repeatedResponses += 1;
+      },
       onUnreadableAnnouncement: () => {},
       onDecision: (decision) => this.decisions.push(decision),
       onServerError: (error) => {
