Close the connection of a refused request in the project's own interface

Callers got "not run" for a request that its backend server runs.

A refusal ends its connection now, before a copy can arrive on it. Here a further connection costs little, and requests of this interface are streamed, so that responses can't be held back to look for copies. Ruled out: requiring the echo of the id, which backend servers of this interface may leave out.

--- a/packages/routing/proxy/src/backend-client.ts
+++ b/packages/routing/proxy/src/backend-client.ts
@@ -123,7 +123,8 @@
     throw new FailureError('BackendAnswerMalformed', message);
   }
   if (status === 503 && readHeader(headers, 'request-not-run') === 'true') {
-    return { forward: false };
+    // The backend server may send the refusal once more, which then looks like the response to the next attempt.
+    return { forward: false, closeConnection: true };
   }
   const responseHeaders = composeResponseHeaders(exchange, headers);
   recorder?.start(status, responseHeaders);
--- a/packages/routing/proxy/src/transfer.ts
+++ b/packages/routing/proxy/src/transfer.ts
@@ -10,8 +10,11 @@
 /** Whether a response is forwarded to the caller. */
 export type ResponseClassification =
   | { readonly forward: true; readonly headers: OutgoingHttpHeaders }
-  /** The response is not forwarded; up to 16 KiB of its body are buffered. */
-  | { readonly forward: false };
+  /**
+   * The response is not forwarded; up to 16 KiB of its body are buffered, unless its connection is closed before the body
+   * arrives.
+   */
+  | { readonly forward: false; readonly closeConnection?: boolean };
 
 /** Options of `transfer`. */
 export interface TransferOptions {
@@ -214,6 +217,9 @@
   private forwardHead(status: number, headers: IncomingHttpHeaders): void {
     const classification = this.options.classifyResponse(status, headers);
     if (!classification.forward) {
+      if (classification.closeConnection === true) {
+        this.endDiscarded();
+      }
       return;
     }
     this.forwarding = true;
@@ -258,6 +264,10 @@
       this.discardedChunks.push(chunk);
       return;
     }
+    this.endDiscarded();
+  }
+
+  private endDiscarded(): void {
     this.settle('discarded');
     this.controller?.abort(new FailureError('CallerCancelled', 'the response is discarded'));
   }
