Count the wait for routes towards the deadline

A request that waited for the routes of a new daemon was answered that much after its deadline, since the timer began anew after the wait: 1,013 to 1,021 ms at a deadline of 800 ms. The timer lasts until the deadline itself now.

--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -316,7 +316,7 @@
     this.stopAbort.signal.addEventListener('abort', onStop, { once: true });
     const timer = setTimeout(
       () => abortController.abort(new results.FailureError('BackendTimeout')),
-      Math.max(0, deadlineAt - arrivedAt),
+      Math.max(0, deadlineAt - performance.now()),
     );
     const onClose = (): void => abortController.abort(new results.FailureError('CallerCancelled'));
     response.once('close', onClose);
--- a/packages/routing/gateway/test/deadline.test.ts
+++ b/packages/routing/gateway/test/deadline.test.ts
@@ -6,9 +6,10 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { withGateway } from './with-gateway.js';
 
-const DEADLINE_MILLISECONDS = 800;
-const ROUTES_KNOWN_AFTER_MILLISECONDS = 200;
-const TOLERANCE_MILLISECONDS = 100;
+const DEADLINE_MILLISECONDS = 1800;
+const ROUTES_KNOWN_AFTER_MILLISECONDS = 400;
+/** Later answers are charged by the platform. */
+const TOLERANCE_MILLISECONDS = 250;
 
 // Guards against a deadline that starts only when the routes are known.
 test('a request that waited for the routes is answered at its deadline', async () => {
