Let tests that start daemons claim free loopback networks

Cause: the tests of gateway-daemon and of platform bound fixed hosts and ports, so that two runs of the same file on one machine, for instance in two checkouts, failed each other. LoopbackNetwork of stand-ins now gives a fleet a network of its own (127.64.0 to 127.127.255), which a listening socket holds until the process ends. The daemons of a fleet still share their ports; a daemon that can not bind still fails its test, nothing is tried again.

Ruled out: ports found free for all hosts, which another process can take between the search and the start of a daemon. The endpoints of crashing-request and of the soak still start again at a port of the ephemeral range on 127.0.0.1, which another connection may have taken meanwhile.

--- a/packages/daemon/gateway-daemon/test/crashing-request.test.ts
+++ b/packages/daemon/gateway-daemon/test/crashing-request.test.ts
@@ -19,8 +19,6 @@
 /** Long enough for all endpoints to end several times. */
 const SILENT_MILLISECONDS = 12_000;
 
-let lastNetwork = 90;
-
 /** Sends requests at the running daemons in turn until it is stopped. */
 class Callers {
   private stopped = false;
@@ -62,8 +60,7 @@
   check: (fleet: Fleet, running: FleetDaemon[], service: CrashingService) => Promise<void>,
   service = new CrashingService(),
 ): Promise<void> {
-  lastNetwork += 1;
-  const fleet = new Fleet(lastNetwork);
+  const fleet = new Fleet();
   fleet.store.configure(1, 'valuation');
   try {
     await service.start(fleet.store, ENDPOINTS);
--- a/packages/daemon/gateway-daemon/test/fleet.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.test.ts
@@ -18,8 +18,6 @@
 const CONFIGURATION_MILLISECONDS = 2000;
 const DRAIN_MILLISECONDS = 2000;
 
-let lastNetwork = 40;
-
 async function withFleet(
   size: number,
   check: (
@@ -28,8 +26,7 @@
     open: (id: string, service: string) => Promise<CountingEndpoint>,
   ) => Promise<void>,
 ): Promise<void> {
-  lastNetwork += 1;
-  const fleet = new Fleet(lastNetwork);
+  const fleet = new Fleet();
   const endpoints = await Promise.all(
     ['one', 'two', 'three'].map((id) => new CountingEndpoint(id).listen()),
   );
@@ -167,8 +164,7 @@
 });
 
 test('a planned stop ends every request with a response, and takes none that it can not finish', async () => {
-  lastNetwork += 1;
-  const fleet = new Fleet(lastNetwork);
+  const fleet = new Fleet();
   const endpoint = await new CountingEndpoint('slow').listen();
   fleet.store.put(endpoint.describe({ slots: 40 }));
   fleet.store.configure(1, 'valuation');
@@ -198,8 +194,7 @@
 });
 
 test('a partially received request does not delay a graceful shutdown', async () => {
-  lastNetwork += 1;
-  const fleet = new Fleet(lastNetwork);
+  const fleet = new Fleet();
   const graceSeconds = 8;
   const { host, daemon } = await fleet.start([], false, graceSeconds);
   const socket = net.connect(CALLER_PORT, host);
@@ -314,8 +309,7 @@
 });
 
 test('a daemon without a configuration is not ready and refuses requests with status 503', async () => {
-  lastNetwork += 1;
-  const fleet = new Fleet(lastNetwork);
+  const fleet = new Fleet();
   try {
     const { host, daemon } = await fleet.start([], true);
     assert.equal(daemon.isReady, false);
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { WireProtocol } from '@dogwoodstall/gateway';
 import { createSilentLog } from '@dogwoodstall/observability';
+import * as standIns from '@dogwoodstall/stand-ins';
 import { noAnnouncement } from '@dogwoodstall/traffic';
 import * as undici from 'undici';
 import * as gatewayDaemon from '../src/index.js';
@@ -41,13 +42,13 @@
   readonly daemon: gatewayDaemon.GatewayDaemon;
 }
 
-/** The daemons of one test; `network` is the third byte of their addresses, so that tests do not share addresses. */
+/** The daemons of one test, on a loopback network of their own. */
 export class Fleet {
   readonly store = new MemoryStore();
 
   readonly daemons: FleetDaemon[] = [];
 
-  constructor(private readonly network: number) {}
+  private readonly network = standIns.LoopbackNetwork.claim();
 
   /** Starts a daemon; `unavailable` makes the store reject its calls from the start. */
   async start(
@@ -69,7 +70,7 @@
     unavailable: boolean,
     graceSeconds: number,
   ): Promise<FleetDaemon> {
-    const host = `127.0.${this.network}.${number}`;
+    const host = (await this.network).getHost(number);
     const source = new MemorySource(this.store);
     source.unavailable = unavailable;
     const daemon = new gatewayDaemon.GatewayDaemon({
--- a/packages/daemon/gateway-daemon/test/retry-budget.test.ts
+++ b/packages/daemon/gateway-daemon/test/retry-budget.test.ts
@@ -10,9 +10,6 @@
 import { FailingService } from './failing-service.js';
 import { Fleet, type FleetDaemon, findDispatcher, waitUntil } from './fleet.js';
 
-const NETWORK = 97;
-const PARTITIONED_NETWORK = 200;
-const RESTARTED_NETWORK = 201;
 const DAEMONS = 5;
 const REQUEST_INTERVAL_MILLISECONDS = 150;
 const KILLS = 4;
@@ -42,10 +39,9 @@
 
 /** Runs a test with a failing service and a fleet, and checks the retry budget at its end. */
 async function checkBudget(
-  network: number,
   play: (fleet: Fleet, service: FailingService) => Promise<void>,
 ): Promise<string> {
-  const fleet = new Fleet(network);
+  const fleet = new Fleet();
   fleet.store.configure(1, 'valuation');
   const service = new FailingService();
   try {
@@ -62,7 +58,7 @@
 
 // Guards against a budget that each dispatcher counts from zero.
 test('the retry budget holds for the fleet although dispatchers are killed one after the other', async (context) => {
-  const summary = await checkBudget(NETWORK, async (fleet, service) => {
+  const summary = await checkBudget(async (fleet, service) => {
     let running = await startDaemons(fleet, DAEMONS);
     const sending = service.sendAll(() => running, REQUEST_INTERVAL_MILLISECONDS);
     for (let kill = 0; kill < KILLS; kill += 1) {
@@ -82,7 +78,7 @@
 
 // Guards against a slack that the leading daemon of each part spends in full.
 test('the retry budget holds while the fleet is parted in two', async (context) => {
-  const summary = await checkBudget(PARTITIONED_NETWORK, async (fleet, service) => {
+  const summary = await checkBudget(async (fleet, service) => {
     const daemons = await startDaemons(fleet, 4);
     const names = daemons.map((_, index) => `daemon-${index + 1}`);
     const ranked = hashing.rankMembers('valuation', names, (name) => name);
@@ -109,7 +105,7 @@
 
 // Guards against processes that spend a part of the slack each although their predecessors have spent it.
 test('the retry budget holds although all daemons end together several times in a window', async (context) => {
-  const summary = await checkBudget(RESTARTED_NETWORK, async (fleet, service) => {
+  const summary = await checkBudget(async (fleet, service) => {
     let running = await startDaemons(fleet, 3);
     service.answerWith(200);
     const sending = service.sendAll(() => running, REQUEST_INTERVAL_MILLISECONDS);
--- a/packages/testing/stand-ins/src/index.ts
+++ b/packages/testing/stand-ins/src/index.ts
@@ -12,6 +12,7 @@
 export { type BackendListing, BackendGroup } from './backend/group.js';
 export { ControlServer, type ControlHandlers, parseAddress } from './control-server.js';
 export { type LoadBalancerOptions, LoadBalancerStandIn } from './network/load-balancer.js';
+export { LoopbackNetwork } from './network/loopback-network.js';
 export { FaultLink, type LinkFaults } from './network/fault-link.js';
 export { FaultProxy } from './network/fault-proxy.js';
 export { type ListedVm, VmListStandIn } from './network/vm-list.js';
