Send no request on a connection that was established during a suspension

Cause: a request waits in undici while its connection is being established. If the process is suspended meanwhile, the connection completes before the timers of the resumed process run, and undici sends the request at once: after its deadline, and to an endpoint that may have left. Seen with logs: daemon-4 was granted i-9 at 39.168 s for a hedge, was suspended for 5,146 ms, and sent it at 44.315 s on a new connection (remainingMilliseconds -3,982), 3,548 ms after i-9 had left.

A connection that took over a second, four times its timeout, now counts as not established; the request was not sent and is tried again only within its deadline. Ruled out: a shorter bound, which would end connections that complete while the process is merely slow.

--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -6,6 +6,8 @@
 
 /** Connect timeout; covers several round trips between availability zones and one retransmission on a fast network. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 250;
+/** A connection that took longer was established while this process was suspended; its timeout had no chance to end it. */
+const SUSPENDED_CONNECT_MILLISECONDS = 1000;
 /** Keep-alive timeout for endpoints that do not announce one. */
 const KEEP_ALIVE_MILLISECONDS = 8000;
 /** Subtracted from an announced keep-alive timeout, so that no request is sent while the endpoint closes. */
@@ -56,8 +58,16 @@
       pipelining: 1,
       connect: (connectOptions, callback) => {
         options.onSocketOpened();
+        const startedAt = performance.now();
         connect(connectOptions, (...result) => {
-          this.watchSocket(result[1]);
+          const [, socket] = result;
+          if (socket && performance.now() - startedAt > SUSPENDED_CONNECT_MILLISECONDS) {
+            socket.destroy();
+            this.watchSocket(null);
+            callback(new Error('process was suspended while connecting'), null);
+            return;
+          }
+          this.watchSocket(socket);
           callback(...result);
         });
       },
