Do not take a suspension of a daemon for an outage of the store

Cause: after an outage a daemon keeps endpoints that the store no longer lists for 2.3 s. It sees an outage in a gap of contacts in which a call failed. A suspended daemon hears of no contact, and after it resumes it reads the pings that arrived meanwhile, of which one may report a failed call; the gap is then its own suspension. Traced in "no request reaches an endpoint that left while daemons were suspended" beside other work (load average 27): daemon-2 got no response of the store within 500 ms at 40.6 s, daemon-3 was suspended from 39.9 to 45.0 s, read the store at 45.653 s ("endpoints changed", 12 instead of 9) and granted i-4 and i-10, which had left at 40.8 and 42.4 s, 47 times until 47.349 s ("outage tolerance"). 46 requests of callers of daemons that ran all the while reached them late, so that it is a DRAIN case.

The time of a suspension is now taken out of the gap, and the watcher checks for a suspension before it records a contact. An outage that a suspension interrupts still counts. Ruled out: to ignore what was received during a suspension, since datagrams do not say when they were sent.

Tests: store-contact-tracker.test.ts (its new tests do not compile before).

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -555,6 +555,7 @@
       steadyMilliseconds: Math.round(steadyMilliseconds),
       wallMilliseconds: Math.round(wallMilliseconds),
     });
+    this.storeContact.resume(steadyMilliseconds);
     this.roleAssignment.beginVerification();
     this.dispatcherRole.resume();
     this.candidates.resume();
--- a/packages/daemon/gateway-daemon/src/store-contact-tracker.ts
+++ b/packages/daemon/gateway-daemon/src/store-contact-tracker.ts
@@ -32,6 +32,15 @@
     this.failedAt = Math.max(this.failedAt, at);
   }
 
+  /**
+   * Takes a suspension of this daemon out of the gap: it did not hear of the contacts of its peers meanwhile, but reads a
+   * failed call that one of them reported.
+   */
+  resume(suspendedMilliseconds: number): void {
+    this.latestAt += suspendedMilliseconds;
+    this.failedAt += suspendedMilliseconds;
+  }
+
   /** Time until which a missing entry may have expired during an outage although its endpoint is running. */
   get toleranceEndsAt(): number {
     return this.recoveredAt + REREGISTRATION_MILLISECONDS;
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -191,6 +191,7 @@
   }
 
   private recordContact(): void {
+    this.options.suspension.check();
     const now = performance.now();
     const hadContact = this.contactAt > -Infinity;
     if (this.lost) {
--- a/packages/daemon/gateway-daemon/test/store-contact-tracker.test.ts
+++ b/packages/daemon/gateway-daemon/test/store-contact-tracker.test.ts
@@ -37,3 +37,23 @@
   tracker.record(100_000);
   assert.ok(tracker.toleranceEndsAt < 100_000);
 });
+
+// Guards against a daemon that uses endpoints for seconds after they left, because it takes a suspension for an outage.
+test('a gap in which this daemon was suspended is no outage, though a peer reports a failed call', () => {
+  const tracker = new StoreContactTracker();
+  tracker.record(0);
+  tracker.resume(5000);
+  tracker.recordFailure(5010);
+  tracker.record(5700);
+  assert.ok(tracker.toleranceEndsAt < 5700);
+});
+
+// Guards against a suspension that hides an outage, after which missing entries return.
+test('an outage that a suspension interrupts is still one', () => {
+  const tracker = new StoreContactTracker();
+  tracker.record(0);
+  tracker.recordFailure(1000);
+  tracker.resume(5000);
+  tracker.record(7000);
+  assert.ok(tracker.toleranceEndsAt > 7000 + 2000);
+});
