Start with the defaults when the platform leaves out settings

The template renders each line of a value that may be left out as a section, the seeds as a list, and retries, the grace time and the memory limit have defaults as the other limits had. Values are required where nothing can replace them: name, zone, addresses, ports.

Ruled out: JSON placeholders, which render nothing for an absent value, too.

The stand-ins of review/ render the template language of the platform's pages (sections, inverted sections, lists), in a module of their own that the tests use as well. Their fields still leave out limits.max_fds.

--- a/packages/daemon/gateway-daemon/src/settings.ts
+++ b/packages/daemon/gateway-daemon/src/settings.ts
@@ -30,20 +30,24 @@
   store: z.object({ address: addressSchema }),
   /** Peer addresses of daemons to bootstrap from when the store does not respond. */
   seeds: z.array(addressSchema).default([]),
-  retries: z.object({
-    /** Retries per request that all daemons together may add. */
-    ratio: z.number().nonnegative(),
-    /** Retries per window that are allowed on top of the ratio. */
-    slack: z.number().nonnegative(),
-    windowSeconds: z.number().positive(),
-  }),
-  stop: z.object({
-    /** Seconds from SIGTERM until the process is killed. */
-    graceSeconds: z.number().positive(),
-  }),
+  retries: z
+    .object({
+      /** Retries per request that all daemons together may add. */
+      ratio: z.number().nonnegative().default(0.2),
+      /** Retries per window that are allowed on top of the ratio. */
+      slack: z.number().nonnegative().default(0),
+      windowSeconds: z.number().positive().default(10),
+    })
+    .prefault({}),
+  stop: z
+    .object({
+      /** Seconds from SIGTERM until the process is killed. */
+      graceSeconds: z.number().positive().default(6),
+    })
+    .prefault({}),
   limits: z
     .object({
-      memoryMegabytes: z.number().positive(),
+      memoryMegabytes: z.number().positive().default(250),
       /**
        * Descriptors that the process may have open. A limit of the process that leaves any for sockets applies as well, and
        * alone by default.
@@ -63,7 +67,8 @@
         path: ['descriptors'],
         error: `must exceed limits.reservedDescriptors by ${MINIMUM_SOCKETS} at least`,
       },
-    ),
+    )
+    .prefault({}),
   log: z
     .object({
       level: z.enum(['error', 'warn', 'info', 'debug', 'silent']).default('info'),
--- a/review/stand-ins/daemon.mjs
+++ b/review/stand-ins/daemon.mjs
@@ -4,6 +4,7 @@
 import { spawn } from 'node:child_process';
 import * as fs from 'node:fs';
 import * as path from 'node:path';
+import { renderTemplate } from './template.mjs';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 const deployFile = fs.readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -11,31 +12,25 @@
 const [, templatePath] = /^template = "(.*)"$/m.exec(deployFile);
 const template = fs.readFileSync(path.join(ROOT, templatePath), 'utf8');
 
-function render(fields) {
-  return template.replaceAll(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
-    const value = name.split('.').reduce((object, key) => object?.[key], fields);
-    if (json !== undefined) {
-      return JSON.stringify(value);
-    }
-    return value ?? '';
-  });
-}
-
 export class Daemon {
   /** Time of the last signal or cut of this daemon. */
   disturbedAt = -Infinity;
 
-  constructor(fields, folder) {
+  /** The program is taken from `programFolder`, by default from the folder of the deploy file. */
+  constructor(fields, folder, programFolder = path.join(ROOT, 'target')) {
     this.fields = fields;
     this.name = fields.node;
     this.folder = folder;
+    this.programFolder = programFolder;
     this.logFile = path.join(folder, `${this.name}.log`);
   }
 
   start() {
     const file = path.join(this.folder, `${this.name}.conf`);
-    fs.writeFileSync(file, render(this.fields));
-    const [program, ...words] = command.split(' ');
+    fs.writeFileSync(file, renderTemplate(template, this.fields));
+    const [program, ...words] = command
+      .split(' ')
+      .map((word) => word.replace(/^target(?=\/)/, this.programFolder));
     const log = fs.openSync(this.logFile, 'a');
     const { PATH, HOME, LANG } = process.env;
     this.process = spawn(program, words, {
