--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -74,7 +74,8 @@
 
   requestCount = 0;
 
-  constructor() {
+  constructor(programFolder) {
+    this.programFolder = programFolder;
     this.temporary = fs.mkdtempSync(path.join(os.tmpdir(), 'dogwoodstall-review-'));
   }
 
@@ -160,7 +161,7 @@
         bounds,
         platform: { address: await this.store.listenFor(node, ip) },
       };
-      this.daemons.push(new Daemon(fields, this.temporary));
+      this.daemons.push(new Daemon(fields, this.temporary, this.programFolder));
     }
     for (const daemon of this.daemons) {
       daemon.start();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,12 +1,14 @@
 /**
  * Bundles the daemon that the platform starts into target/: a first module, which handles signals and imports nothing
- * before, and the rest of the program as one file, which loads faster than separate modules.
+ * before, and the rest of the program as one file, which loads faster than separate modules. The first argument, if any, is
+ * the folder to write to instead.
  */
 import { readFileSync, readdirSync } from 'node:fs';
 import { dirname, join, resolve } from 'node:path';
 import { build } from 'esbuild';
 
 const root = resolve(import.meta.dirname, '..');
+const target = resolve(process.argv[2] ?? join(root, 'target'));
 const alias = { undici: join(root, 'scripts', 'undici-subset.cjs') };
 for (const file of readdirSync(join(root, 'packages'), { recursive: true })) {
   if (file.split(/[\\/]/).length === 3 && file.endsWith('package.json')) {
@@ -29,13 +31,13 @@
 await build({
   ...common,
   entryPoints: [join(root, 'platform', 'src', 'main.ts')],
-  outfile: join(root, 'target', 'dogwoodstall.mjs'),
+  outfile: join(target, 'dogwoodstall.mjs'),
 });
 
 await build({
   ...common,
   entryPoints: [join(root, 'platform', 'src', 'program.ts')],
-  outfile: join(root, 'target', 'program.js'),
+  outfile: join(target, 'program.js'),
   alias,
   bundle: true,
   // Bundled CommonJS packages load Node.js built-in modules with `require`, which ES modules don't define.
