Read what has arrived before idle connections are closed for lack of descriptors

A connection that had just been accepted, and whose request had not been read yet, was closed when the system had no descriptor for another connection: its caller got no response. handleShortage closed up to eight idle connections in the same turn of the event loop and with no minimum of idle time; the limits on connections wait for the bytes and spare the first 20 ms. It now does as they do.

descriptor-shortage.test.ts: the new test failed before (1 of 8 requests without a response, each of 2 runs) and passes now; a second one shows that connections idle for longer are still closed. 8 of 8 pass in 3 runs.

--- a/packages/routing/gateway/src/connection-limiter.ts
+++ b/packages/routing/gateway/src/connection-limiter.ts
@@ -78,8 +78,11 @@
   /** Closes some connections after the system had no descriptor for another one. */
   handleShortage(event: 'connect-failed' | 'accept-failed'): void {
     this.options.onEvent(event, 1);
-    const closed = this.closeIdle(FREED_CONNECTIONS, 0);
-    this.closeSlowHeads(FREED_CONNECTIONS - closed);
+    // Bytes that have arrived are read first, since a connection may only seem to be idle.
+    setImmediate(() => {
+      const closed = this.closeIdle(FREED_CONNECTIONS, MINIMUM_IDLE_MILLISECONDS);
+      this.closeSlowHeads(FREED_CONNECTIONS - closed);
+    });
   }
 
   close(): void {
--- a/packages/routing/gateway/test/descriptor-shortage.test.ts
+++ b/packages/routing/gateway/test/descriptor-shortage.test.ts
@@ -71,6 +71,38 @@
   });
 });
 
+// Guards against a request that gets no response because its connection, which had just been accepted, seems to be idle.
+test('a lack of descriptors closes no connection whose first request has not been read yet', async () => {
+  await withGateway([respondOk], {}, async ({ gateway }) => {
+    await withoutDescriptors(1, async () => {
+      const responses = await Promise.all(
+        Array.from({ length: 8 }, (_, index) => gateway.send({ id: `r${index}`, body: 'x' })),
+      );
+      assert.deepEqual(
+        responses.map((response) => response?.status),
+        Array.from(responses, () => 200),
+      );
+    });
+    assert.equal(gateway.descriptorEvents.get('connect-failed'), 1);
+  });
+});
+
+// Guards against a shortage that lasts because idle connections stay open.
+test('a lack of descriptors closes idle connections', async () => {
+  await withGateway([respondOk], {}, async ({ gateway }) => {
+    const idle = gateway.connect().on('error', () => {});
+    const ended = new Promise((resolve) => {
+      idle.once('end', () => resolve(true)).resume();
+    });
+    await delay(100);
+    await withoutDescriptors(1, async () => {
+      assert.equal((await gateway.send({ body: 'x' }))?.status, 200);
+    });
+    assert.equal(await Promise.race([ended, delay(2000)]), true);
+    idle.destroy();
+  });
+});
+
 // Guards against requests in flight that are closed for new ones, and against refusals without a response.
 for (const stopping of [false, true]) {
   test(`a request beyond the maximum is refused with a response, and those in flight are served${stopping ? ', during a planned stop' : ''}`, async () => {
