Show that a relayed request that endpoints rejected is sent on as a first attempt

Two daemons, endpoints that reject every request as not run, two attempts in the route: 4 arrivals where 2 are allowed, since the relaying daemon takes the answer of the other one for a proof that nothing arrived.

--- a/packages/routing/gateway/test/relay.test.ts
+++ b/packages/routing/gateway/test/relay.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'node:test';
 import type { Route } from '@dogwoodstall/traffic';
 import type * as gateway from '../src/index.js';
-import { TestGateway } from './fixture.js';
+import { TestGateway, formatResponse } from './fixture.js';
 import type { Script } from './scripted-endpoint.js';
 import { respondOk, withGateway, type Setup } from './with-gateway.js';
 
@@ -13,9 +13,12 @@
 class PeerSlots implements gateway.SlotSource {
   readonly reports: string[] = [];
 
+  readonly acquisitions: gateway.SlotAcquireOptions[] = [];
+
   constructor(private readonly addresses: string[]) {}
 
-  acquire(): Promise<gateway.SlotDecision> {
+  acquire(options: gateway.SlotAcquireOptions): Promise<gateway.SlotDecision> {
+    this.acquisitions.push(options);
     const address = this.addresses.shift();
     if (address === undefined) {
       return Promise.resolve({ kind: 'refused', reason: 'no-endpoint', retryAfter: 100 });
@@ -51,6 +54,8 @@
 }
 
 const reset: Script = (socket) => socket.resetAndDestroy();
+const shed: Script = (socket, request) =>
+  socket.write(formatResponse(request, '', 503).replace('Seal: s', 'Not-Run: 1'));
 
 test('a relayed request reaches the endpoint once, and its response the caller', async () => {
   await withRelay([respondOk], {}, async (entry, peers, { endpoints, slots }) => {
@@ -105,6 +110,19 @@
   });
 });
 
+// Guards against arrivals that endpoints rejected and that no daemon counts.
+test('a relayed request that endpoints rejected is repeated as such, and not beyond the attempts of the route', async () => {
+  for (const idempotent of [false, true]) {
+    await withRelay([shed], { idempotent, maximumAttempts: 2 }, async (entry, peers, peer) => {
+      const response = await entry.send({ body: 'x' });
+      assert.equal(response?.status, 503, 'not run');
+      assert.equal(peer.endpoints[0]?.requests.length, 2);
+      const repeats = peers.acquisitions.slice(1).map(({ repeated }) => repeated);
+      assert.ok(!repeats.includes(false), 'is not sent as a first attempt again');
+    });
+  }
+});
+
 test('a caller that leaves cancels its request at the endpoint behind the other daemon', async () => {
   const silent: Script = () => {};
   await withRelay([silent], {}, async (entry, _peers, { endpoints }) => {
