--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -42,7 +42,7 @@
 /** Number of responsive candidates per role: the active one and its standby. */
 const LEADING_CANDIDATES = 2;
 /** A daemon monitors the roles for which it ranks among this many first, so that it notices when it has to take over. */
-export const TAKEOVER_RANKS = 4;
+const TAKEOVER_RANKS = 4;
 
 /** Options of `Candidates`. */
 export interface CandidatesOptions {
--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -31,7 +31,7 @@
   /** Has a limit of its own, like the log of announcements. */
   private readonly crashLog: DecisionLog;
 
-  /** Has a limit of its own too, since the budget is used up when there are many grants and refusals. */
+  /** Has a limit of its own too, since the budget is used up when many requests fail. */
   private readonly budgetLog: DecisionLog;
 
   private readonly descriptorLog: DescriptorLog;
@@ -44,7 +44,7 @@
     this.dispatchLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
     this.announcementLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
     this.crashLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
-    this.budgetLog = new DecisionLog(log.getLogger('dispatch'), decisionsPerSecond);
+    this.budgetLog = new DecisionLog(log.getLogger('entry'), decisionsPerSecond);
     this.descriptorLog = new DescriptorLog(this.logger);
   }
 
@@ -87,23 +87,12 @@
     });
   }
 
-  /** Records the retry budget of a cell; it is logged only if retries were refused for it. */
-  recordRetryBudget(cell: string, state: grants.RetryBudgetState, refused: number): void {
-    this.metricsServer?.setRetryBudget(cell, state);
-    if (refused === 0) {
-      return;
+  /** Records the retry budget of a service; it is logged only if retries were refused for it. */
+  recordRetryBudget(service: string, state: grants.RetryBudgetState, refused: number): void {
+    this.metricsServer?.setRetryBudget(service, state);
+    if (refused > 0) {
+      this.budgetLog.write('retry budget is used up', { service, refused, ...state });
     }
-    const { requests, retries, allowed, spentByOthers, limit, knownFor } = state;
-    this.budgetLog.write('retry budget is used up', {
-      cell,
-      refused,
-      requests,
-      retries,
-      allowed: Math.floor(allowed),
-      spentByOthers: Math.round(spentByOthers),
-      limit,
-      knownFor: Number.isFinite(knownFor) ? Math.round(knownFor) : null,
-    });
   }
 
   /** Records that an endpoint announces something else than before. */
--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -41,12 +41,6 @@
   );
 }
 
-function isDividedAnew(former: readonly grants.Cell[], cells: readonly grants.Cell[]): boolean {
-  const names = new Set(former.map(({ name }) => name));
-  const hadEndpoints = former.some(({ endpoints }) => endpoints.length > 0);
-  return hadEndpoints && cells.some(({ name }) => !names.has(name));
-}
-
 /** Options of `Directory`. */
 export interface DirectoryOptions {
   readonly onConfiguration: (configuration: TrafficConfiguration, source: string) => void;
@@ -81,9 +75,6 @@
 
   private readonly cellsByService = new Map<string, readonly grants.Cell[]>();
 
-  /** Times at which services were divided into other cells, by service. */
-  private readonly dividedAt = new Map<string, number>();
-
   constructor(private readonly options: DirectoryOptions) {}
 
   get routes(): RouteIndex | undefined {
@@ -190,11 +181,6 @@
     return this.cellsByService.get(service) ?? grants.partitionIntoCells(service, []);
   }
 
-  /** Returns the monotonic milliseconds at which a service was divided into other cells; -Infinity if it never was. */
-  getDividedAt(service: string): number {
-    return this.dividedAt.get(service) ?? -Infinity;
-  }
-
   /** Returns the cells of every service that has a route or an endpoint. */
   listCells(): Iterable<grants.Cell> {
     return this.cellsByName.values();
@@ -331,7 +317,6 @@
       list.push(endpoint);
       endpointsByService.set(endpoint.service, list);
     }
-    const former = new Map(this.cellsByService);
     this.cellsByName.clear();
     this.cellsByService.clear();
     for (const [service, endpoints] of endpointsByService) {
@@ -340,9 +325,6 @@
       for (const cell of cells) {
         this.cellsByName.set(cell.name, cell);
       }
-      if (isDividedAnew(former.get(service) ?? [], cells)) {
-        this.dividedAt.set(service, performance.now());
-      }
     }
   }
 }
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -67,9 +67,6 @@
   readonly onResponse: (response: SlotResponse) => void;
 }
 
-/** What other cells have done with a request. */
-type CellHistory = Pick<datagrams.Ask, 'moved' | 'waitedElsewhere'>;
-
 /** `held`: the granted endpoint may not be used by this daemon. */
 type SlotRequestResult =
   gateway.SlotDecision | 'pass-over' | { readonly kind: 'held'; readonly endpoint: string };
@@ -126,9 +123,8 @@
       if (cell === undefined) {
         break;
       }
-      const moved = tried.size > 0 || ask.counted;
       const waitedElsewhere = tried.size > 0 ? Math.round(performance.now() - startedAt) : 0;
-      const decision = await this.acquireIn(cell, ask, { moved, waitedElsewhere }, signal);
+      const decision = await this.acquireIn(cell, ask, waitedElsewhere, signal);
       tried.add(cell.name);
       if (decision.kind === 'slot' || !redirectableReasons.has(decision.reason)) {
         return decision;
@@ -143,12 +139,11 @@
   private async acquireIn(
     cell: grants.Cell,
     ask: gateway.SlotAcquireOptions,
-    history: CellHistory,
+    waitedElsewhere: number,
     signal: AbortSignal,
   ): Promise<gateway.SlotDecision> {
     const tried = new Set<string>();
     const held: string[] = [];
-    let { moved } = history;
     while (!signal.aborted && tried.size < MAXIMUM_DISPATCHERS) {
       const isLast = tried.size === MAXIMUM_DISPATCHERS - 1;
       const target = isLast
@@ -164,10 +159,9 @@
         target,
         cell.name,
         { ...ask, excluded },
-        { ...history, moved },
+        waitedElsewhere,
         signal,
       );
-      moved = true;
       if (result === 'pass-over') {
         this.options.candidates.markUnresponsive(target.name);
         this.options.onFailover(target, cell.name);
@@ -210,7 +204,7 @@
     target: DispatcherTarget,
     cell: string,
     ask: gateway.SlotAcquireOptions,
-    history: CellHistory,
+    waitedElsewhere: number,
     signal: AbortSignal,
   ): Promise<SlotRequestResult> {
     this.lastAskId += 1;
@@ -226,7 +220,9 @@
       remaining: Math.round(ask.deadlineAt - performance.now()),
       target: route.targetMilliseconds,
       repeated: ask.repeated,
-      ...history,
+      mayProbe: ask.mayProbe,
+      moved: false,
+      waitedElsewhere,
       kilobytes: Math.round(ask.bodyBytes / BYTES_PER_KILOBYTE),
       fingerprint: ask.fingerprint,
       excluded: [...ask.excluded],
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -16,26 +16,13 @@
 /** The suspected endpoints of a cell and what endpoints announce, which a dispatcher reports to its standby. */
 export type CellReport = datagrams.Pong['cells'][number];
 
-/** What a pong says about the retries of cells that its sender does not dispatch. */
-export type RetryReport = Pick<datagrams.Pong, 'retriesKnownFor' | 'heardRetries'>;
-
-type RetryCounts = NonNullable<CellReport['retries']>;
-
 /** Options of `DispatcherRole`. */
 export interface DispatcherRoleOptions {
   /** Name of this daemon, which identifies its own slot requests. */
   readonly self: string;
-  /** Name of this process, which differs from that of an earlier process of this daemon. */
-  readonly processName: string;
   readonly directory: Directory;
   /** Records of crashing requests, shared with the entry. */
   readonly crashRecords: grants.CrashRecords;
-  /** Returns this daemon's share of the retry budget of a cell; small when another daemon is its dispatcher. */
-  readonly retryBudget: (cell: string) => grants.RetryBudget;
-  /** Whether a daemon shares the slack of the retry budget of a cell with this one. */
-  readonly sharesRetryBudget: (cell: string, name: string) => boolean;
-  /** Whether the dispatchers of a cell tell a daemon of their retries. */
-  readonly hearsRetries: (cell: string, name: string) => boolean;
   /** Returns the share of announced limits that this daemon may use in a cell. */
   readonly limitShare: (cell: string) => number;
   /** Whether the endpoints may have left while this daemon was suspended. */
@@ -48,10 +35,6 @@
   /** Called each second with the endpoints of a cell that get no requests while a part of the requests fails. */
   readonly onUnused: (cell: string, endpoints: readonly grants.UnusedEndpoint[]) => void;
   readonly onAnnouncement: (cell: string, change: grants.AnnouncementChange) => void;
-  /** Called each second with the retry budget of a cell and the retries that were refused for it since. */
-  readonly onRetryBudget: (cell: string, state: grants.RetryBudgetState, refused: number) => void;
-  /** Called when this daemon granted several retries that its standbys may not know of. */
-  readonly onRetriesGranted: () => void;
 }
 
 /** Time for which responses are cached, to be repeated when a slot request is sent again. */
@@ -69,10 +52,6 @@
 const GRANT_ID_STEP = 1_000_000;
 const GRANT_ID_RANGE = 4000;
 const PERCENT = 100;
-/** Retries after which the standbys are told without waiting for their pings. */
-const REPORTED_RETRIES = 8;
-/** Time for which further retries are collected before they are told. */
-const RETRY_REPORT_MILLISECONDS = 50;
 
 /** A response of an endpoint to a request of this daemon. */
 export interface OwnResponse {
@@ -112,19 +91,6 @@
 
   private isStopping = false;
 
-  private unreportedRetries = 0;
-
-  /** Retries that were refused for the retry budget since the last report on it, by cell. */
-  private readonly refusedRetries = new Map<string, number>();
-
-  private retryReportTimer: NodeJS.Timeout | undefined;
-
-  /** Time since which this process is told of the retries of other dispatchers. */
-  private listeningSince = performance.now();
-
-  /** Times since which other daemons were told of them, by the name of the daemon that passed the counts on. */
-  private readonly heardSince = new Map<string, number>();
-
   constructor(private readonly options: DispatcherRoleOptions) {
     // Reports on grants of an earlier process at the same address must not match grants of this one.
     this.lastGrantId = Math.floor(Math.random() * GRANT_ID_RANGE) * GRANT_ID_STEP;
@@ -149,8 +115,6 @@
 
   /** Ends what was queued or decided before a suspension, since the endpoints may have left meanwhile. */
   resume(): void {
-    this.listeningSince = performance.now();
-    this.heardSince.clear();
     for (const dispatcher of this.cells.values()) {
       dispatcher.stop();
     }
@@ -164,7 +128,6 @@
   stop(): void {
     clearInterval(this.cleanupTimer);
     clearTimeout(this.queueTimer);
-    clearTimeout(this.retryReportTimer);
   }
 
   /** Handles a slot request; `respond` is called at once and, after `queued`, again with the decision. */
@@ -210,7 +173,7 @@
       remaining: ask.remaining,
       target: ask.target,
       repeated: ask.repeated,
-      moved: ask.moved,
+      mayProbe: ask.mayProbe,
       waitedElsewhere: ask.waitedElsewhere,
       kilobytes: ask.kilobytes,
       fingerprint: ask.fingerprint,
@@ -249,40 +212,15 @@
     for (const [name, dispatcher] of this.cells) {
       if (this.isActiveFor(name)) {
         const announced = encodeAnnouncements(dispatcher.announcements.list());
-        const retries = this.encodeRetries(dispatcher);
-        cells.push({ name, suspects: dispatcher.listSuspects(), ...announced, retries });
+        cells.push({ name, suspects: dispatcher.listSuspects(), ...announced });
       }
     }
     return cells;
   }
 
-  /** Reports on the retries that this process has heard of, for the cells that `listCellReports` leaves out. */
-  createRetryReport(): Required<RetryReport> {
-    const heardRetries: Required<RetryReport>['heardRetries'] = [];
-    for (const [name, dispatcher] of this.cells) {
-      if (!this.isActiveFor(name)) {
-        for (const counts of this.encodeRetries(dispatcher)) {
-          heardRetries.push([name, ...counts]);
-        }
-      }
-    }
-    const retriesKnownFor = Math.round(performance.now() - this.listeningSince);
-    return { retriesKnownFor, heardRetries };
-  }
-
-  /** Imports the report of a daemon on the retries that it has heard of. */
-  importRetryReport({ retriesKnownFor = 0, heardRetries = [] }: RetryReport, source: string): void {
-    for (const [name, ...counts] of heardRetries) {
-      this.importRetries(name, [counts], source);
-    }
-    const heardSince = performance.now() - retriesKnownFor;
-    this.heardSince.set(source, Math.min(heardSince, this.heardSince.get(source) ?? Infinity));
-  }
-
   /** Imports what an active dispatcher reports, for cells that this daemon does not dispatch. */
   importCellReports(cells: readonly CellReport[], source: string): void {
-    for (const { name, suspects, retries = [], ...announced } of cells) {
-      this.importRetries(name, retries, source);
+    for (const { name, suspects, ...announced } of cells) {
       if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
         const dispatcher = this.getOrCreate(name);
         dispatcher.importSuspects(new Set(suspects));
@@ -304,49 +242,6 @@
     }
   }
 
-  private encodeRetries(dispatcher: grants.CellDispatcher): RetryCounts {
-    const now = performance.now();
-    return dispatcher
-      .listCountedRetries(this.options.processName)
-      .map(({ process, requests, retries, at }) => [
-        process,
-        requests,
-        retries,
-        Math.round(Math.max(0, now - at)),
-      ]);
-  }
-
-  private importRetries(cell: string, counts: RetryCounts, source: string): void {
-    if (counts.length === 0 || !this.options.directory.hasCell(cell)) {
-      return;
-    }
-    const now = performance.now();
-    const dispatcher = this.getOrCreate(cell);
-    for (const [process, requests, retries, age] of counts) {
-      const counted = { process, requests, retries, at: now - age };
-      if (process !== this.options.processName) {
-        dispatcher.importCountedRetries([counted]);
-      } else if (this.options.sharesRetryBudget(cell, source)) {
-        dispatcher.confirmCountedRetries(counted);
-      }
-    }
-  }
-
-  /**
-   * Returns the time since which this process or one that passed its counts on knows of the retries in a cell. What was
-   * spent in the cells into which the service was divided before is not known.
-   */
-  private findRetriesKnownSince(cell: string): number {
-    let knownSince = this.listeningSince;
-    for (const [name, heardSince] of this.heardSince) {
-      if (heardSince < knownSince && this.options.hearsRetries(cell, name)) {
-        knownSince = heardSince;
-      }
-    }
-    const service = grants.findServiceOfCell(cell);
-    return Math.max(knownSince, this.options.directory.getDividedAt(service));
-  }
-
   private isActiveFor(cell: string): boolean {
     const lastAskAt = this.lastAskByCell.get(cell) ?? -Infinity;
     return performance.now() - lastAskAt < ACTIVE_MILLISECONDS;
@@ -358,8 +253,6 @@
       dispatcher = new grants.CellDispatcher({
         now: () => performance.now(),
         crashRecords: this.options.crashRecords,
-        retryBudget: () => this.options.retryBudget(cell),
-        retriesKnownSince: () => this.findRetriesKnownSince(cell),
         limitShare: () => this.options.limitShare(cell),
         nextGrantId: () => {
           this.lastGrantId += 1;
@@ -376,9 +269,6 @@
 
   private sendDecision(cell: string, request: grants.SlotRequest, decision: grants.Decision): void {
     this.options.onDecision(cell, request, decision);
-    if (decision.kind === 'refuse' && decision.reason === 'retry-budget') {
-      this.refusedRetries.set(cell, (this.refusedRetries.get(cell) ?? 0) + 1);
-    }
     const cached = this.responses.get(request.key);
     if (cached === undefined) {
       return;
@@ -387,7 +277,6 @@
     const load = Math.round(dispatcher.load * PERCENT);
     const askId = Number(request.key.slice(request.key.lastIndexOf('/') + 1));
     if (decision.kind === 'grant') {
-      this.scheduleRetryReport(request);
       this.cellByGrant.set(decision.grantId, dispatcher);
       const { grantId, endpoint, hedgeAfter, reuseWithin } = decision;
       cached.response = [
@@ -410,18 +299,6 @@
     cached.respond(cached.response);
   }
 
-  /** The standbys are told soon, since this process may be killed before their next pings. */
-  private scheduleRetryReport({ repeated }: grants.SlotRequest): void {
-    this.unreportedRetries += repeated ? 1 : 0;
-    if (this.unreportedRetries >= REPORTED_RETRIES) {
-      this.retryReportTimer ??= setTimeout(() => {
-        this.retryReportTimer = undefined;
-        this.unreportedRetries = 0;
-        this.options.onRetriesGranted();
-      }, RETRY_REPORT_MILLISECONDS);
-    }
-  }
-
   private scheduleTick(): void {
     this.queueTimer ??= setTimeout(() => {
       this.queueTimer = undefined;
@@ -454,15 +331,6 @@
     }
     this.removeFormerCells();
     this.reportUnused();
-    this.reportRetryBudgets();
-  }
-
-  private reportRetryBudgets(): void {
-    for (const [cell, dispatcher] of this.cells) {
-      const refused = this.refusedRetries.get(cell) ?? 0;
-      this.options.onRetryBudget(cell, dispatcher.readRetryBudget(), refused);
-    }
-    this.refusedRetries.clear();
   }
 
   private reportUnused(): void {
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -26,6 +26,7 @@
 import { PingExchange } from './ping-exchange.js';
 import { PortBinder } from './port-binder.js';
 import { ReadinessServer } from './readiness-server.js';
+import { RetryBudgets } from './retry-budgets.js';
 import { RoleAssignment } from './role-assignment.js';
 import { type GatewaySettings, splitAddress } from './settings.js';
 import { SilentAttempts } from './silent-attempts.js';
@@ -76,6 +77,8 @@
 
   private readonly dispatcherRole: DispatcherRole;
 
+  private readonly retryBudgets: RetryBudgets;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -175,23 +178,20 @@
     });
     this.dispatcherRole = new DispatcherRole({
       self: settings.name,
-      processName: `${settings.name} ${this.members.self.startedAt}`,
       directory: this.directory,
       crashRecords: this.crashRecords.records,
-      retryBudget: (cell) => this.roleAssignment.computeRetryBudget(this.directory.getCell(cell)),
-      sharesRetryBudget: (cell, daemon) =>
-        this.roleAssignment.sharesRetryBudget(this.directory.getCell(cell), daemon),
-      hearsRetries: (cell, daemon) =>
-        this.roleAssignment.hearsRetries(this.directory.getCell(cell), daemon),
       limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
       isVerifying: () => this.roleAssignment.isVerifying,
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
       onUnused: (cell, endpoints) => this.reporter.recordUnused(cell, endpoints),
       onAnnouncement: (cell, change) => this.reporter.recordAnnouncement(cell, change),
-      onRetryBudget: (cell, state, refused) =>
-        this.reporter.recordRetryBudget(cell, state, refused),
-      onRetriesGranted: () => this.pingExchange.announceRetries(),
+    });
+    this.retryBudgets = new RetryBudgets({
+      share: (service) => this.roleAssignment.computeRetryBudget(service),
+      onState: (service, state, refused) =>
+        this.reporter.recordRetryBudget(service, state, refused),
+      now: () => performance.now(),
     });
     this.peerState = new PeerState({
       members: this.members,
@@ -279,6 +279,7 @@
     const { name, zone } = this.options.settings;
     this.suspension.start();
     this.dispatcherRole.start();
+    this.retryBudgets.start();
     this.candidates.start();
     this.watcher.start();
     this.logger.info('daemon has started', {
@@ -339,6 +340,7 @@
     this.directory.close();
     this.candidates.stop();
     this.dispatcherRole.stop();
+    this.retryBudgets.stop();
     this.dispatcherClient.close();
     this.endpointPaths.close();
     this.datagramSocket.close();
@@ -516,6 +518,7 @@
         now: () => performance.now(),
         random: Math.random,
       }),
+      retryBudgets: this.retryBudgets,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -49,7 +49,7 @@
 
   private readonly crashEvents: promClient.Counter<'event'>;
 
-  private readonly retryBudget: promClient.Gauge<'cell' | 'kind'>;
+  private readonly retryBudget: promClient.Gauge<'service' | 'kind'>;
 
   private readonly descriptorEvents: promClient.Counter<'event'>;
 
@@ -108,8 +108,8 @@
     });
     this.retryBudget = new library.Gauge({
       name: 'dogwoodstall_retry_budget',
-      help: 'Requests, retries and allowed retries of this process, and retries that others took from the slack, in a window',
-      labelNames: ['cell', 'kind'],
+      help: 'Requests and retries of own callers in a window, retries that remain, and the part of the slack, by service',
+      labelNames: ['service', 'kind'],
       registers,
     });
     this.descriptorEvents = new library.Counter({
@@ -276,15 +276,11 @@
     this.crashEvents.inc({ event });
   }
 
-  /** Sets what a cell has of its retry budget. */
-  setRetryBudget(
-    cell: string,
-    { requests, retries, allowed, spentByOthers }: RetryBudgetState,
-  ): void {
-    this.retryBudget.set({ cell, kind: 'requests' }, requests);
-    this.retryBudget.set({ cell, kind: 'retries' }, retries);
-    this.retryBudget.set({ cell, kind: 'allowed' }, Math.floor(allowed));
-    this.retryBudget.set({ cell, kind: 'spent-by-others' }, Math.round(spentByOthers));
+  /** Sets what this daemon has of the retry budget of a service. */
+  setRetryBudget(service: string, { requests, retries, remaining, slack }: RetryBudgetState): void {
+    for (const [kind, value] of Object.entries({ requests, retries, remaining, slack })) {
+      this.retryBudget.set({ service, kind }, value);
+    }
   }
 
   /** Counts connections and requests that were closed, refused or failed for lack of descriptors. */
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -13,8 +13,6 @@
 
 /** Time since its last ping for which a daemon receives announcements. */
 const SUBSCRIPTION_MILLISECONDS = 3000;
-/** Sent to daemons that are not told of retries. */
-const noRetryReport = { retriesKnownFor: 0, heardRetries: [] };
 /** Sequence number of an unsolicited pong. */
 const UNSOLICITED_SEQUENCE = 0;
 
@@ -67,7 +65,6 @@
     candidates().receivePong(member.name, pong);
     roleAssignment.recordStoreContact(member.name, pong.storeAge);
     dispatcherRole.importCellReports(pong.cells, member.name);
-    dispatcherRole.importRetryReport(pong, member.name);
     peerState.fetchIfNewer(pong, from.host, pong.memberDigest !== members.digest);
     const mayConfirm = pong.settled && !pong.stopping && candidates().isCurrent(pong);
     if (mayConfirm && pong.directoryRevision <= directory.endpointRevision) {
@@ -85,11 +82,6 @@
     this.announce(({ standby, isNew }) => standby || isNew);
   }
 
-  /** Sends a pong to the standbys, with the retries that this daemon granted. */
-  announceRetries(): void {
-    this.announce(({ standby }) => standby);
-  }
-
   private announce(isRecipient: (subscriber: Subscriber) => boolean): void {
     const earliest = performance.now() - SUBSCRIPTION_MILLISECONDS;
     for (const [host, subscriber] of this.subscribers) {
@@ -115,7 +107,6 @@
           storeAge: Math.round(roleAssignment.storeAge),
           memberDigest: members.digest,
           cells: standby ? dispatcherRole.listCellReports() : [],
-          ...(standby ? dispatcherRole.createRetryReport() : noRetryReport),
         },
       ],
       to,
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -1,8 +1,8 @@
 /**
  * Decides which roles a daemon currently has (dispatching, watching the store) and its share of the retry budgets.
  */
-import type * as grants from '@dogwoodstall/grants';
-import { type Candidates, TAKEOVER_RANKS } from './candidates.js';
+import * as grants from '@dogwoodstall/grants';
+import type { Candidates } from './candidates.js';
 import type { Directory } from './directory.js';
 import { type MemberTable, STORE_WATCHER_ROLE } from './member.js';
 import type { GatewaySettings } from './settings.js';
@@ -27,10 +27,8 @@
 const PEER_STATE_TIMEOUT_MILLISECONDS = 500;
 /** Time after its start at which a daemon that could not join reads the complete state itself. */
 const UNJOINED_READ_MILLISECONDS = 1500;
-/** Number of daemons that rank first for a cell and share the slack of its retry budget. */
-const SHARED_BUDGET_RANKS = 2;
-/** Share of the slack that all other daemons together may use, beside what dispatchers and new processes use. */
-const OTHER_BUDGET_SHARE = 0.1;
+/** Precedes a service in the name of the role by whose ranking the slack of its retry budget is divided. */
+const RETRY_ROLE_PREFIX = '@retries/';
 
 /** Share of announced limits that the standby uses while it grants requests beside the dispatcher of a cell. */
 const STANDBY_LIMIT_SHARE = 0.25;
@@ -114,37 +112,16 @@
     }
   }
 
-  /**
-   * Returns this daemon's share of the retry budget of a cell. The cells of a service share the fleet's slack evenly. In
-   * each cell, the shares of all daemons add up to the slack, whether they hear each other or not.
-   */
-  computeRetryBudget(cell: grants.Cell): grants.RetryBudget {
-    const { ratio, slack: fleetSlack, windowSeconds } = this.options.retries();
-    const slack = fleetSlack / this.options.directory.listCellsOf(cell.service).length;
-    const windowMilliseconds = windowSeconds * 1000;
-    const memberCount = this.options.members.list().length;
-    if (this.isRanked(cell, this.options.members.self.name, SHARED_BUDGET_RANKS)) {
-      const parties = Math.min(memberCount, SHARED_BUDGET_RANKS);
-      return { ratio, slack, windowMilliseconds, parties };
-    }
-    const otherCount = Math.max(1, memberCount - SHARED_BUDGET_RANKS);
-    const reservedSlack = (slack * OTHER_BUDGET_SHARE) / otherCount;
-    return { ratio, slack: reservedSlack, windowMilliseconds, reserved: true };
-  }
-
-  /** Whether a daemon is one of those that share the slack of the retry budget of a cell. */
-  sharesRetryBudget(cell: grants.Cell, name: string): boolean {
-    return this.isRanked(cell, name, SHARED_BUDGET_RANKS);
-  }
-
-  /** Whether the dispatchers of a cell tell a daemon of their retries. */
-  hearsRetries(cell: grants.Cell, name: string): boolean {
-    return this.isRanked(cell, name, TAKEOVER_RANKS);
-  }
-
-  private isRanked(cell: grants.Cell, name: string, ranks: number): boolean {
-    const first = this.options.members.rank(cell).slice(0, ranks);
-    return first.some((member) => member.name === name);
+  /** Returns this daemon's share of the retry budget of a service; the slack is divided by the ranking of the daemons. */
+  computeRetryBudget(service: string): grants.RetryBudgetShare {
+    const { members, retries } = this.options;
+    const { ratio, slack, windowSeconds } = retries();
+    const ranking = members.rank({ name: `${RETRY_ROLE_PREFIX}${service}`, zone: undefined });
+    return grants.computeRetryBudgetShare(
+      { ratio, slack, windowMilliseconds: windowSeconds * 1000 },
+      ranking.indexOf(members.self),
+      ranking.length,
+    );
   }
 
   /**
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -25,7 +25,7 @@
   },
   deadlineAt: performance.now() + 60_000,
   repeated: false,
-  counted: false,
+  mayProbe: true,
   bodyBytes: 0,
   fingerprint: '1x',
   excluded: [],
@@ -145,20 +145,6 @@
   assert.equal(await dispatcher.use(), 'one', 'a new process at the id');
 });
 
-// Guards against a retry budget that grows with each slot that is requested again for the same request.
-test('a request counts once for the retry budget, however often a slot is requested for it', async () => {
-  const dispatcher = new UninformedDispatcher(['one', 'two', 'three']);
-  dispatcher.drained.add('one 1').add('two 1');
-  assert.equal(await dispatcher.use(), 'three');
-  assert.deepEqual(
-    dispatcher.asks.map(({ moved }) => moved),
-    [false, true, true],
-  );
-  const { signal } = new AbortController();
-  await dispatcher.client.acquire({ ...slotOptions, counted: true }, signal);
-  assert.equal(dispatcher.asks.at(-2)?.moved, true, 'after an attempt that could not connect');
-});
-
 // Guards against a dispatcher that knows less than the entry, for instance because it could not fetch newer endpoints.
 test('a daemon does not use an endpoint that it knows to be draining, and tells the dispatcher', async () => {
   const dispatcher = new UninformedDispatcher(['one', 'other']);
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -9,8 +9,6 @@
 
 /** Time until the deadline of each slot request. */
 const REMAINING_MILLISECONDS = 5000;
-/** Fixed number of retries of the retry budget. */
-const SLACK = 20;
 
 /** Creates endpoints in two zones by turns. */
 function createEndpoints(service: string, count: number): Endpoint[] {
@@ -37,23 +35,13 @@
   const decisions: grants.Decision[] = [];
   const role = new DispatcherRole({
     self: 'daemon-1',
-    processName: 'daemon-1 1',
     directory,
     crashRecords: new grants.CrashRecords(),
-    retryBudget: (cell) => ({
-      ratio: 0.2,
-      slack: SLACK / directory.listCellsOf(grants.findServiceOfCell(cell)).length,
-      windowMilliseconds: 10_000,
-    }),
-    sharesRetryBudget: () => true,
-    hearsRetries: () => true,
     onDecision: (_cell, _request, decision) => decisions.push(decision),
     isVerifying,
     limitShare: () => 1,
     onUnused: () => {},
     onAnnouncement: () => {},
-    onRetriesGranted: () => {},
-    onRetryBudget: () => {},
   });
   let revision = 1;
   const setEndpoints = (changed: readonly Endpoint[]): void => {
@@ -76,6 +64,7 @@
     target: 400,
     repeated: false,
     moved: false,
+    mayProbe: true,
     waitedElsewhere: 0,
     kilobytes: 0,
     fingerprint: String(askId),
@@ -98,28 +87,6 @@
   assert.ok(other.risk > 0.25, 'the risk of an endpoint of another cell is unchanged');
 });
 
-// Guards against a slack that is spent anew in each cell when a service is divided into other cells.
-test('the retries of former cells count against the slack of a service that is divided anew', () => {
-  const { role, decisions, setEndpoints } = createRole();
-  role.importRetryReport({ retriesKnownFor: 20_000 }, 'daemon-2');
-  setEndpoints(createEndpoints('valuation', 40));
-  let lastAskId = 0;
-  const retryIn = (cell: string): void => {
-    for (let count = 0; count < 2 * SLACK; count += 1) {
-      lastAskId += 1;
-      role.ask('entry', { ...createAsk(cell, lastAskId), repeated: true }, () => {});
-    }
-  };
-  const countGranted = (): number => decisions.filter(({ kind }) => kind === 'grant').length;
-  retryIn('valuation');
-  const before = countGranted();
-  assert.ok(before > SLACK / 2, `${before} retries`);
-  setEndpoints(createEndpoints('valuation', 60));
-  retryIn('valuation@a#0');
-  retryIn('valuation@b#0');
-  assert.ok(countGranted() <= SLACK, `${before} retries before, ${countGranted()} in all`);
-});
-
 test('a stopping dispatcher refuses the requests of other daemons and still grants its own', () => {
   const { role } = createRole();
   role.beginStop();
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -26,7 +26,7 @@
     target: z.number().positive(),
     /** Whether an earlier attempt may have reached an endpoint. */
     repeated: z.boolean(),
-    /** Whether the request may have been counted for the retry budget by an earlier ask, of any dispatcher. */
+    /** Always false; older daemons count the request for a retry budget of the dispatcher unless it is true. */
     moved: z.boolean(),
     /** Size of the body, from which the cost of sending it to another zone is calculated. */
     kilobytes: z.number().int(),
@@ -34,8 +34,10 @@
     fingerprint: z.string(),
     /** Ids of the endpoints that earlier attempts used. */
     excluded: z.array(z.string()),
-    /** Time for which the request has already waited at dispatchers of other cells; last, as older daemons lack it. */
+    /** Time for which the request has already waited at dispatchers of other cells. Older daemons send none. */
     waitedElsewhere: milliseconds.default(0),
+    /** Whether the sender can repeat the request, so that it may probe an endpoint. Older daemons send none. */
+    mayProbe: z.boolean().default(false),
   }),
 ]);
 
@@ -154,36 +156,8 @@
         announcementAges: z.array(milliseconds).optional(),
         /** Limits that ended recently: id, lifetime, and time since the evidence for it. Absent from older daemons. */
         endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
-        /**
-         * Requests and retries of the cell in a window of the retry budget: name of the process that counted them, both
-         * numbers, and the age of the count. Absent from older daemons.
-         */
-        retries: z
-          .array(
-            z.tuple([
-              z.string(),
-              z.number().int().nonnegative(),
-              z.number().int().nonnegative(),
-              milliseconds,
-            ]),
-          )
-          .optional(),
       }),
     ),
-    /** Time for which the sender has heard of the retries of other dispatchers. Absent from older daemons. */
-    retriesKnownFor: milliseconds.optional(),
-    /** The same counts for cells that the sender does not dispatch, with the cell first. Absent from older daemons. */
-    heardRetries: z
-      .array(
-        z.tuple([
-          z.string(),
-          z.string(),
-          z.number().int().nonnegative(),
-          z.number().int().nonnegative(),
-          milliseconds,
-        ]),
-      )
-      .optional(),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -23,6 +23,7 @@
     kilobytes: 60,
     fingerprint: '1x',
     excluded: ['i-1'],
+    mayProbe: false,
   },
 ];
 
@@ -144,10 +145,35 @@
   }
 });
 
-test('a slot request of an older daemon, which does not tell the time waited elsewhere, is decoded', () => {
+test('a slot request of an older daemon, which tells neither the time waited elsewhere nor whether it may probe, is decoded', () => {
   const values = msgpack.decode(datagrams.encodeMessage(ask)) as unknown[];
-  const decoded = datagrams.decodeMessage(msgpack.encode(values.slice(0, -1)));
-  assert.deepEqual(decoded, ask);
+  for (const missing of [1, 2]) {
+    const decoded = datagrams.decodeMessage(msgpack.encode(values.slice(0, -missing)));
+    assert.deepEqual(decoded, ask);
+  }
+});
+
+// Guards against a fleet that is updated daemon by daemon and whose daemons don't understand each other.
+test('a pong of an older daemon, which tells of retries, is decoded', () => {
+  const pong: datagrams.Message = [
+    'pong',
+    {
+      sequence: 1,
+      stopping: false,
+      settled: true,
+      configurationVersion: 1,
+      directoryRevision: 1,
+      storeAge: 0,
+      memberDigest: 'x',
+      cells: [{ name: 'valuation', suspects: [] }],
+    },
+  ];
+  const values = msgpack.decode(datagrams.encodeMessage(pong)) as unknown[];
+  const older = values.with(-1, [
+    { name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] },
+  ]);
+  older.push(20_000, [['archive', 'daemon-1 1', 10, 2, 100]]);
+  assert.deepEqual(datagrams.decodeMessage(msgpack.encode(older)), pong);
 });
 
 // Guards against an odd entry of a daemon whose port ends each process that pings it.
--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -29,6 +29,8 @@
   | { readonly kind: 'answer'; readonly response: EndpointResponse }
   /** The endpoint reports that it did not run the request. */
   | { readonly kind: 'shed' }
+  /** The daemon to which the request was relayed has sent it to no endpoint. */
+  | { readonly kind: 'not-arrived' }
   | { readonly kind: 'misdirected' }
   /** No byte of the request was sent. */
   | { readonly kind: 'refused'; readonly reason: string }
@@ -206,8 +208,8 @@
       this.fail({ kind: 'broken', reason: 'response has no headers' });
     } else if (classification.kind === 'not-run') {
       this.settle({ kind: 'shed' });
-    } else if (classification.kind === 'misdirected') {
-      this.settle({ kind: 'misdirected' });
+    } else if (classification.kind === 'misdirected' || classification.kind === 'not-arrived') {
+      this.settle({ kind: classification.kind });
     } else {
       const body = this.body.list();
       this.settle({
--- a/packages/routing/gateway/src/caller-responder.ts
+++ b/packages/routing/gateway/src/caller-responder.ts
@@ -5,6 +5,7 @@
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
 import type { EndpointResponse } from './attempt.js';
+import { listNoArrivalsHeaders } from './relay.js';
 import type { WireProtocol } from './wire-protocol.js';
 import type { RequestResult } from './request-execution.js';
 
@@ -34,7 +35,7 @@
       return { status: result.response.status, result: 'answered' };
     }
     const { failure } = result.failure;
-    this.sendFailure(incoming, failure, result.retryAfter);
+    this.sendFailure(incoming, failure, result.retryAfter, result.hasArrived);
     return { status: results.findResult(failure.kind).httpStatus, result: failure.kind };
   }
 
@@ -63,15 +64,16 @@
     response.end(bodiless ? undefined : body.at(-1));
   }
 
-  /** Sends a failure that the gateway itself reports. */
+  /** Sends a failure that the gateway itself reports; `hasArrived` is whether the request may have reached an endpoint. */
   sendFailure(
-    { response, requestId }: IncomingRequest,
+    { request, response, requestId }: IncomingRequest,
     failure: results.Failure,
     retryAfter: number | undefined,
+    hasArrived: boolean,
   ): void {
     this.disableKeepAliveIfStopping(response);
     const { protocol } = this;
-    const extraHeaders: Record<string, string> = {};
+    const extraHeaders = hasArrived ? {} : listNoArrivalsHeaders(request.headers);
     const { httpStatus } = results.findResult(failure.kind);
     if (retryAfter !== undefined || httpStatus === 503) {
       const retryMilliseconds = retryAfter ?? NOT_READY_RETRY_MILLISECONDS;
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -18,7 +18,7 @@
 import { ConnectionLimiter, type DescriptorEvent } from './connection-limiter.js';
 import { type ConnectionLimits, isDescriptorShortage } from './connection-limits.js';
 import { ConnectionPool } from './connection-pool.js';
-import { type RelayState, readRelayHeaders } from './relay.js';
+import { readRelayHeaders } from './relay.js';
 import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
 import type { WireProtocol } from './wire-protocol.js';
 import { type BufferedBody, readBody } from './body-buffer.js';
@@ -26,7 +26,7 @@
 import { MemoryShare } from './memory-share.js';
 import { UnreadResponses } from './unread-responses.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
-import type { SlotSource } from './slots.js';
+import type { RetryBudgets, SlotSource } from './slots.js';
 
 /** The routing and result of a request, for the log and the metrics. */
 export interface RequestDecision {
@@ -45,6 +45,7 @@
 export interface GatewayServerOptions {
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
+  readonly retryBudgets: RetryBudgets;
   /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
   readonly isDaemon: (host: string) => boolean;
   /** Returns the active routes; undefined until configuration and endpoints are known. */
@@ -278,14 +279,14 @@
         this.options.onUnexpectedError(requestId ?? '', error);
       }
       const failure = results.toFailure(error);
-      this.responder.sendFailure(incoming, failure, undefined);
+      this.responder.sendFailure(incoming, failure, undefined, true);
       this.reportUnsent(failure.kind, incoming);
     }
   }
 
   private async processRequest(incoming: IncomingRequest): Promise<void> {
     const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots } = this.options;
+    const { protocol, slots, retryBudgets } = this.options;
     const responseShare = new MemoryShare(this.responseMemory);
     response.once('close', () => responseShare.close());
     const checked = proxy.checkRequest(request);
@@ -324,8 +325,8 @@
         signal: abortController.signal,
       });
       const fingerprint = computeFingerprint(request, body.bytes);
-      const attemptsLeft = route.maximumAttempts;
-      const relayed = this.readRelayState(request, { attemptsLeft, repeated: false, fingerprint });
+      const relayed = readRelayHeaders(request.headers);
+      const isRelayed = relayed !== undefined && this.isFromDaemon(request);
       const context: RequestContext = {
         requestId,
         service: chooseDestination(route, Math.random()),
@@ -335,12 +336,14 @@
         headers: selectForwardedHeaders(request, protocol),
         body: body.bytes,
         deadlineAt,
-        fingerprint: relayed?.fingerprint ?? fingerprint,
-        relayed,
+        fingerprint: isRelayed ? relayed.fingerprint : fingerprint,
+        relayed: isRelayed ? relayed : undefined,
+        mayRelay: relayed === undefined,
       };
       const requestResult = await executeRequest({
         context,
         slots,
+        retryBudgets,
         attemptOptions: {
           pool: this.pool,
           protocol,
@@ -374,13 +377,8 @@
   }
 
   /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
-  private readRelayState(
-    { headers, socket }: http.IncomingMessage,
-    ofCaller: RelayState,
-  ): RelayState | undefined {
-    const state = readRelayHeaders(headers);
-    const isTrusted = this.options.isDaemon(socket.remoteAddress ?? '');
-    return state === undefined || isTrusted ? state : ofCaller;
+  private isFromDaemon({ socket }: http.IncomingMessage): boolean {
+    return this.options.isDaemon(socket.remoteAddress ?? '');
   }
 
   private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
@@ -400,6 +398,7 @@
       incoming,
       results.createFailure('NotReady'),
       NOT_READY_RETRY_MILLISECONDS,
+      false,
     );
     this.reportUnsent('NotReady', incoming);
   }
@@ -410,6 +409,7 @@
       incoming,
       results.createFailure('DaemonFull'),
       NOT_READY_RETRY_MILLISECONDS,
+      false,
     );
     this.reportUnsent('DaemonFull', incoming);
   }
--- a/packages/routing/gateway/src/index.ts
+++ b/packages/routing/gateway/src/index.ts
@@ -12,6 +12,7 @@
   GatewayServer,
 } from './gateway-server.js';
 export {
+  type RetryBudgets,
   type Slot,
   type SlotAcquireOptions,
   type SlotDecision,
--- a/packages/routing/gateway/src/relay.ts
+++ b/packages/routing/gateway/src/relay.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that one daemon relays to another, because it does not reach the endpoints itself. A request is relayed at
- * most once; the other daemon handles it like one of its own callers and reports whether the request may have run.
+ * most once. The other daemon makes one attempt, which the relaying daemon has counted, and reports whether the request
+ * may have run and whether it reached an endpoint.
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import * as proxy from '@dogwoodstall/proxy';
@@ -10,10 +11,12 @@
 const RELAY_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay`;
 const RELAY_PATTERN = /^(\d{1,2}) (first|repeated) ([0-9a-z]{1,32})$/;
 const EXECUTION_HEADER = proxy.EXECUTION_HEADER.toLowerCase();
+const ARRIVALS_HEADER = `${proxy.FLEET_HEADER_PREFIX}arrivals`;
+const NO_ARRIVALS = '0';
 
 /** What the relaying daemon has done with a request so far. */
 export interface RelayState {
-  /** Number of attempts that the route still allows. */
+  /** Number of attempts that the other daemon may make; older daemons allow more than one. */
   readonly attemptsLeft: number;
   /** Whether an earlier attempt may have reached an endpoint. */
   readonly repeated: boolean;
@@ -39,6 +42,11 @@
       };
 }
 
+/** Returns the headers of a failure after which no attempt of the relayed request has reached an endpoint. */
+export function listNoArrivalsHeaders(requestHeaders: IncomingHttpHeaders): Record<string, string> {
+  return requestHeaders[RELAY_HEADER] === undefined ? {} : { [ARRIVALS_HEADER]: NO_ARRIVALS };
+}
+
 /** Classifies the response of the other daemon: one of an endpoint, or a failure that says whether the request ran. */
 export function classifyRelayedResponse(
   protocol: WireProtocol,
@@ -52,5 +60,8 @@
     return classification.kind === 'answer' ? classification : { kind: 'foreign' };
   }
   const isOwn = headers[protocol.requestIdHeader] === context.requestId;
-  return { kind: isOwn && execution === 'not-run' ? 'not-run' : 'foreign' };
+  if (!isOwn || execution !== 'not-run') {
+    return { kind: 'foreign' };
+  }
+  return { kind: headers[ARRIVALS_HEADER] === NO_ARRIVALS ? 'not-arrived' : 'not-run' };
 }
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -1,6 +1,8 @@
 /**
  * Retries and hedging for one request. A request that is not idempotent is retried only if provably no endpoint ran it.
- * An idempotent request is also retried after a failure, and hedged when its endpoint is slow to respond.
+ * An idempotent request is also retried after a failure, and hedged when its endpoint is slow to respond. Each attempt
+ * after one that may have reached an endpoint is taken from the retry budget of this daemon. Of a request that another
+ * daemon relayed, one attempt is made, which that daemon has counted.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Outcome } from '@dogwoodstall/datagrams';
@@ -15,7 +17,13 @@
   sendAttempt,
 } from './attempt.js';
 import type { RelayState } from './relay.js';
-import { type SlotDecision, type SlotReport, type SlotSource, unusedReport } from './slots.js';
+import {
+  type RetryBudgets,
+  type SlotDecision,
+  type SlotReport,
+  type SlotSource,
+  unusedReport,
+} from './slots.js';
 
 /** An attempt as recorded in the log. */
 export interface AttemptRecord {
@@ -40,12 +48,15 @@
   readonly fingerprint: string;
   /** Set if another daemon relayed the request. */
   readonly relayed: RelayState | undefined;
+  /** Whether this daemon may relay the request. */
+  readonly mayRelay: boolean;
 }
 
 /** Options of `executeRequest`. */
 export interface RequestExecutionOptions {
   readonly context: RequestContext;
   readonly slots: SlotSource;
+  readonly retryBudgets: RetryBudgets;
   readonly attemptOptions: Pick<
     AttemptOptions,
     'pool' | 'protocol' | 'responseMemory' | 'onUnreadableAnnouncement'
@@ -65,6 +76,8 @@
       readonly failure: FailureError;
       /** Milliseconds after which the caller may retry; set only if the request was not run. */
       readonly retryAfter: number | undefined;
+      /** Whether the request may have reached an endpoint, which may have rejected it. */
+      readonly hasArrived: boolean;
     };
 
 /** Minimum retry delay sent to the caller when the request was not run. */
@@ -91,6 +104,7 @@
 
 const reportOutcomeByKind: Readonly<Record<Exclude<AttemptOutcome['kind'], 'answer'>, Outcome>> = {
   shed: 'shed',
+  'not-arrived': 'shed',
   misdirected: 'misdirected',
   refused: 'refused',
   'no-descriptor': 'unused',
@@ -98,6 +112,13 @@
   abandoned: 'abandoned',
 };
 
+/** Outcomes after which the request has certainly reached no endpoint. */
+const NOT_ARRIVED: ReadonlySet<AttemptOutcome['kind']> = new Set([
+  'refused',
+  'no-descriptor',
+  'not-arrived',
+]);
+
 const resultByRefusalReason: Readonly<
   Record<Extract<SlotDecision, { kind: 'refused' }>['reason'], ResultName>
 > = {
@@ -123,6 +144,14 @@
   return { outcome, ...measurements };
 }
 
+/** Whether an attempt may have reached an endpoint, which may have rejected it. */
+function hasArrived(outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'abandoned') {
+    return outcome.sent;
+  }
+  return !NOT_ARRIVED.has(outcome.kind);
+}
+
 /** Runs the attempts of one request and decides on retries and hedging. */
 class RequestExecution {
   private readonly excluded: string[] = [];
@@ -146,6 +175,10 @@
   constructor(private readonly options: RequestExecutionOptions) {}
 
   async run(): Promise<RequestResult> {
+    const { relayed, service } = this.options.context;
+    if (relayed === undefined) {
+      this.options.retryBudgets.countRequest(service);
+    }
     const running = new Map<number, RunningAttempt>();
     const start = (): void => {
       const started = this.startAttempt();
@@ -206,19 +239,23 @@
     signal: AbortSignal,
     onHedgeDelay: () => void,
   ): Promise<RunningAttemptResult> {
-    const { context, slots } = this.options;
+    const { context, slots, retryBudgets } = this.options;
+    const { service, relayed } = context;
+    if (this.sentAttempts > 0 && !retryBudgets.canRetry(service)) {
+      return this.createBudgetRefusal();
+    }
     const decision = await slots.acquire(
       {
         requestId: context.requestId ?? '',
-        service: context.service,
+        service,
         route: context.route,
         deadlineAt: context.deadlineAt,
-        repeated: this.sentAttempts > 0 || context.relayed?.repeated === true,
-        counted: this.startedAttempts > 1,
+        repeated: this.sentAttempts > 0 || relayed?.repeated === true,
+        mayProbe: relayed === undefined && retryBudgets.mayProbe(service),
         bodyBytes: context.body?.length ?? 0,
         fingerprint: context.fingerprint,
         excluded: this.excluded,
-        relayed: context.relayed !== undefined,
+        relayed: !context.mayRelay,
       },
       signal,
     );
@@ -231,15 +268,15 @@
       slot.report(unusedReport);
       return { kind: 'expired' };
     }
+    const repeated = this.sentAttempts > 0;
+    const giveBack = repeated ? retryBudgets.take(service) : undefined;
+    if (repeated && giveBack === undefined) {
+      slot.report(unusedReport);
+      return this.createBudgetRefusal();
+    }
     this.excluded.push(slot.endpoint);
-    const relay =
-      slot.viaPeer === true
-        ? {
-            attemptsLeft: this.maximumAttempts - this.sentAttempts,
-            repeated: this.sentAttempts > 0,
-            fingerprint: context.fingerprint,
-          }
-        : undefined;
+    const { fingerprint } = context;
+    const relay = slot.viaPeer === true ? { attemptsLeft: 1, repeated, fingerprint } : undefined;
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
     if (slot.hedgeAfter !== undefined && context.route.idempotent) {
@@ -271,12 +308,10 @@
     if (kind === 'no-descriptor') {
       this.options.onDescriptorShortage();
       this.excluded.splice(this.excluded.indexOf(slot.endpoint), 1);
+    }
+    if (!hasArrived(attemptResult.outcome)) {
       this.sentAttempts -= 1;
-    } else if (kind === 'refused' || (relay !== undefined && kind === 'shed')) {
-      this.sentAttempts -= 1;
-    } else if (relay !== undefined) {
-      // The other daemon may have made all attempts that were left.
-      this.sentAttempts = this.maximumAttempts;
+      giveBack?.();
     }
     const superseded = kind === 'abandoned' && !this.options.signal.aborted;
     const { connection, ...measuredAttempt } = attemptResult;
@@ -292,6 +327,11 @@
     return { kind: 'ended', attemptResult };
   }
 
+  private createBudgetRefusal(): RunningAttemptResult {
+    const retryAfter = this.options.context.route.targetMilliseconds;
+    return { kind: 'refused', decision: { kind: 'refused', reason: 'retry-budget', retryAfter } };
+  }
+
   /** Returns the response if it completes the request; otherwise records what the attempt revealed. */
   private evaluate(result: RunningAttemptResult): EndpointResponse | undefined {
     if (result.kind === 'refused') {
@@ -313,6 +353,7 @@
         this.errorResponse = outcome.response;
         return undefined;
       case 'shed':
+      case 'not-arrived':
         this.failure = new FailureError('BackendShed');
         return undefined;
       case 'broken':
@@ -333,7 +374,7 @@
 
   private get maximumAttempts(): number {
     const { route, relayed } = this.options.context;
-    return Math.min(route.maximumAttempts, relayed?.attemptsLeft ?? Infinity);
+    return relayed === undefined ? route.maximumAttempts : Math.min(1, relayed.attemptsLeft);
   }
 
   private canStartAttempt(): boolean {
@@ -366,12 +407,14 @@
         kind: 'failure',
         failure: unknownExecutionFailure ?? new FailureError('BackendReset'),
         retryAfter: undefined,
+        hasArrived: true,
       };
     }
     return {
       kind: 'failure',
       failure: this.failure ?? new FailureError('DeadlineUnreachable'),
       retryAfter: this.retryAfter,
+      hasArrived: this.sentAttempts > 0,
     };
   }
 }
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -12,8 +12,8 @@
   readonly deadlineAt: number;
   /** Whether an earlier attempt may have reached an endpoint. */
   readonly repeated: boolean;
-  /** Whether a dispatcher may have counted the request for the retry budget already. */
-  readonly counted: boolean;
+  /** Whether the request can be repeated after a failure, so that it may probe an endpoint. */
+  readonly mayProbe: boolean;
   readonly bodyBytes: number;
   readonly fingerprint: string;
   readonly excluded: readonly string[];
@@ -72,3 +72,18 @@
   /** Resolves with a decision. A slot granted after `signal` is aborted is reported as unused. */
   acquire(options: SlotAcquireOptions, signal: AbortSignal): Promise<SlotDecision>;
 }
+
+/** The retry budgets of the daemon for the requests of its own callers, by service. */
+export interface RetryBudgets {
+  /** Counts a request of a caller. */
+  readonly countRequest: (service: string) => void;
+  /** Whether requests may probe endpoints, whose failures need retries. */
+  readonly mayProbe: (service: string) => boolean;
+  /** Whether a retry is left. */
+  readonly canRetry: (service: string) => boolean;
+  /**
+   * Consumes one retry; returns undefined if none was left, and otherwise a function that returns the retry if it
+   * certainly reached no endpoint.
+   */
+  readonly take: (service: string) => (() => void) | undefined;
+}
--- a/packages/routing/gateway/src/wire-protocol.ts
+++ b/packages/routing/gateway/src/wire-protocol.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'answer' }
   /** The endpoint reports that it did not run the request. */
   | { readonly kind: 'not-run' }
+  /** The daemon that should have sent the request to an endpoint has not done so. */
+  | { readonly kind: 'not-arrived' }
   /** Another process now listens on the address of the endpoint; the request was not run. */
   | { readonly kind: 'misdirected' }
   /** The response belongs to another request or was not produced by the endpoint itself. */
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type Route, RouteIndex, noAnnouncement } from '@dogwoodstall/traffic';
 import * as gateway from '../src/index.js';
+import { FixedRetryBudgets } from './fixed-retry-budget.js';
 
 /** Extracts the request id from a raw request. */
 export function readId(request: string): string {
@@ -86,6 +87,8 @@
   /** Number of each event for lack of descriptors. */
   readonly descriptorEvents = new Map<gateway.DescriptorEvent, number>();
 
+  readonly retryBudgets = new FixedRetryBudgets();
+
   readonly server: gateway.GatewayServer;
 
   readonly agent = new http.Agent({ keepAlive: true });
@@ -116,6 +119,7 @@
     this.server = new gateway.GatewayServer({
       protocol: testProtocol,
       slots,
+      retryBudgets: this.retryBudgets,
       isDaemon: (host) => this.acceptsRelays && host === '127.0.0.1',
       findRoutes: () => (this.routesKnown ? routes : undefined),
       waitForRoutes: async (milliseconds) => {
--- a/packages/routing/gateway/test/relay.test.ts
+++ b/packages/routing/gateway/test/relay.test.ts
@@ -5,7 +5,8 @@
 import { test } from 'node:test';
 import type { Route } from '@dogwoodstall/traffic';
 import type * as gateway from '../src/index.js';
-import { TestGateway, formatResponse } from './fixture.js';
+import { classifyRelayedResponse } from '../src/relay.js';
+import { TestGateway, formatResponse, testProtocol } from './fixture.js';
 import type { Script } from './scripted-endpoint.js';
 import { respondOk, withGateway, type Setup } from './with-gateway.js';
 
@@ -43,7 +44,8 @@
   check: (entry: TestGateway, peers: PeerSlots, peer: Setup) => Promise<void>,
 ): Promise<void> {
   await withGateway(scripts, route, async (peer) => {
-    const peers = new PeerSlots([peer.gateway.address, peer.gateway.address]);
+    const { address } = peer.gateway;
+    const peers = new PeerSlots([address, address, address]);
     const entry = await new TestGateway(peers, route).listen();
     try {
       await check(entry, peers, peer);
@@ -105,8 +107,9 @@
     const response = await entry.send({ body: 'x' });
     assert.equal(response?.status, 503);
     assert.ok(Number(response?.headers['retry-after']) > 0);
-    assert.deepEqual(peers.reports, ['shed', 'shed']);
+    assert.deepEqual(peers.reports, ['shed', 'shed', 'shed']);
     assert.equal(endpoints[0]?.requests.length, 0);
+    assert.equal(entry.retryBudgets.taken, 0, 'nothing has arrived');
   });
 });
 
@@ -119,10 +122,36 @@
       assert.equal(peer.endpoints[0]?.requests.length, 2);
       const repeats = peers.acquisitions.slice(1).map(({ repeated }) => repeated);
       assert.ok(!repeats.includes(false), 'is not sent as a first attempt again');
+      assert.deepEqual(entry.retryBudgets.counted, ['valuation']);
+      assert.equal(entry.retryBudgets.taken, 1);
+      assert.deepEqual(peer.gateway.retryBudgets.counted, [], 'counted by the entry alone');
+      assert.equal(peer.gateway.retryBudgets.taken, 0);
     });
   }
 });
 
+// Guards against repeats behind another daemon beyond the budget of the daemon that counted the request.
+test('a relayed request is not repeated when the retry budget of the relaying daemon is used up', async () => {
+  const route = { idempotent: true, maximumAttempts: 3 };
+  await withRelay([reset], route, async (entry, _peers, peer) => {
+    entry.retryBudgets.allow(0);
+    assert.equal((await entry.send())?.status, 502);
+    assert.equal(peer.endpoints[0]?.requests.length, 1);
+  });
+});
+
+// Guards against an older daemon whose word on arrivals is missing.
+test('a response that says not run, but not whether the request arrived, counts as an arrival', async () => {
+  const headers = { 'dogwoodstall-execution': 'not-run', 'request-id': 'r1' };
+  const context = { requestId: 'r1', endpoint: 'peer', remainingMilliseconds: 1 };
+  const classify = (more: Record<string, string>): string =>
+    classifyRelayedResponse(testProtocol, 503, { ...headers, ...more }, context).kind;
+  assert.equal(classify({}), 'not-run');
+  assert.equal(classify({ 'dogwoodstall-arrivals': '1' }), 'not-run');
+  assert.equal(classify({ 'dogwoodstall-arrivals': '0' }), 'not-arrived');
+  assert.equal(classify({ 'dogwoodstall-arrivals': '0', 'request-id': 'r2' }), 'foreign');
+});
+
 test('a caller that leaves cancels its request at the endpoint behind the other daemon', async () => {
   const silent: Script = () => {};
   await withRelay([silent], {}, async (entry, _peers, { endpoints }) => {
--- a/packages/routing/gateway/test/responses.test.ts
+++ b/packages/routing/gateway/test/responses.test.ts
@@ -191,10 +191,8 @@
       [false, false],
     );
     // A request that counted twice would enlarge the retry budget.
-    assert.deepEqual(
-      slots.acquisitions.map(({ counted }) => counted),
-      [false, true],
-    );
+    assert.deepEqual(gateway.retryBudgets.counted, ['valuation']);
+    assert.equal(gateway.retryBudgets.taken, 0);
   });
 });
 
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -16,12 +16,6 @@
 import { EntryLossEstimates } from './entry-loss.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
 import { FailedShare } from './failed-share.js';
-import {
-  type CountedRetries,
-  type RetryBudget,
-  type RetryBudgetState,
-  RetryBudgetTracker,
-} from './retry-budget-tracker.js';
 import { ServiceTimes } from './service-times.js';
 import { SUSPECT_RISK, countSlots, computeLoad } from './slot-count.js';
 import type { SlotRequest } from './slot-request.js';
@@ -41,7 +35,7 @@
     }
   | {
       readonly kind: 'refuse';
-      readonly reason: 'no-endpoint' | 'overload' | 'retry-budget' | 'crashing' | 'stopping';
+      readonly reason: 'no-endpoint' | 'overload' | 'crashing' | 'stopping';
       readonly retryAfter: number;
     };
 
@@ -60,10 +54,6 @@
 /** Options of `CellDispatcher`. */
 export interface CellDispatcherOptions {
   readonly now: () => number;
-  /** Returns the current retry budget; it changes when another daemon becomes the dispatcher. */
-  readonly retryBudget: () => RetryBudget;
-  /** Returns the time since which this process knows of the retries that others made; its creation unless given. */
-  readonly retriesKnownSince?: () => number;
   /** Returns the share of announced limits that this daemon may use; below 1 if another daemon dispatches the cell. */
   readonly limitShare: () => number;
   /** Called with the decision about each request that was not withdrawn. */
@@ -83,8 +73,6 @@
 const HEDGE_MULTIPLE = 2.3;
 /** Upper bound of that time, as a share of the target latency. */
 const HEDGE_OF_TARGET = 0.55;
-/** Retries reserved for hedges and failures; requests probe endpoints only while more than these are left. */
-const PROBE_RETRY_RESERVE = 8;
 /** Share of failed attempts above which requests are spread over all endpoints. */
 const SPREAD_FAILED_SHARE = 0.07;
 /** A grant without a report expires this long after the request's deadline. */
@@ -105,8 +93,6 @@
 
   private readonly entryLoss = new EntryLossEstimates();
 
-  private readonly retryBudget: RetryBudgetTracker;
-
   private readonly serviceTimes = new ServiceTimes();
 
   private readonly reuseLimit = new ConnectionReuseLimit();
@@ -125,11 +111,6 @@
   private readonly failedShare = new FailedShare();
 
   constructor(private readonly options: CellDispatcherOptions) {
-    this.retryBudget = new RetryBudgetTracker(
-      options.retryBudget,
-      options.now(),
-      options.retriesKnownSince,
-    );
     this.announcements = new CellAnnouncements(this.states, options);
   }
 
@@ -160,9 +141,6 @@
   /** Grants, queues or refuses a request. Returns whether it was queued. */
   ask(request: SlotRequest): boolean {
     const now = this.options.now();
-    if (!request.repeated && !request.moved) {
-      this.retryBudget.countRequest(now);
-    }
     if (this.options.crashRecords.shouldRefuse(request.fingerprint, now)) {
       this.refuse(request, 'crashing', request.target);
       return false;
@@ -171,10 +149,6 @@
       this.refuse(request, 'no-endpoint', NO_ENDPOINT_RETRY_MILLISECONDS);
       return false;
     }
-    if (request.repeated && this.retryBudget.countRemaining(now) < 1) {
-      this.refuse(request, 'retry-budget', request.target);
-      return false;
-    }
     if (!this.admission.canServe(request, now)) {
       this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
       return false;
@@ -295,26 +269,6 @@
     return unused;
   }
 
-  /** Lists the retries that this process, under the given name, and other dispatchers of the cell counted. */
-  listCountedRetries(process: string): CountedRetries[] {
-    return this.retryBudget.listCounted(process, this.options.now());
-  }
-
-  /** Counts the retries that other dispatchers granted against the budget. */
-  importCountedRetries(counted: readonly CountedRetries[]): void {
-    this.retryBudget.importCounted(counted);
-  }
-
-  /** Records that the daemon which shares the slack knows a count of this process. */
-  confirmCountedRetries(counted: CountedRetries): void {
-    this.retryBudget.confirmCounted(counted);
-  }
-
-  /** Returns the state of the retry budget in the current window. */
-  readRetryBudget(): RetryBudgetState {
-    return this.retryBudget.readState(this.options.now());
-  }
-
   /** Applies the suspects that another dispatcher reported to endpoints that this one has not used recently. */
   importSuspects(suspects: ReadonlySet<string>): void {
     const now = this.options.now();
@@ -374,10 +328,7 @@
     const { request, arrivedAt } = waiter;
     const selection: SelectionRequest = {
       ...request,
-      mayProbe:
-        request.idempotent &&
-        !request.repeated &&
-        this.retryBudget.countUnspent(now) > PROBE_RETRY_RESERVE,
+      mayProbe: request.idempotent && !request.repeated && request.mayProbe,
       shouldSpread: !request.repeated && this.failedShare.at(now) > SPREAD_FAILED_SHARE,
     };
     const candidates = listCandidates(this.states.values(), selection, now);
@@ -391,9 +342,6 @@
     if (!request.idempotent && chosen.risk > WAIT_RISK && mayWait) {
       return false;
     }
-    if (request.repeated && !this.retryBudget.tryTake(now)) {
-      return false;
-    }
     this.grant(request, chosen, waited, now);
     return true;
   }
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -25,8 +25,9 @@
 export { type SlotRequest } from './slot-request.js';
 export { type AttemptResult } from './endpoint-state.js';
 export {
-  type CountedRetries,
-  type RetryBudget,
+  EntryRetryBudget,
+  type RetryBudgetShare,
   type RetryBudgetState,
-} from './retry-budget-tracker.js';
+} from './entry-retry-budget.js';
+export { type RetryBudget, computeRetryBudgetShare } from './retry-budget-shares.js';
 export type { AnnouncementChange, RelayedAnnouncement } from './cell-announcements.js';
--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -15,8 +15,8 @@
   readonly target: number;
   /** Whether an earlier attempt may have reached an endpoint. */
   readonly repeated: boolean;
-  /** Whether the request may have been counted for the retry budget by an earlier ask, of any dispatcher. */
-  readonly moved: boolean;
+  /** Whether the entry can repeat the request after a failure, so that it may probe an endpoint. */
+  readonly mayProbe: boolean;
   /** Milliseconds for which the request has already waited in other cells. */
   readonly waitedElsewhere: number;
   /** Size of the body. */
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -87,19 +87,6 @@
   assert.equal(service.decisions.get(service.ask({ fingerprint: 'other' }))?.kind, 'grant');
 });
 
-test('retries beyond the retry budget are refused', () => {
-  const service = new VirtualService([createEndpoint('one', { slots: 100 })], {
-    ratio: 0,
-    slack: 10,
-  });
-  const kinds = new Set<string>();
-  for (let count = 0; count < 12; count += 1) {
-    const decision = service.decisions.get(service.ask({ repeated: true, idempotent: true }));
-    kinds.add(decision?.kind === 'refuse' ? decision.reason : 'grant');
-  }
-  assert.deepEqual([...kinds], ['grant', 'retry-budget']);
-});
-
 test('idempotent requests probe an endpoint that has not been used recently', () => {
   const service = new VirtualService([createEndpoint('one'), createEndpoint('other')]);
   for (let count = 0; count < 12; count += 1) {
@@ -113,6 +100,22 @@
   assert.equal(used.size, 2);
 });
 
+// Guards against probes whose failures can't be repeated.
+test('requests of an entry that has used up its retry budget do not probe', () => {
+  const service = new VirtualService([createEndpoint('one'), createEndpoint('other')]);
+  for (let count = 0; count < 12; count += 1) {
+    service.run('success', 90);
+  }
+  service.now += 1000;
+  const used = new Set<string>();
+  for (let count = 0; count < 2; count += 1) {
+    used.add(
+      service.run('success', 1, service.ask({ idempotent: true, mayProbe: false })).endpoint.id,
+    );
+  }
+  assert.equal(used.size, 1);
+});
+
 test('a restarted endpoint with the same id does not inherit the attempts of its predecessor', () => {
   const service = new VirtualService([createEndpoint('one', { slots: 1 })]);
   service.ask();
@@ -176,16 +179,16 @@
 test('crest: a request that has waited in other cells is refused without waiting for its whole time again', () => {
   const service = new VirtualService([createEndpoint('one', { slots: 1 })]);
   service.ask();
-  const moved = service.ask({ moved: true, waitedElsewhere: 150 });
+  const moved = service.ask({ waitedElsewhere: 150 });
   service.now += 60;
   service.dispatcher.tick();
   assert.equal(service.decisions.get(moved)?.kind, 'refuse');
-  const exhausted = service.ask({ moved: true, waitedElsewhere: 220 });
+  const exhausted = service.ask({ waitedElsewhere: 220 });
   assert.equal(service.decisions.get(exhausted)?.kind, 'refuse', 'refused at once');
 });
 
 test('crest: a request that has waited in other cells still gets a free slot', () => {
   const service = new VirtualService([createEndpoint('one')]);
-  const moved = service.ask({ moved: true, waitedElsewhere: 200, idempotent: true });
+  const moved = service.ask({ waitedElsewhere: 200, idempotent: true });
   assert.equal(service.grantOf(moved).endpoint.id, 'one');
 });
--- a/packages/routing/grants/test/crash-records.test.ts
+++ b/packages/routing/grants/test/crash-records.test.ts
@@ -214,7 +214,7 @@
 /** Runs requests of endpoints that reset a share of the connections and go on; returns how many were refused. */
 function runResets(percent: number): number {
   const endpoints = Array.from({ length: 12 }, (_, index) => createEndpoint(`e${index}`));
-  const service = new VirtualService(endpoints, { ratio: 1, slack: 1000 });
+  const service = new VirtualService(endpoints);
   const random = fastCheck.sample(fastCheck.noBias(fastCheck.nat({ max: 99 })), {
     numRuns: 60_000,
     seed: 1,
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -40,11 +40,9 @@
 
   private lastKey = 0;
 
-  constructor(endpoints: readonly Endpoint[], budget: Partial<grants.RetryBudget> = {}) {
+  constructor(endpoints: readonly Endpoint[]) {
     this.dispatcher = new grants.CellDispatcher({
       now: () => this.now,
-      retryBudget: () => ({ ratio: 0.2, slack: 60, windowMilliseconds: 10_000, ...budget }),
-      retriesKnownSince: () => -Infinity,
       limitShare: () => this.limitShare,
       crashRecords: this.crashRecords,
       nextGrantId: () => {
@@ -71,7 +69,7 @@
       remaining: 1500,
       target: 400,
       repeated: false,
-      moved: false,
+      mayProbe: true,
       waitedElsewhere: 0,
       kilobytes: 0,
       fingerprint: key,
