Send a relayed request to the service that it is counted for

The other daemon chose among the destinations of the route anew, so that a repeat was taken from the budget of one service and arrived at another one. The relaying daemon names the service in a header of its own, which older daemons ignore. The test fails without the change (checked by taking it out).

--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -7,7 +7,7 @@
 import type { Duplex } from 'node:stream';
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
-import { type Limits, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
+import { type Limits, type Route, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
 import {
   type IncomingRequest,
   CallerResponder,
@@ -18,7 +18,7 @@
 import { ConnectionLimiter, type DescriptorEvent } from './connection-limiter.js';
 import { type ConnectionLimits, isDescriptorShortage } from './connection-limits.js';
 import { ConnectionPool } from './connection-pool.js';
-import { readRelayHeaders } from './relay.js';
+import { type RelayState, readRelayHeaders } from './relay.js';
 import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
 import type { WireProtocol } from './wire-protocol.js';
 import { type BufferedBody, readBody } from './body-buffer.js';
@@ -329,7 +329,7 @@
       const isRelayed = relayed !== undefined && this.isFromDaemon(request);
       const context: RequestContext = {
         requestId,
-        service: chooseDestination(route, Math.random()),
+        service: GatewayServer.chooseService(route, isRelayed ? relayed : undefined),
         route,
         method: checked.method,
         target: request.url ?? '/',
@@ -376,6 +376,16 @@
     }
   }
 
+  /** The daemon that relays a request has chosen its service and counts the request there. */
+  private static chooseService(route: Route, relayed: RelayState | undefined): string {
+    for (const { service } of route.destinations) {
+      if (encodeURIComponent(service) === relayed?.service) {
+        return service;
+      }
+    }
+    return chooseDestination(route, Math.random());
+  }
+
   /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
   private isFromDaemon({ socket }: http.IncomingMessage): boolean {
     return this.options.isDaemon(socket.remoteAddress ?? '');
--- a/packages/routing/gateway/src/relay.ts
+++ b/packages/routing/gateway/src/relay.ts
@@ -9,6 +9,8 @@
 
 /** Removed from the requests of callers, because it begins with the prefix of the fleet's headers. */
 const RELAY_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay`;
+/** A header of its own, since older daemons would not recognise a longer relay header. */
+const SERVICE_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay-service`;
 const RELAY_PATTERN = /^(\d{1,2}) (first|repeated) ([0-9a-z]{1,32})$/;
 const EXECUTION_HEADER = proxy.EXECUTION_HEADER.toLowerCase();
 const ARRIVALS_HEADER = `${proxy.FLEET_HEADER_PREFIX}arrivals`;
@@ -20,22 +22,35 @@
   readonly attemptsLeft: number;
   /** Whether an earlier attempt may have reached an endpoint. */
   readonly repeated: boolean;
+  /** Service whose endpoints the request is for; undefined from older daemons. */
+  readonly service: string | undefined;
   /** Identifies the request, its caller included, if it comes again. */
   readonly fingerprint: string;
 }
 
 /** Returns the headers of a relayed request, as a flat list of names and values. */
-export function listRelayHeaders({ attemptsLeft, repeated, fingerprint }: RelayState): string[] {
-  return [RELAY_HEADER, `${attemptsLeft} ${repeated ? 'repeated' : 'first'} ${fingerprint}`];
+export function listRelayHeaders({
+  attemptsLeft,
+  repeated,
+  service,
+  fingerprint,
+}: RelayState): string[] {
+  const relay = `${attemptsLeft} ${repeated ? 'repeated' : 'first'} ${fingerprint}`;
+  const headers = [RELAY_HEADER, relay];
+  return service === undefined
+    ? headers
+    : [...headers, SERVICE_HEADER, encodeURIComponent(service)];
 }
 
 /** Reads the state of a relayed request; undefined if the request comes from a caller. */
 export function readRelayHeaders(headers: IncomingHttpHeaders): RelayState | undefined {
   const value = headers[RELAY_HEADER];
   const match = typeof value === 'string' ? RELAY_PATTERN.exec(value) : null;
+  const service = headers[SERVICE_HEADER];
   return match === null
     ? undefined
     : {
+        service: typeof service === 'string' ? service : undefined,
         attemptsLeft: Number(match[1]),
         repeated: match[2] === 'repeated',
         fingerprint: match[3] as string,
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -276,7 +276,8 @@
     }
     this.excluded.push(slot.endpoint);
     const { fingerprint } = context;
-    const relay = slot.viaPeer === true ? { attemptsLeft: 1, repeated, fingerprint } : undefined;
+    const relay =
+      slot.viaPeer === true ? { attemptsLeft: 1, repeated, service, fingerprint } : undefined;
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
     if (slot.hedgeAfter !== undefined && context.route.idempotent) {
--- a/packages/routing/gateway/test/relay.test.ts
+++ b/packages/routing/gateway/test/relay.test.ts
@@ -130,6 +130,23 @@
   }
 });
 
+// Guards against a request that is counted for one service and arrives at another one.
+test('a relayed request goes to the service for which the relaying daemon counts it', async () => {
+  const destinations = [
+    { service: 'valuation', weight: 1 },
+    { service: 'Wert/ä', weight: 1 },
+  ];
+  for (let count = 0; count < 12; count += 1) {
+    await withRelay([respondOk], { destinations }, async (entry, _peers, { slots }) => {
+      assert.equal((await entry.send({ body: 'x' }))?.status, 200);
+      assert.deepEqual(
+        slots.acquisitions.map(({ service }) => service),
+        entry.retryBudgets.counted,
+      );
+    });
+  }
+});
+
 // Guards against repeats behind another daemon beyond the budget of the daemon that counted the request.
 test('a relayed request is not repeated when the retry budget of the relaying daemon is used up', async () => {
   const route = { idempotent: true, maximumAttempts: 3 };
