--- a/packages/routing/grants/test/retry-budget-fleet.ts
+++ b/packages/routing/grants/test/retry-budget-fleet.ts
@@ -1,6 +1,7 @@
 /**
  * Daemons that spend one retry budget in virtual time. Each has callers of its own, knows the others from the store, and
- * sends retries that arrive later than they were taken from the budget.
+ * sends retries that arrive later than they were taken from the budget. They tell each other nothing, so that partitions
+ * between them and lost messages change nothing.
  */
 import * as grants from '../src/index.js';
 
