Merge the retry budget that each daemon keeps for its own callers

The test of connections that are established during a suspension passes the id of its request, which connections need since copies of responses are skipped.

--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -7,7 +7,7 @@
 import type { Duplex } from 'node:stream';
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
-import { type Limits, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
+import { type Limits, type Route, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
 import {
   type IncomingRequest,
   CallerResponder,
@@ -26,7 +26,7 @@
 import { MemoryShare } from './memory-share.js';
 import { UnreadResponses } from './unread-responses.js';
 import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
-import type { SlotSource } from './slots.js';
+import type { RetryBudgets, SlotSource } from './slots.js';
 
 /** The routing and result of a request, for the log and the metrics. */
 export interface RequestDecision {
@@ -45,6 +45,7 @@
 export interface GatewayServerOptions {
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
+  readonly retryBudgets: RetryBudgets;
   /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
   readonly isDaemon: (host: string) => boolean;
   /** Returns the active routes; undefined until configuration and endpoints are known. */
@@ -284,14 +285,14 @@
         this.options.onUnexpectedError(requestId ?? '', error);
       }
       const failure = results.toFailure(error);
-      this.responder.sendFailure(incoming, failure, undefined);
+      this.responder.sendFailure(incoming, failure, undefined, true);
       this.reportUnsent(failure.kind, incoming);
     }
   }
 
   private async processRequest(incoming: IncomingRequest): Promise<void> {
     const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots } = this.options;
+    const { protocol, slots, retryBudgets } = this.options;
     const responseShare = new MemoryShare(this.responseMemory);
     response.once('close', () => responseShare.close());
     const checked = proxy.checkRequest(request);
@@ -330,23 +331,25 @@
         signal: abortController.signal,
       });
       const fingerprint = computeFingerprint(request, body.bytes);
-      const attemptsLeft = route.maximumAttempts;
-      const relayed = this.readRelayState(request, { attemptsLeft, repeated: false, fingerprint });
+      const relayed = readRelayHeaders(request.headers);
+      const isRelayed = relayed !== undefined && this.isFromDaemon(request);
       const context: RequestContext = {
         requestId,
-        service: chooseDestination(route, Math.random()),
+        service: GatewayServer.chooseService(route, isRelayed ? relayed : undefined),
         route,
         method: checked.method,
         target: request.url ?? '/',
         headers: selectForwardedHeaders(request, protocol),
         body: body.bytes,
         deadlineAt,
-        fingerprint: relayed?.fingerprint ?? fingerprint,
-        relayed,
+        fingerprint: isRelayed ? relayed.fingerprint : fingerprint,
+        relayed: isRelayed ? relayed : undefined,
+        mayRelay: relayed === undefined,
       };
       const requestResult = await executeRequest({
         context,
         slots,
+        retryBudgets,
         attemptOptions: {
           pool: this.pool,
           protocol,
@@ -379,14 +382,19 @@
     }
   }
 
+  /** The daemon that relays a request has chosen its service and counts the request there. */
+  private static chooseService(route: Route, relayed: RelayState | undefined): string {
+    for (const { service } of route.destinations) {
+      if (encodeURIComponent(service) === relayed?.service) {
+        return service;
+      }
+    }
+    return chooseDestination(route, Math.random());
+  }
+
   /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
-  private readRelayState(
-    { headers, socket }: http.IncomingMessage,
-    ofCaller: RelayState,
-  ): RelayState | undefined {
-    const state = readRelayHeaders(headers);
-    const isTrusted = this.options.isDaemon(socket.remoteAddress ?? '');
-    return state === undefined || isTrusted ? state : ofCaller;
+  private isFromDaemon({ socket }: http.IncomingMessage): boolean {
+    return this.options.isDaemon(socket.remoteAddress ?? '');
   }
 
   private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
@@ -406,6 +414,7 @@
       incoming,
       results.createFailure('NotReady'),
       NOT_READY_RETRY_MILLISECONDS,
+      false,
     );
     this.reportUnsent('NotReady', incoming);
   }
@@ -416,6 +425,7 @@
       incoming,
       results.createFailure('DaemonFull'),
       NOT_READY_RETRY_MILLISECONDS,
+      false,
     );
     this.reportUnsent('DaemonFull', incoming);
   }
--- a/packages/routing/gateway/test/suspended-connect.test.ts
+++ b/packages/routing/gateway/test/suspended-connect.test.ts
@@ -29,6 +29,8 @@
   let openSockets = 0;
   const { port } = server.address() as net.AddressInfo;
   const connection = new EndpointConnection(`127.0.0.1:${port}`, {
+    requestIdHeader: 'request-id',
+    onRepeatedResponse: () => {},
     onClosed: () => {},
     onSocketOpened: () => {
       openSockets += 1;
@@ -42,6 +44,7 @@
   let wasStarted = false;
   let failure: Error | undefined;
   connection.dispatch(
+    'r1',
     { path: '/', method: 'GET' },
     {
       onRequestStart: () => {
