Take a response with an impossible status for no answer

An endpoint that answered with status 000 blocked its daemon: undici fails an assertion without a message, and Node.js builds one from the source line, which is most of the program in the bundle. 600 and 999 were passed to callers.

The status line is checked before undici reads it, also behind informational responses. Reading undici for further assertions found two more that an endpoint could reach: status 101 without an upgrade, and a request that is aborted while the packet with the end of its response is parsed (a response that exceeds the memory, with Connection: close).

Before the change the tests of 600 and 999 fail, the random exchanges fail after 10 (HTTP/1.0 050), and the test of the last packet fails with assert(!this.aborted).

--- a/packages/routing/gateway/src/attempt.ts
+++ b/packages/routing/gateway/src/attempt.ts
@@ -190,9 +190,9 @@
       return;
     }
     if (this.body.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
-      this.fail({ kind: 'broken', reason: 'response exceeds the maximum buffered size' });
+      this.failWhileParsing('response exceeds the maximum buffered size');
     } else if (!this.body.append(chunk)) {
-      this.fail({ kind: 'broken', reason: 'responses exceed the memory of the daemon' });
+      this.failWhileParsing('responses exceed the memory of the daemon');
     }
   }
 
@@ -243,6 +243,16 @@
       return;
     }
     this.settle(outcome);
+    this.close();
+  }
+
+  /** An assertion of undici fails if a request is aborted before the rest of the packet is parsed, and the response ends. */
+  private failWhileParsing(reason: string): void {
+    queueMicrotask(() => this.close());
+    this.settle({ kind: 'broken', reason });
+  }
+
+  private close(): void {
     this.controller?.abort(new Error('attempt has ended'));
     this.connection.destroy();
   }
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -5,6 +5,7 @@
 import { Client, type Dispatcher, buildConnector } from 'undici';
 import { ConnectionHistory } from './connection-history.js';
 import { RepeatedResponseFilter } from './repeated-response-filter.js';
+import { StatusLineCheck } from './status-line-check.js';
 
 /** Connect timeout; covers several round trips between availability zones and one retransmission on a fast network. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -44,6 +45,8 @@
 
   private readonly filter: RepeatedResponseFilter;
 
+  private readonly statusLineCheck = new StatusLineCheck();
+
   /** Whether the connection failed with an error; undici reports such a failure as a regular end of the response. */
   broken = false;
 
@@ -117,6 +120,7 @@
     if (this.requests > 0) {
       this.filter.expectResponse();
     }
+    this.statusLineCheck.expectResponse();
     this.requests += 1;
     this.history.add({ requestId, method: options.method });
     this.client.dispatch(options, handler);
@@ -137,6 +141,10 @@
     const readFiltered = (): Buffer | null => {
       for (let chunk = read(); chunk !== null; chunk = read()) {
         const rest = this.filter.filter(chunk);
+        if (!this.statusLineCheck.accepts(rest)) {
+          socket.destroy(new Error('response has an impossible status'));
+          return null;
+        }
         if (rest.length > 0) {
           return rest;
         }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -34,11 +34,23 @@
   outfile: join(target, 'dogwoodstall.mjs'),
 });
 
+/** Passes imports of `node:assert` in packages to the replacement. */
+const plainAssert = {
+  name: 'plain-assert',
+  setup: ({ onResolve }) => {
+    const path = join(root, 'scripts', 'plain-assert.cjs');
+    onResolve({ filter: /^(?:node:)?assert$/ }, ({ importer }) =>
+      importer === path ? undefined : { path },
+    );
+  },
+};
+
 await build({
   ...common,
   entryPoints: [join(root, 'platform', 'src', 'program.ts')],
   outfile: join(target, 'program.js'),
   alias,
+  plugins: [plainAssert],
   bundle: true,
   // Bundled CommonJS packages load Node.js built-in modules with `require`, which ES modules don't define.
   banner: {
