Authenticate callers by tokens of organisations

A configuration with organisations was rejected as a whole, because one kind of resource was not known; daemons read it again for ever and served nothing. Now organisations are part of the configuration: callers need a token unless their route is anonymous, endpoints get the name of the organisation and never the token, and the priority of an organisation goes before that of the route. Tokens are known as digests only.

Usage caps have an interface and no implementation yet.

Ruled out: forwarding the token to a relaying peer (it is identified once, its organisation is relayed).

--- a/packages/configuration/traffic/src/configuration.ts
+++ b/packages/configuration/traffic/src/configuration.ts
@@ -1,8 +1,9 @@
 /**
- * The configuration of transparent traffic: routes, their destinations, services and limits. Daemons exchange it as
+ * The configuration of transparent traffic: routes, their destinations, services, organisations and limits. Daemons exchange it as
  * JSON and validate it on receipt, so the types are inferred from schemas.
  */
 import * as z from 'zod';
+import { organisationSchema } from './organisation.js';
 
 const milliseconds = z.number().positive();
 
@@ -30,6 +31,8 @@
   maximumAttempts: z.number().int().positive(),
   /** Priority of the route; 0 is served first. */
   priority: z.number().int().nonnegative(),
+  /** Whether callers need no token although the configuration has organisations. */
+  anonymous: z.boolean().optional(),
 });
 
 /** Size and time limits of requests, and the idle timeout of callers' connections. */
@@ -52,6 +55,8 @@
   version: z.number().int().nonnegative(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
+  /** The organisations whose tokens callers need; if absent, callers need none. */
+  organisations: z.array(organisationSchema).optional(),
   limits: limitsSchema,
 });
 
--- a/packages/configuration/traffic/src/index.ts
+++ b/packages/configuration/traffic/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * Routes, destinations, limits, endpoints and their announcements, of transparent traffic.
+ * Routes, destinations, organisations, limits, endpoints and their announcements, of transparent traffic.
  */
 export {
   type Announcement,
@@ -15,4 +15,10 @@
   trafficConfigurationSchema,
 } from './configuration.js';
 export { type Endpoint, endpointSchema, isSameLifetime } from './endpoint.js';
+export {
+  type Organisation,
+  OrganisationIndex,
+  digestToken,
+  organisationSchema,
+} from './organisation.js';
 export { RouteIndex, chooseDestination } from './route-index.js';
--- a/packages/configuration/traffic/src/route-index.ts
+++ b/packages/configuration/traffic/src/route-index.ts
@@ -2,15 +2,21 @@
  * Looks up the route of a request and chooses its destination.
  */
 import type { Route, TrafficConfiguration } from './configuration.js';
+import { OrganisationIndex } from './organisation.js';
 
 /** Indexes the routes of a configuration by host; the longest matching prefix wins. */
 export class RouteIndex {
   /** Names of the services that routes send requests to. */
   readonly services: ReadonlySet<string>;
 
+  /** The organisations whose tokens callers need; undefined if they need none. */
+  readonly organisations: OrganisationIndex | undefined;
+
   private readonly routesByHost = new Map<string, Route[]>();
 
   constructor(readonly configuration: TrafficConfiguration) {
+    this.organisations =
+      configuration.organisations && new OrganisationIndex(configuration.organisations);
     const services = new Set<string>();
     for (const route of configuration.routes) {
       const routes = this.routesByHost.get(route.host) ?? [];
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -170,6 +170,7 @@
       route: ask.route,
       idempotent: ask.idempotent,
       priority: ask.priority,
+      organisation: ask.organisation,
       remaining: ask.remaining,
       target: ask.target,
       repeated: ask.repeated,
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -519,6 +519,7 @@
         random: Math.random,
       }),
       retryBudgets: this.retryBudgets,
+      usageLimits: gateway.noUsageLimits,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
--- a/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-client.test.ts
@@ -23,6 +23,8 @@
     maximumAttempts: 2,
     priority: 1,
   },
+  organisation: undefined,
+  priority: 1,
   deadlineAt: performance.now() + 60_000,
   repeated: false,
   mayProbe: true,
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -65,6 +65,7 @@
     repeated: false,
     moved: false,
     mayProbe: true,
+    organisation: '',
     waitedElsewhere: 0,
     kilobytes: 0,
     fingerprint: String(askId),
--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -15,10 +15,12 @@
 /** Wire protocol of the tests. */
 const protocol: WireProtocol = {
   ownedRequestHeaders: new Set(['request-id']),
+  organisationHeaders: new Set(['token', 'organisation']),
   requestIdHeader: 'request-id',
   retryAfterHeader: 'Retry-After',
   readinessPath: '/ready',
   readDeadline: () => 2000,
+  readToken: ({ token }) => (token?.length === 1 ? token[0] : undefined),
   listAttemptHeaders: ({ requestId }) => ['Request-Id', requestId ?? ''],
   classifyResponse: () => ({ kind: 'answer' }),
   readLoad: () => undefined,
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -38,6 +38,8 @@
     waitedElsewhere: milliseconds.default(0),
     /** Whether the sender can repeat the request, so that it may probe an endpoint. Older daemons send none. */
     mayProbe: z.boolean().default(false),
+    /** Name of the caller's organisation, empty if it has none. Older daemons send none. */
+    organisation: z.string().default(''),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -24,6 +24,7 @@
     fingerprint: '1x',
     excluded: ['i-1'],
     mayProbe: false,
+    organisation: '',
   },
 ];
 
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -1,57 +1,28 @@
 /**
- * The HTTP server that accepts requests from callers: validates and routes them, applies the deadline, buffers the body
- * and sends the response.
+ * The HTTP server that accepts connections and requests of callers, within the limits of descriptors and memory, and
+ * shuts down gracefully.
  */
 import * as http from 'node:http';
 import * as net from 'node:net';
 import type { Duplex } from 'node:stream';
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
-import { type Limits, type Route, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
+import type { Limits } from '@dogwoodstall/traffic';
 import {
   type IncomingRequest,
   CallerResponder,
   NOT_READY_RETRY_MILLISECONDS,
 } from './caller-responder.js';
-import type { AttemptOptions } from './attempt.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionLimiter, type DescriptorEvent } from './connection-limiter.js';
 import { type ConnectionLimits, isDescriptorShortage } from './connection-limits.js';
 import { ConnectionPool } from './connection-pool.js';
-import { type RelayState, readRelayHeaders } from './relay.js';
-import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
-import type { WireProtocol } from './wire-protocol.js';
-import { type BufferedBody, readBody } from './body-buffer.js';
 import { MemoryBudget } from './memory-budget.js';
-import { MemoryShare } from './memory-share.js';
 import { UnreadResponses } from './unread-responses.js';
-import { type AttemptRecord, type RequestContext, executeRequest } from './request-execution.js';
-import type { RetryBudgets, SlotSource } from './slots.js';
-
-/** The routing and result of a request, for the log and the metrics. */
-export interface RequestDecision {
-  readonly requestId: string;
-  readonly route: string;
-  readonly service: string;
-  readonly configurationVersion: number;
-  readonly attempts: readonly AttemptRecord[];
-  readonly result: string;
-  readonly status: number;
-  readonly milliseconds: number;
-  readonly remainingMilliseconds: number;
-}
+import { type RequestOptions, RequestProcessor } from './request-processor.js';
 
 /** Options of `GatewayServer`. */
-export interface GatewayServerOptions {
-  readonly protocol: WireProtocol;
-  readonly slots: SlotSource;
-  readonly retryBudgets: RetryBudgets;
-  /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
-  readonly isDaemon: (host: string) => boolean;
-  /** Returns the active routes; undefined until configuration and endpoints are known. */
-  readonly findRoutes: () => RouteIndex | undefined;
-  /** Resolves when routes become active, or after the given time at the latest. */
-  readonly waitForRoutes: (milliseconds: number) => Promise<void>;
+export interface GatewayServerOptions extends RequestOptions {
   /** Maximum bytes of request bodies buffered at a time, across all requests; the same for responses. */
   readonly maximumBufferedBytes: number;
   /** Maximum bytes of request bodies and responses together. */
@@ -62,8 +33,6 @@
   readonly onGivenUp: (bytes: number) => void;
   /** Called for each copy of an earlier response that an endpoint sent and that was removed. */
   readonly onRepeatedResponse: () => void;
-  readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
-  readonly onDecision: (decision: RequestDecision) => void;
   /** Called with an error of the listening server, such as one of accepting a connection. */
   readonly onServerError: (error: Error) => void;
   readonly onUnexpectedError: (requestId: string, error: unknown) => void;
@@ -76,12 +45,6 @@
   headerMilliseconds: 10_000,
   idleMilliseconds: 60_000,
 };
-/** Subtracted from the deadline, so that the response still reaches the caller in time. */
-const RESPONSE_MARGIN_MILLISECONDS = 4;
-/** A newly started daemon receives the routes within this time, so that waiting saves the caller a retry. */
-const ROUTES_WAIT_MILLISECONDS = 500;
-/** Maximum fraction of the caller's deadline spent waiting for the routes. */
-const ROUTES_WAIT_FRACTION = 0.3;
 const SLOW_HEADER_CHECK_MILLISECONDS = 1000;
 /** Time for a caller to read why its connection is closed, before the socket is destroyed. */
 const REJECT_LINGER_MILLISECONDS = 1000;
@@ -96,11 +59,7 @@
 
   private readonly connectionLimiter: ConnectionLimiter;
 
-  private readonly unreadResponses: UnreadResponses;
-
-  private readonly bodyMemory: MemoryBudget;
-
-  private readonly responseMemory: MemoryBudget;
+  private readonly processor: RequestProcessor;
 
   private readonly responder: CallerResponder;
 
@@ -117,12 +76,10 @@
   private readonly stopAbort = new AbortController();
 
   constructor(private readonly options: GatewayServerOptions) {
-    this.unreadResponses = new UnreadResponses(options.onGivenUp);
-    const reclaim = (bytes: number): void => this.unreadResponses.reclaim(bytes);
+    const unreadResponses = new UnreadResponses(options.onGivenUp);
+    const reclaim = (bytes: number): void => unreadResponses.reclaim(bytes);
     const total = new MemoryBudget({ maximumBytes: options.maximumTotalBytes, reclaim });
     const limit = { maximumBytes: options.maximumBufferedBytes, parent: total, reclaim };
-    this.bodyMemory = new MemoryBudget(limit);
-    this.responseMemory = new MemoryBudget(limit);
     this.responder = new CallerResponder(options.protocol, () => this.stopping);
     this.callerConnections = new CallerConnections(() => this.limits.idleMilliseconds);
     this.pool = new ConnectionPool({
@@ -137,6 +94,17 @@
       countRequests: () => this.activeRequests,
       onEvent: options.onDescriptorEvent,
     });
+    this.processor = new RequestProcessor(options, {
+      responder: this.responder,
+      pool: this.pool,
+      bodyMemory: new MemoryBudget(limit),
+      responseMemory: new MemoryBudget(limit),
+      unreadResponses,
+      onDescriptorShortage: () => this.connectionLimiter.handleShortage('connect-failed'),
+      isRejecting: () => this.rejecting,
+      stopEndsAt: () => this.stopEndsAt,
+      stopSignal: this.stopAbort.signal,
+    });
     this.server = this.createServer();
   }
 
@@ -244,7 +212,7 @@
       // The caller has disconnected.
     });
     if (socket.writable) {
-      this.reportUnsent(result, {});
+      this.processor.reportUnsent(result, {});
       socket.end(proxy.formatRawFailure(results.createFailure(result), ''));
       // The HTTP server no longer watches the connection, whose caller may never close its side.
       setTimeout(() => socket.destroy(), REJECT_LINGER_MILLISECONDS).unref();
@@ -279,146 +247,17 @@
       if (response.destroyed) {
         return;
       }
-      await this.processRequest(incoming);
+      await this.processor.process(incoming);
     } catch (error) {
       if (!(error instanceof results.FailureError)) {
         this.options.onUnexpectedError(requestId ?? '', error);
       }
       const failure = results.toFailure(error);
       this.responder.sendFailure(incoming, failure, undefined, true);
-      this.reportUnsent(failure.kind, incoming);
+      this.processor.reportUnsent(failure.kind, incoming);
     }
   }
 
-  private async processRequest(incoming: IncomingRequest): Promise<void> {
-    const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots, retryBudgets } = this.options;
-    const responseShare = new MemoryShare(this.responseMemory);
-    response.once('close', () => responseShare.close());
-    const checked = proxy.checkRequest(request);
-    const routes = await this.findRoutes(request);
-    if (routes === undefined || this.rejecting) {
-      this.rejectNotReady(incoming);
-      return;
-    }
-    const route = routes.find(checked.host, checked.path);
-    if (route === undefined) {
-      throw new results.FailureError('RouteUnknown');
-    }
-    const requestedMilliseconds =
-      protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
-    const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
-    const deadlineAt = Math.min(
-      arrivedAt + allowedMilliseconds - RESPONSE_MARGIN_MILLISECONDS,
-      this.stopEndsAt,
-    );
-    const abortController = new AbortController();
-    const onStop = (): void => abortController.abort(this.stopAbort.signal.reason);
-    this.stopAbort.signal.addEventListener('abort', onStop, { once: true });
-    const timer = setTimeout(
-      () => abortController.abort(new results.FailureError('BackendTimeout')),
-      Math.max(0, deadlineAt - performance.now()),
-    );
-    const onClose = (): void => abortController.abort(new results.FailureError('CallerCancelled'));
-    response.once('close', onClose);
-    let body: BufferedBody | undefined;
-    const attempts: AttemptRecord[] = [];
-    try {
-      body = await readBody(request, {
-        contentLength: checked.contentLength,
-        maximumBytes: routes.configuration.limits.bodyBytes,
-        memoryShare: new MemoryShare(this.bodyMemory),
-        signal: abortController.signal,
-      });
-      const fingerprint = computeFingerprint(request, body.bytes);
-      const relayed = readRelayHeaders(request.headers);
-      const isRelayed = relayed !== undefined && this.isFromDaemon(request);
-      const context: RequestContext = {
-        requestId,
-        service: GatewayServer.chooseService(route, isRelayed ? relayed : undefined),
-        route,
-        method: checked.method,
-        target: request.url ?? '/',
-        headers: selectForwardedHeaders(request, protocol),
-        body: body.bytes,
-        deadlineAt,
-        fingerprint: isRelayed ? relayed.fingerprint : fingerprint,
-        relayed: isRelayed ? relayed : undefined,
-        mayRelay: relayed === undefined,
-      };
-      const requestResult = await executeRequest({
-        context,
-        slots,
-        retryBudgets,
-        attemptOptions: {
-          pool: this.pool,
-          protocol,
-          responseMemory: responseShare,
-          onUnreadableAnnouncement: this.options.onUnreadableAnnouncement,
-        },
-        onDescriptorShortage: () => this.connectionLimiter.handleShortage('connect-failed'),
-        signal: abortController.signal,
-        recordAttempt: (record) => attempts.push(record),
-      });
-      response.off('close', onClose);
-      const { status, result } = this.responder.sendResult(incoming, requestResult);
-      this.unreadResponses.add({ response, memoryShare: responseShare, deadlineAt });
-      this.options.onDecision({
-        requestId: requestId ?? '',
-        route: route.name,
-        service: context.service,
-        configurationVersion: routes.configuration.version,
-        attempts,
-        result,
-        status,
-        milliseconds: Math.round(performance.now() - arrivedAt),
-        remainingMilliseconds: Math.round(deadlineAt - performance.now()),
-      });
-    } finally {
-      clearTimeout(timer);
-      this.stopAbort.signal.removeEventListener('abort', onStop);
-      response.off('close', onClose);
-      body?.release();
-    }
-  }
-
-  /** The daemon that relays a request has chosen its service and counts the request there. */
-  private static chooseService(route: Route, relayed: RelayState | undefined): string {
-    for (const { service } of route.destinations) {
-      if (encodeURIComponent(service) === relayed?.service) {
-        return service;
-      }
-    }
-    return chooseDestination(route, Math.random());
-  }
-
-  /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
-  private isFromDaemon({ socket }: http.IncomingMessage): boolean {
-    return this.options.isDaemon(socket.remoteAddress ?? '');
-  }
-
-  private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
-    if (this.options.findRoutes() === undefined && !this.rejecting) {
-      const deadlineMilliseconds = this.options.protocol.readDeadline(request.headers) ?? Infinity;
-      const waitMilliseconds = Math.min(
-        ROUTES_WAIT_MILLISECONDS,
-        deadlineMilliseconds * ROUTES_WAIT_FRACTION,
-      );
-      await this.options.waitForRoutes(waitMilliseconds);
-    }
-    return this.options.findRoutes();
-  }
-
-  private rejectNotReady(incoming: IncomingRequest): void {
-    this.responder.sendFailure(
-      incoming,
-      results.createFailure('NotReady'),
-      NOT_READY_RETRY_MILLISECONDS,
-      false,
-    );
-    this.reportUnsent('NotReady', incoming);
-  }
-
   private refuseForDescriptors(incoming: IncomingRequest): void {
     Object.assign(incoming.response, { shouldKeepAlive: false });
     this.responder.sendFailure(
@@ -427,25 +266,6 @@
       NOT_READY_RETRY_MILLISECONDS,
       false,
     );
-    this.reportUnsent('DaemonFull', incoming);
-  }
-
-  /** Reports a request that ended before its first attempt; one that the parser rejected has no id. */
-  private reportUnsent(
-    result: results.ResultName,
-    { requestId = '', arrivedAt }: Partial<IncomingRequest>,
-  ): void {
-    const now = performance.now();
-    this.options.onDecision({
-      requestId,
-      route: '',
-      service: '',
-      configurationVersion: this.options.findRoutes()?.configuration.version ?? 0,
-      attempts: [],
-      result,
-      status: results.findResult(result).httpStatus,
-      milliseconds: Math.round(now - (arrivedAt ?? now)),
-      remainingMilliseconds: 0,
-    });
+    this.processor.reportUnsent('DaemonFull', incoming);
   }
 }
--- a/packages/routing/gateway/src/incoming-request.ts
+++ b/packages/routing/gateway/src/incoming-request.ts
@@ -8,17 +8,23 @@
 
 const FINGERPRINT_RADIX = 36;
 
-/** Returns the headers to forward as a flat list of names and values, without those that each attempt sets. */
+/**
+ * Returns the headers to forward as a flat list of names and values, without those that each attempt sets and, if the
+ * configuration has organisations, without those that carry tokens.
+ */
 export function selectForwardedHeaders(
   { rawHeaders }: IncomingMessage,
-  { ownedRequestHeaders }: WireProtocol,
+  { ownedRequestHeaders, organisationHeaders }: WireProtocol,
+  hasOrganisations: boolean,
 ): string[] {
   const all = proxy.selectRequestHeaders(rawHeaders);
   const selected: string[] = [];
   for (let index = 0; index < all.length; index += 2) {
     const name = all[index] as string;
+    const owned =
+      ownedRequestHeaders.has(name) || (hasOrganisations && organisationHeaders.has(name));
     // undici sets the length of the buffered body itself.
-    if (!ownedRequestHeaders.has(name) && name !== 'content-length') {
+    if (!owned && name !== 'content-length') {
       selected.push(name, all[index + 1] as string);
     }
   }
--- a/packages/routing/gateway/src/index.ts
+++ b/packages/routing/gateway/src/index.ts
@@ -6,11 +6,9 @@
   type ResponseClassification,
   type WireProtocol,
 } from './wire-protocol.js';
-export {
-  type GatewayServerOptions,
-  type RequestDecision,
-  GatewayServer,
-} from './gateway-server.js';
+export { type GatewayServerOptions, GatewayServer } from './gateway-server.js';
+export type { RequestDecision } from './request-processor.js';
+export { type UsageDecision, type UsageLimits, noUsageLimits } from './usage-limits.js';
 export {
   type RetryBudgets,
   type Slot,
--- a/packages/routing/gateway/src/relay.ts
+++ b/packages/routing/gateway/src/relay.ts
@@ -11,6 +11,7 @@
 const RELAY_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay`;
 /** A header of its own, since older daemons would not recognise a longer relay header. */
 const SERVICE_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay-service`;
+const ORGANISATION_HEADER = `${proxy.FLEET_HEADER_PREFIX}relay-organisation`;
 const RELAY_PATTERN = /^(\d{1,2}) (first|repeated) ([0-9a-z]{1,32})$/;
 const EXECUTION_HEADER = proxy.EXECUTION_HEADER.toLowerCase();
 const ARRIVALS_HEADER = `${proxy.FLEET_HEADER_PREFIX}arrivals`;
@@ -24,6 +25,8 @@
   readonly repeated: boolean;
   /** Service whose endpoints the request is for; undefined from older daemons. */
   readonly service: string | undefined;
+  /** Organisation of the caller, whose token is not relayed; undefined if it has none. */
+  readonly organisation?: string | undefined;
   /** Identifies the request, its caller included, if it comes again. */
   readonly fingerprint: string;
 }
@@ -33,13 +36,18 @@
   attemptsLeft,
   repeated,
   service,
+  organisation,
   fingerprint,
 }: RelayState): string[] {
   const relay = `${attemptsLeft} ${repeated ? 'repeated' : 'first'} ${fingerprint}`;
   const headers = [RELAY_HEADER, relay];
-  return service === undefined
-    ? headers
-    : [...headers, SERVICE_HEADER, encodeURIComponent(service)];
+  if (service !== undefined) {
+    headers.push(SERVICE_HEADER, encodeURIComponent(service));
+  }
+  if (organisation !== undefined) {
+    headers.push(ORGANISATION_HEADER, organisation);
+  }
+  return headers;
 }
 
 /** Reads the state of a relayed request; undefined if the request comes from a caller. */
@@ -47,10 +55,12 @@
   const value = headers[RELAY_HEADER];
   const match = typeof value === 'string' ? RELAY_PATTERN.exec(value) : null;
   const service = headers[SERVICE_HEADER];
+  const organisation = headers[ORGANISATION_HEADER];
   return match === null
     ? undefined
     : {
         service: typeof service === 'string' ? service : undefined,
+        organisation: typeof organisation === 'string' ? organisation : undefined,
         attemptsLeft: Number(match[1]),
         repeated: match[2] === 'repeated',
         fingerprint: match[3] as string,
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -40,6 +40,10 @@
   readonly requestId: string | undefined;
   readonly service: string;
   readonly route: Route;
+  /** Organisation of the caller; undefined if it has none. */
+  readonly organisation: string | undefined;
+  /** Priority of the request; 0 is served first. */
+  readonly priority: number;
   readonly method: string;
   readonly target: string;
   readonly headers: readonly string[];
@@ -249,6 +253,8 @@
         requestId: context.requestId ?? '',
         service,
         route: context.route,
+        organisation: context.organisation,
+        priority: context.priority,
         deadlineAt: context.deadlineAt,
         repeated: this.sentAttempts > 0 || relayed?.repeated === true,
         mayProbe: relayed === undefined && retryBudgets.mayProbe(service),
@@ -275,9 +281,11 @@
       return this.createBudgetRefusal();
     }
     this.excluded.push(slot.endpoint);
-    const { fingerprint } = context;
+    const { fingerprint, organisation } = context;
     const relay =
-      slot.viaPeer === true ? { attemptsLeft: 1, repeated, service, fingerprint } : undefined;
+      slot.viaPeer === true
+        ? { attemptsLeft: 1, repeated, service, organisation, fingerprint }
+        : undefined;
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
     if (slot.hedgeAfter !== undefined && context.route.idempotent) {
@@ -296,6 +304,7 @@
         requestId: context.requestId,
         endpoint: slot.endpoint,
         remainingMilliseconds: Math.max(1, context.deadlineAt - performance.now()),
+        organisation,
       },
       relay,
       method: context.method,
--- /dev/null
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -0,0 +1,297 @@
+/**
+ * Processes one request of a caller: identifies caller and route, applies the usage cap and the deadline, buffers the
+ * body, and sends the response.
+ */
+import type * as http from 'node:http';
+import * as proxy from '@dogwoodstall/proxy';
+import * as results from '@dogwoodstall/results';
+import { type Route, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
+import type { AttemptOptions } from './attempt.js';
+import { type BufferedBody, readBody } from './body-buffer.js';
+import {
+  type CallerIdentity,
+  computePriority,
+  identifyCaller,
+  readRelayedCaller,
+} from './caller-identity.js';
+import {
+  type CallerResponder,
+  type IncomingRequest,
+  NOT_READY_RETRY_MILLISECONDS,
+} from './caller-responder.js';
+import type { ConnectionPool } from './connection-pool.js';
+import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
+import type { MemoryBudget } from './memory-budget.js';
+import { MemoryShare } from './memory-share.js';
+import { type RelayState, readRelayHeaders } from './relay.js';
+import { type AttemptRecord, type RequestResult, executeRequest } from './request-execution.js';
+import type { RetryBudgets, SlotSource } from './slots.js';
+import type { UnreadResponses } from './unread-responses.js';
+import type { UsageLimits } from './usage-limits.js';
+import type { WireProtocol } from './wire-protocol.js';
+
+/** The routing and result of a request, for the log and the metrics. */
+export interface RequestDecision {
+  readonly requestId: string;
+  readonly route: string;
+  readonly service: string;
+  /** Organisation of the caller; empty if it has none or is not known. */
+  readonly organisation: string;
+  readonly configurationVersion: number;
+  readonly attempts: readonly AttemptRecord[];
+  readonly result: string;
+  readonly status: number;
+  readonly milliseconds: number;
+  readonly remainingMilliseconds: number;
+}
+
+/** Options of request processing that do not depend on the server. */
+export interface RequestOptions {
+  readonly protocol: WireProtocol;
+  readonly slots: SlotSource;
+  readonly retryBudgets: RetryBudgets;
+  readonly usageLimits: UsageLimits;
+  /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
+  readonly isDaemon: (host: string) => boolean;
+  /** Returns the active routes; undefined until configuration and endpoints are known. */
+  readonly findRoutes: () => RouteIndex | undefined;
+  /** Resolves when routes become active, or after the given time at the latest. */
+  readonly waitForRoutes: (milliseconds: number) => Promise<void>;
+  readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
+  readonly onDecision: (decision: RequestDecision) => void;
+}
+
+/** State of the server that the processing of requests depends on. */
+export interface ServerContext {
+  readonly responder: CallerResponder;
+  readonly pool: ConnectionPool;
+  readonly bodyMemory: MemoryBudget;
+  readonly responseMemory: MemoryBudget;
+  readonly unreadResponses: UnreadResponses;
+  /** Frees descriptors when there was none for a connection to an endpoint. */
+  readonly onDescriptorShortage: () => void;
+  /** Whether the server refuses all further requests. */
+  readonly isRejecting: () => boolean;
+  /** Monotonic milliseconds at which the graceful shutdown ends; `Infinity` before it begins. */
+  readonly stopEndsAt: () => number;
+  /** Aborted when the graceful shutdown is over. */
+  readonly stopSignal: AbortSignal;
+}
+
+/** A request whose caller and route are known. */
+interface AcceptedRequest {
+  readonly incoming: IncomingRequest;
+  readonly checked: ReturnType<typeof proxy.checkRequest>;
+  readonly routes: RouteIndex;
+  readonly route: Route;
+  /** Set if another daemon relayed the request. */
+  readonly relayed: RelayState | undefined;
+  readonly caller: CallerIdentity;
+}
+
+/** Subtracted from the deadline, so that the response still reaches the caller in time. */
+const RESPONSE_MARGIN_MILLISECONDS = 4;
+/** A newly started daemon receives the routes within this time, so that waiting saves the caller a retry. */
+const ROUTES_WAIT_MILLISECONDS = 500;
+/** Maximum fraction of the caller's deadline spent waiting for the routes. */
+const ROUTES_WAIT_FRACTION = 0.3;
+
+/** The daemon that relays a request has chosen its service and counts the request there. */
+function chooseService(route: Route, relayed: RelayState | undefined): string {
+  for (const { service } of route.destinations) {
+    if (encodeURIComponent(service) === relayed?.service) {
+      return service;
+    }
+  }
+  return chooseDestination(route, Math.random());
+}
+
+/** Processes the requests of one server. */
+export class RequestProcessor {
+  constructor(
+    private readonly options: RequestOptions,
+    private readonly server: ServerContext,
+  ) {}
+
+  /** Sends the response of a request; throws a `FailureError` if it ends before its first attempt. */
+  async process(incoming: IncomingRequest): Promise<void> {
+    const { request } = incoming;
+    const checked = proxy.checkRequest(request);
+    const routes = await this.findRoutes(request);
+    if (routes === undefined || this.server.isRejecting()) {
+      this.rejectNotReady(incoming);
+      return;
+    }
+    const route = routes.find(checked.host, checked.path);
+    if (route === undefined) {
+      throw new results.FailureError('RouteUnknown');
+    }
+    const relayHeaders = readRelayHeaders(request.headers);
+    const relayed = this.isFromDaemon(request) ? relayHeaders : undefined;
+    const caller =
+      relayed === undefined
+        ? identifyCaller(request, routes, route, this.options.protocol)
+        : readRelayedCaller(relayed, routes);
+    const accepted = { incoming, checked, routes, route, relayed, caller };
+    if (caller.organisation === undefined || relayed !== undefined) {
+      await this.execute(accepted, relayHeaders === undefined);
+      return;
+    }
+    const usage = await this.options.usageLimits.admit(caller.organisation);
+    if (usage.kind === 'refused') {
+      this.refuseUsage(accepted, usage.retryAfter);
+      return;
+    }
+    let hasArrived = false;
+    try {
+      const result = await this.execute(accepted, relayHeaders === undefined);
+      hasArrived = result.kind === 'answer' || result.hasArrived;
+    } finally {
+      if (!hasArrived) {
+        usage.giveBack();
+      }
+    }
+  }
+
+  /** Reports a request that ended before its first attempt; one that the parser rejected has no id. */
+  reportUnsent(
+    result: results.ResultName,
+    { requestId = '', arrivedAt }: Partial<IncomingRequest>,
+    known: Partial<RequestDecision> = {},
+  ): void {
+    const now = performance.now();
+    this.options.onDecision({
+      requestId,
+      route: '',
+      service: '',
+      organisation: '',
+      configurationVersion: this.options.findRoutes()?.configuration.version ?? 0,
+      attempts: [],
+      result,
+      status: results.findResult(result).httpStatus,
+      milliseconds: Math.round(now - (arrivedAt ?? now)),
+      remainingMilliseconds: 0,
+      ...known,
+    });
+  }
+
+  private async execute(
+    { incoming, checked, routes, route, relayed, caller }: AcceptedRequest,
+    mayRelay: boolean,
+  ): Promise<RequestResult> {
+    const { request, response, requestId, arrivedAt } = incoming;
+    const { protocol, slots, retryBudgets } = this.options;
+    const { server } = this;
+    const responseShare = new MemoryShare(server.responseMemory);
+    response.once('close', () => responseShare.close());
+    const requestedMilliseconds =
+      protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
+    const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
+    const deadlineAt = Math.min(
+      arrivedAt + allowedMilliseconds - RESPONSE_MARGIN_MILLISECONDS,
+      server.stopEndsAt(),
+    );
+    const abortController = new AbortController();
+    const onStop = (): void => abortController.abort(server.stopSignal.reason);
+    server.stopSignal.addEventListener('abort', onStop, { once: true });
+    const timer = setTimeout(
+      () => abortController.abort(new results.FailureError('BackendTimeout')),
+      Math.max(0, deadlineAt - performance.now()),
+    );
+    const onClose = (): void => abortController.abort(new results.FailureError('CallerCancelled'));
+    response.once('close', onClose);
+    let body: BufferedBody | undefined;
+    const attempts: AttemptRecord[] = [];
+    try {
+      body = await readBody(request, {
+        contentLength: checked.contentLength,
+        maximumBytes: routes.configuration.limits.bodyBytes,
+        memoryShare: new MemoryShare(server.bodyMemory),
+        signal: abortController.signal,
+      });
+      const context = {
+        requestId,
+        service: chooseService(route, relayed),
+        route,
+        organisation: caller.name,
+        priority: computePriority(route, caller),
+        method: checked.method,
+        target: request.url ?? '/',
+        headers: selectForwardedHeaders(request, protocol, routes.organisations !== undefined),
+        body: body.bytes,
+        deadlineAt,
+        fingerprint: relayed?.fingerprint ?? computeFingerprint(request, body.bytes),
+        relayed,
+        mayRelay,
+      };
+      const requestResult = await executeRequest({
+        context,
+        slots,
+        retryBudgets,
+        attemptOptions: {
+          pool: server.pool,
+          protocol,
+          responseMemory: responseShare,
+          onUnreadableAnnouncement: this.options.onUnreadableAnnouncement,
+        },
+        onDescriptorShortage: server.onDescriptorShortage,
+        signal: abortController.signal,
+        recordAttempt: (record) => attempts.push(record),
+      });
+      response.off('close', onClose);
+      const { status, result } = server.responder.sendResult(incoming, requestResult);
+      server.unreadResponses.add({ response, memoryShare: responseShare, deadlineAt });
+      this.options.onDecision({
+        requestId: requestId ?? '',
+        route: route.name,
+        service: context.service,
+        organisation: caller.name ?? '',
+        configurationVersion: routes.configuration.version,
+        attempts,
+        result,
+        status,
+        milliseconds: Math.round(performance.now() - arrivedAt),
+        remainingMilliseconds: Math.round(deadlineAt - performance.now()),
+      });
+      return requestResult;
+    } finally {
+      clearTimeout(timer);
+      server.stopSignal.removeEventListener('abort', onStop);
+      response.off('close', onClose);
+      body?.release();
+    }
+  }
+
+  /** A caller that claims to be a daemon gains nothing: its request is only kept from being relayed. */
+  private isFromDaemon({ socket }: http.IncomingMessage): boolean {
+    return this.options.isDaemon(socket.remoteAddress ?? '');
+  }
+
+  private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
+    if (this.options.findRoutes() === undefined && !this.server.isRejecting()) {
+      const deadlineMilliseconds = this.options.protocol.readDeadline(request.headers) ?? Infinity;
+      const waitMilliseconds = Math.min(
+        ROUTES_WAIT_MILLISECONDS,
+        deadlineMilliseconds * ROUTES_WAIT_FRACTION,
+      );
+      await this.options.waitForRoutes(waitMilliseconds);
+    }
+    return this.options.findRoutes();
+  }
+
+  private rejectNotReady(incoming: IncomingRequest): void {
+    this.server.responder.sendFailure(
+      incoming,
+      results.createFailure('NotReady'),
+      NOT_READY_RETRY_MILLISECONDS,
+      false,
+    );
+    this.reportUnsent('NotReady', incoming);
+  }
+
+  private refuseUsage({ incoming, route, caller }: AcceptedRequest, retryAfter: number): void {
+    const result = 'OrganisationRateExceeded';
+    this.server.responder.sendFailure(incoming, results.createFailure(result), retryAfter, false);
+    this.reportUnsent(result, incoming, { route: route.name, organisation: caller.name ?? '' });
+  }
+}
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -9,6 +9,10 @@
   readonly requestId: string;
   readonly service: string;
   readonly route: Route;
+  /** Organisation of the caller; undefined if it has none. */
+  readonly organisation: string | undefined;
+  /** Priority of the request; 0 is served first. */
+  readonly priority: number;
   readonly deadlineAt: number;
   /** Whether an earlier attempt may have reached an endpoint. */
   readonly repeated: boolean;
--- a/packages/routing/gateway/src/wire-protocol.ts
+++ b/packages/routing/gateway/src/wire-protocol.ts
@@ -22,18 +22,24 @@
   readonly requestId: string | undefined;
   readonly endpoint: string;
   readonly remainingMilliseconds: number;
+  /** Name of the organisation that the caller belongs to, if its token told one. */
+  readonly organisation?: string | undefined;
 }
 
 /** The platform-specific part of request and response handling. */
 export interface WireProtocol {
   /** Lower-case names of request headers that the gateway replaces or that callers may not set. */
   readonly ownedRequestHeaders: ReadonlySet<string>;
+  /** Lower-case names of the headers that carry tokens and organisations, which callers may not set for endpoints. */
+  readonly organisationHeaders: ReadonlySet<string>;
   readonly requestIdHeader: string;
   readonly retryAfterHeader: string;
   /** Path of the readiness check. */
   readonly readinessPath: string;
   /** Reads how many milliseconds the caller will wait; undefined when it does not specify a deadline. */
   readonly readDeadline: (headers: IncomingHttpHeaders) => number | undefined;
+  /** Reads the token of the caller; undefined when there is none, or several. */
+  readonly readToken: (headers: NodeJS.Dict<string[]>) => string | undefined;
   /** Returns the headers added to an attempt, as a flat list of names and values. */
   readonly listAttemptHeaders: (context: AttemptContext) => string[];
   readonly classifyResponse: (
--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -11,6 +11,8 @@
   readonly route: string;
   readonly idempotent: boolean;
   readonly priority: number;
+  /** Name of the caller's organisation; empty if it has none. */
+  readonly organisation: string;
   readonly remaining: number;
   readonly target: number;
   /** Whether an earlier attempt may have reached an endpoint. */
