Compare revisions of the store within its era only

A store that came back from a copy some seconds old gave its revisions out again, and directories ignored every list below the known revision: departures were not seen until the revisions had passed it.

The store client reads the era of each response. Positions (era, revision) are compared by directory and watcher and travel with pings, pongs and states; an era stands behind two values in pongs, because daemons of an earlier version expect others at their place. Entries that the copy lacks are kept for the time of the outage tolerance. Endpoints that had left, were leaving or had started again are not used by their old entry until it is written again, or after the same time. Member entries and crash records are written again. Configurations of the copy are older and were ignored before; their watch reads again in a new era.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -52,7 +52,10 @@
   /** Whether this daemon may dispatch. */
   readonly isSelfUsable: () => boolean;
   /** Versions of the local state, which a ping reports. */
-  readonly getVersions: () => Pick<datagrams.Ping, 'configurationVersion' | 'directoryRevision'>;
+  readonly getVersions: () => Pick<
+    datagrams.Ping,
+    'configurationVersion' | 'directoryRevision' | 'directoryEra'
+  >;
   readonly send: (message: datagrams.Message, target: DispatcherTarget) => void;
   readonly onChange: (name: string, responsive: boolean) => void;
   /** Returns monotonic milliseconds. */
--- a/packages/daemon/gateway-daemon/src/crash-record-store.ts
+++ b/packages/daemon/gateway-daemon/src/crash-record-store.ts
@@ -10,6 +10,7 @@
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
 import type { DirectorySource, StoredCrashRecord } from './directory-source.js';
+import type { StorePosition } from './store-position.js';
 
 /** Sum of the weights of the evidence from which a record is saved: one reset less than a refusal takes. */
 const WEIGHT_TO_SAVE = grants.WEIGHT_TO_REFUSE - 1;
@@ -47,8 +48,8 @@
   /** Records to be saved, by fingerprint. */
   private readonly pending = new Map<string, grants.CrashRecord>();
 
-  /** Pieces of evidence that the store holds, by fingerprint, as far as this daemon knows. */
-  private readonly saved = new Map<string, number>();
+  /** What the store holds, by fingerprint, as far as this daemon knows. */
+  private readonly saved = new Map<string, grants.CrashRecord>();
 
   private saving = false;
 
@@ -72,7 +73,7 @@
   update(record: grants.CrashRecord, position: number): void {
     const { fingerprint, evidence } = record;
     const isWorthSaving = grants.computeCrashWeight(record) >= WEIGHT_TO_SAVE;
-    const savedEvidence = this.saved.get(fingerprint) ?? 0;
+    const savedEvidence = this.saved.get(fingerprint)?.evidence.length ?? 0;
     const isNewer = isWorthSaving && evidence.length > savedEvidence;
     const isCleared = evidence.length === 0 && savedEvidence > 0;
     if (!isNewer && !isCleared) {
@@ -82,6 +83,19 @@
     setTimeout(() => this.save(), position * SAVE_STEP_MILLISECONDS).unref();
   }
 
+  /** Saves again what was saved or removed before, because the store may have lost it; records saved since are kept. */
+  saveAgain(): void {
+    const oldest = this.options.now() - STORED_MILLISECONDS;
+    for (const [fingerprint, record] of this.saved) {
+      const isCurrent =
+        record.evidence.length === 0 || record.evidence.some(({ at }) => at > oldest);
+      if (isCurrent && !this.pending.has(fingerprint)) {
+        this.pending.set(fingerprint, record);
+      }
+    }
+    this.save();
+  }
+
   private save(): void {
     if (!this.saving && this.pending.size > 0) {
       this.saving = true;
@@ -120,11 +134,11 @@
     const { records } = await this.callWithTimeout((signal) =>
       this.options.source.readCrashRecords(signal),
     );
-    const current = this.selectCurrent(records);
-    for (const { fingerprint, evidence } of current) {
-      this.setSaved(fingerprint, evidence.length);
+    const current = this.selectCurrent(records).map((record) => this.decode(record));
+    for (const record of current) {
+      this.setSaved(record);
     }
-    this.options.onLoaded(current.map((record) => this.decode(record)));
+    this.options.onLoaded(current);
   }
 
   private async saveOnce(): Promise<void> {
@@ -133,11 +147,11 @@
       const batch = [...this.pending];
       const stored = await this.callWithTimeout((signal) => source.readCrashRecords(signal));
       const { records, hasChanged } = this.merge(stored.records, batch);
-      if (hasChanged && !(await this.replace(records, stored.revision))) {
+      if (hasChanged && !(await this.replace(records, stored))) {
         continue;
       }
       for (const [fingerprint, record] of batch) {
-        this.setSaved(fingerprint, record.evidence.length);
+        this.setSaved(record);
         if (this.pending.get(fingerprint) === record) {
           this.pending.delete(fingerprint);
         }
@@ -145,11 +159,14 @@
     }
   }
 
-  /** Returns false if another daemon has replaced the records of the given revision before. */
-  private async replace(records: readonly StoredCrashRecord[], revision: number): Promise<boolean> {
+  /** Returns false if the records of the given position may have been replaced before. */
+  private async replace(
+    records: readonly StoredCrashRecord[],
+    expected: StorePosition,
+  ): Promise<boolean> {
     try {
       await this.callWithTimeout((signal) =>
-        this.options.source.writeCrashRecords(records, revision, signal),
+        this.options.source.writeCrashRecords(records, expected, signal),
       );
       return true;
     } catch (error) {
@@ -216,9 +233,9 @@
     };
   }
 
-  private setSaved(fingerprint: string, evidence: number): void {
-    this.saved.delete(fingerprint);
-    this.saved.set(fingerprint, evidence);
+  private setSaved(record: grants.CrashRecord): void {
+    this.saved.delete(record.fingerprint);
+    this.saved.set(record.fingerprint, record);
     if (this.saved.size > MAXIMUM_SAVED) {
       this.saved.delete(this.saved.keys().next().value as string);
     }
--- a/packages/daemon/gateway-daemon/src/directory-source.ts
+++ b/packages/daemon/gateway-daemon/src/directory-source.ts
@@ -4,22 +4,21 @@
 import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
 import * as z from 'zod';
 import type { Member } from './member.js';
+import type { StorePosition } from './store-position.js';
 
 /** One change of the endpoints. */
 export type EndpointChange =
   | { readonly kind: 'put'; readonly endpoint: Endpoint }
   | { readonly kind: 'removed'; readonly id: string };
 
-/** Changes of endpoints up to a revision of the store. */
-export interface EndpointChanges {
+/** Changes of endpoints up to a position of the store. */
+export interface EndpointChanges extends StorePosition {
   readonly changes: readonly EndpointChange[];
-  readonly revision: number;
 }
 
-/** The configuration at a revision of the store, undefined when none is stored. */
-export interface VersionedConfiguration {
+/** The configuration at a position of the store, undefined when none is stored. */
+export interface VersionedConfiguration extends StorePosition {
   readonly configuration: TrafficConfiguration | undefined;
-  readonly revision: number;
 }
 
 /** What the store holds of a request that crashes endpoints. */
@@ -42,19 +41,20 @@
 
 export type StoredCrashRecord = z.infer<typeof storedCrashRecordSchema>;
 
-/** The stored records of crashing requests at a revision of their entry, 0 when there is none. */
-export interface VersionedCrashRecords {
+/** The stored records of crashing requests; the revision is that of their entry, 0 when there is none. */
+export interface VersionedCrashRecords extends StorePosition {
   readonly records: readonly StoredCrashRecord[];
-  readonly revision: number;
 }
 
 /** Access to the platform's store; calls throw a `FailureError` when the store is unavailable or rejects them. */
 export interface DirectorySource {
-  readEndpoints(signal: AbortSignal): Promise<{
-    readonly endpoints: readonly Endpoint[];
-    readonly revision: number;
-  }>;
-  /** Waits for changes after a revision; throws `StoreHistoryLost` when the store has compacted them. */
+  readEndpoints(
+    signal: AbortSignal,
+  ): Promise<StorePosition & { readonly endpoints: readonly Endpoint[] }>;
+  /**
+   * Waits for changes after a revision; throws `StoreHistoryLost` when the store has compacted them. If the changes are of
+   * another era than the revision, others may be missing.
+   */
   watchEndpoints(
     after: number,
     waitMilliseconds: number,
@@ -75,10 +75,13 @@
   /** Registers a daemon. */
   writeMember(member: Member, signal: AbortSignal): Promise<void>;
   readCrashRecords(signal: AbortSignal): Promise<VersionedCrashRecords>;
-  /** Replaces the records of a revision; throws `StoreConditionFailed` when they have changed since. */
+  /**
+   * Replaces the records of a position; throws `StoreConditionFailed` when they have changed since, or may have, because the
+   * store has begun a new era.
+   */
   writeCrashRecords(
     records: readonly StoredCrashRecord[],
-    expectedRevision: number,
+    expected: StorePosition,
     signal: AbortSignal,
   ): Promise<void>;
 }
--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -1,5 +1,6 @@
 /**
- * The configuration and the endpoints that a daemon knows, with their revisions. Versions never decrease.
+ * The configuration and the endpoints that a daemon knows, with their position in the store. Versions never decrease, and
+ * positions neither: in a new era of the store its revisions may be lower.
  */
 import {
   type Endpoint,
@@ -8,9 +9,12 @@
   endpointSchema,
   trafficConfigurationSchema,
 } from '@dogwoodstall/traffic';
-import * as grants from '@dogwoodstall/grants';
 import * as z from 'zod';
+import { CellIndex } from './cell-index.js';
 import { memberSchema } from './member.js';
+import { REREGISTRATION_MILLISECONDS } from './store-contact-tracker.js';
+import { type StorePosition, isLater } from './store-position.js';
+import { UnconfirmedEndpoints, isSameEndpoint, mayBeOutdated } from './unconfirmed-endpoints.js';
 
 function selectEndpoints(entries: readonly unknown[]): Endpoint[] {
   return entries.flatMap((entry) => endpointSchema.safeParse(entry).data ?? []);
@@ -24,27 +28,22 @@
   /** Absent when the requesting daemon already has this revision. Older daemons may list entries that are invalid. */
   endpoints: z.array(z.unknown()).transform(selectEndpoints).optional(),
   directoryRevision: z.number(),
+  /** Absent from older daemons. */
+  directoryEra: z.number().int().optional(),
+  /** Ids of the listed endpoints that are not in use yet, because their entries may be outdated. */
+  unconfirmed: z.array(z.string()).optional(),
   /** Absent when the requesting daemon knows the same members. */
   members: z.array(memberSchema).optional(),
 });
 
 export type State = z.infer<typeof stateSchema>;
 
-function isSameEndpoint(left: Endpoint, right: Endpoint): boolean {
-  return (
-    left.lifetime === right.lifetime &&
-    left.address === right.address &&
-    left.service === right.service &&
-    left.draining === right.draining &&
-    left.slots === right.slots &&
-    left.zone === right.zone
-  );
-}
-
 /** Options of `Directory`. */
 export interface DirectoryOptions {
   readonly onConfiguration: (configuration: TrafficConfiguration, source: string) => void;
   readonly onEndpoints: (source: string) => void;
+  /** Called when the store has lost changes since the endpoints were read. */
+  readonly onNewEra?: (era: number) => void;
   /**
    * Returns the monotonic milliseconds until which an endpoint that the store no longer lists is kept, because its entry
    * may have expired during an outage. Each daemon decides this by itself and tells no other one of such endpoints.
@@ -54,6 +53,9 @@
 
 /** The known configuration and endpoints. */
 export class Directory {
+  /** The cells of each service, from the endpoints that may be used. */
+  readonly cells = new CellIndex();
+
   private routeIndex: RouteIndex | undefined;
 
   private readonly endpoints = new Map<string, Endpoint>();
@@ -66,14 +68,15 @@
   /** Endpoints that were draining when they were removed, oldest first, by id. */
   private readonly drained = new Map<string, Endpoint>();
 
-  private revision = 0;
+  private latest: StorePosition = { era: 0, revision: 0 };
 
-  /** Resolvers that are called once the configuration and the endpoints are known. */
-  private readonly completionCallbacks: (() => void)[] = [];
+  /** Time until which an endpoint may have been listed by the changes that the store lost. */
+  private eraToleranceEndsAt = -Infinity;
 
-  private readonly cellsByName = new Map<string, grants.Cell>();
+  private readonly unconfirmed = new UnconfirmedEndpoints((endpoints) => this.confirm(endpoints));
 
-  private readonly cellsByService = new Map<string, readonly grants.Cell[]>();
+  /** Resolvers that are called once the configuration and the endpoints are known. */
+  private readonly completionCallbacks: (() => void)[] = [];
 
   constructor(private readonly options: DirectoryOptions) {}
 
@@ -85,14 +88,14 @@
     return this.routeIndex?.configuration.version ?? 0;
   }
 
-  /** Revision of the store at the last change of an endpoint; `listStored` is complete up to it. */
-  get endpointRevision(): number {
-    return this.revision;
+  /** Position of the store at the last change of an endpoint; `listStored` is complete up to it. */
+  get position(): StorePosition {
+    return this.latest;
   }
 
   /** Whether the endpoints have been read; there may be none. */
   get hasEndpoints(): boolean {
-    return this.revision > 0;
+    return this.latest.revision > 0;
   }
 
   /** Whether both the configuration and the endpoints are known. */
@@ -122,9 +125,10 @@
     }
   }
 
-  /** Stops the timer of lapsed endpoints. */
+  /** Stops the timers of lapsed and unconfirmed endpoints. */
   close(): void {
     clearTimeout(this.lapseTimer);
+    this.unconfirmed.clear();
   }
 
   /** Lists the endpoints that may be used. */
@@ -143,47 +147,16 @@
     return known !== undefined && known.draining && known.lifetime === lifetime;
   }
 
-  /** Lists the endpoints that the store lists at the current revision. */
+  /** Lists the endpoints that the store lists at the current position. */
   listStored(): Endpoint[] {
-    return this.listAll().filter(({ id }) => !this.lapsed.has(id));
-  }
-
-  /**
-   * Returns the endpoints of a cell. Daemons learn at different times that a service is divided into other cells, so that
-   * the name may also be of a former cell, or of one that this daemon does not know yet.
-   */
-  listEndpoints(cell: string): readonly Endpoint[] {
-    const known = this.cellsByName.get(cell);
-    if (known !== undefined) {
-      return known.endpoints;
-    }
-    const cells = this.cellsByService.get(grants.findServiceOfCell(cell)) ?? [];
-    return grants.selectEndpointsOfCell(
-      cell,
-      cells.flatMap(({ endpoints }) => endpoints),
-    );
-  }
-
-  /** Whether any service is divided into a cell with the given name. */
-  hasCell(name: string): boolean {
-    return this.cellsByName.has(name);
+    const isStored = ({ id }: Endpoint): boolean =>
+      !this.lapsed.has(id) && !this.unconfirmed.has(id);
+    return [...this.listAll().filter(isStored), ...this.unconfirmed.list()];
   }
 
-  /** Returns the cell with the given name, also a former one. */
-  getCell(name: string): grants.Cell {
-    const known = this.cellsByName.get(name);
-    const service = grants.findServiceOfCell(name);
-    return known ?? { name, service, zone: undefined, endpoints: this.listEndpoints(name) };
-  }
-
-  /** Returns the cells of a service; there is always at least one. */
-  listCellsOf(service: string): readonly grants.Cell[] {
-    return this.cellsByService.get(service) ?? grants.partitionIntoCells(service, []);
-  }
-
-  /** Returns the cells of every service that has a route or an endpoint. */
-  listCells(): Iterable<grants.Cell> {
-    return this.cellsByName.values();
+  /** Lists the ids of stored endpoints whose entries are not in effect yet. */
+  listUnconfirmed(): string[] {
+    return this.unconfirmed.list().map(({ id }) => id);
   }
 
   /** Activates a configuration unless the active one has the same or a later version. */
@@ -196,35 +169,67 @@
     }
   }
 
-  /** Replaces all endpoints by those read at a revision; an older or equal revision is ignored. */
-  replaceEndpoints(endpoints: readonly Endpoint[], revision: number, source: string): void {
-    if (revision <= this.revision) {
+  /**
+   * Replaces all endpoints by those read at a position; an earlier or equal one is ignored. The given unconfirmed ones are
+   * of a daemon that knew more of them.
+   */
+  replaceEndpoints(
+    endpoints: readonly Endpoint[],
+    position: StorePosition,
+    source: string,
+    unconfirmed: readonly string[] = [],
+  ): void {
+    if (!isLater(position, this.latest)) {
       return;
     }
+    const isNewEra = this.beginEra(position.era);
     const ids = new Set(endpoints.map(({ id }) => id));
-    let changed = this.revision === 0;
-    for (const id of this.endpoints.keys()) {
+    const doubtful = new Set(isNewEra ? ids : unconfirmed);
+    let changed = isNewEra || !this.hasEndpoints;
+    for (const id of [...this.endpoints.keys(), ...this.listUnconfirmed()]) {
       if (!ids.has(id)) {
         changed = this.remove(id) || changed;
       }
     }
     for (const endpoint of endpoints) {
-      changed = this.put(endpoint) || changed;
+      const isOutdated =
+        this.unconfirmed.holds(endpoint) ||
+        (doubtful.has(endpoint.id) && mayBeOutdated(endpoint, this.endpoints.get(endpoint.id)));
+      if (isOutdated) {
+        this.lapsed.delete(endpoint.id);
+        this.unconfirmed.add(endpoint);
+      } else {
+        changed = this.put(endpoint) || changed;
+      }
+    }
+    this.finishChange(changed, position, source);
+    if (isNewEra) {
+      this.options.onNewEra?.(position.era);
     }
-    this.finishChange(changed, revision, source);
+  }
+
+  /** Returns whether the endpoints were read in an earlier era of the store. */
+  private beginEra(era: number): boolean {
+    if (!this.hasEndpoints || era === this.latest.era) {
+      return false;
+    }
+    this.eraToleranceEndsAt = performance.now() + REREGISTRATION_MILLISECONDS;
+    this.unconfirmed.clear();
+    return true;
   }
 
   /**
-   * Applies the changes that the store reported up to a revision. Changes up to an older revision than that of the
-   * endpoints are ignored, because later ones may be known; returns whether they were applied.
+   * Applies the changes that the store reported up to a position. Changes up to an earlier position than that of the
+   * endpoints are ignored, because later ones may be known, and those of a later era, because others may be lost; returns
+   * whether they were applied.
    */
   changeEndpoints(
     puts: readonly Endpoint[],
     removed: readonly string[],
-    revision: number,
+    position: StorePosition,
     source: string,
   ): boolean {
-    if (revision < this.revision) {
+    if (position.era !== this.latest.era || position.revision < this.latest.revision) {
       return false;
     }
     let changed = false;
@@ -234,16 +239,27 @@
     for (const id of removed) {
       changed = this.remove(id) || changed;
     }
-    this.finishChange(changed, revision, source);
+    this.finishChange(changed, position, source);
     return true;
   }
 
+  /** Puts entries into effect that were not written again in time. */
+  private confirm(endpoints: readonly Endpoint[]): void {
+    for (const endpoint of endpoints) {
+      this.put(endpoint);
+    }
+    // The position stays, because the store's list has not changed.
+    this.finishChange(true, this.latest, 'entries not written again');
+  }
+
   /** Returns whether the endpoint was not listed like this before. */
   private put(endpoint: Endpoint): boolean {
+    const wasHeld = this.unconfirmed.has(endpoint.id);
+    this.unconfirmed.delete(endpoint.id);
     const wasLapsed = this.lapsed.delete(endpoint.id);
     const known = this.endpoints.get(endpoint.id);
     if (known !== undefined && isSameEndpoint(known, endpoint)) {
-      return wasLapsed;
+      return wasLapsed || wasHeld;
     }
     this.endpoints.set(endpoint.id, endpoint);
     this.drained.delete(endpoint.id);
@@ -252,10 +268,15 @@
 
   /** Removes an endpoint, at once or when its entry can no longer return; returns whether it was listed before. */
   private remove(id: string): boolean {
+    const wasHeld = this.unconfirmed.has(id);
+    this.unconfirmed.delete(id);
     if (!this.endpoints.has(id) || this.lapsed.has(id)) {
-      return false;
+      return wasHeld;
     }
-    const toleranceEndsAt = this.options.toleranceEndsAt?.() ?? -Infinity;
+    const toleranceEndsAt = Math.max(
+      this.options.toleranceEndsAt?.() ?? -Infinity,
+      this.eraToleranceEndsAt,
+    );
     if (performance.now() < toleranceEndsAt) {
       this.lapsed.set(id, toleranceEndsAt);
       this.scheduleRemoval();
@@ -293,38 +314,21 @@
       }
     }
     this.scheduleRemoval();
-    // The revision stays, because the store's list has not changed.
-    this.finishChange(true, this.revision, 'outage tolerance');
+    // The position stays, because the store's list has not changed.
+    this.finishChange(true, this.latest, 'outage tolerance');
   }
 
-  private finishChange(changed: boolean, revision: number, source: string): void {
+  private finishChange(changed: boolean, position: StorePosition, source: string): void {
     if (!changed) {
       return;
     }
-    this.revision = revision;
+    this.latest = position;
     this.rebuildCells();
     this.options.onEndpoints(source);
     this.notifyCompletion();
   }
 
   private rebuildCells(): void {
-    const endpointsByService = new Map<string, Endpoint[]>();
-    for (const service of this.routeIndex?.services ?? []) {
-      endpointsByService.set(service, []);
-    }
-    for (const endpoint of this.endpoints.values()) {
-      const list = endpointsByService.get(endpoint.service) ?? [];
-      list.push(endpoint);
-      endpointsByService.set(endpoint.service, list);
-    }
-    this.cellsByName.clear();
-    this.cellsByService.clear();
-    for (const [service, endpoints] of endpointsByService) {
-      const cells = grants.partitionIntoCells(service, endpoints);
-      this.cellsByService.set(service, cells);
-      for (const cell of cells) {
-        this.cellsByName.set(cell.name, cell);
-      }
-    }
+    this.cells.rebuild(this.routeIndex?.services ?? [], this.endpoints.values());
   }
 }
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -133,7 +133,7 @@
   /** Handles a slot request; `respond` is called at once and, after `queued`, again with the decision. */
   ask(entry: string, ask: datagrams.Ask, respond: (response: SlotResponse) => void): void {
     const { directory } = this.options;
-    if (!directory.hasCell(ask.cell) && directory.listEndpoints(ask.cell).length === 0) {
+    if (!directory.cells.has(ask.cell) && directory.cells.listEndpoints(ask.cell).length === 0) {
       const retryAfter = UNKNOWN_CELL_RETRY_MILLISECONDS;
       respond([
         'refuse',
@@ -203,7 +203,7 @@
   /** Applies a change of the directory. */
   updateEndpoints(): void {
     for (const [cell, dispatcher] of this.cells) {
-      dispatcher.updateEndpoints(this.options.directory.listEndpoints(cell));
+      dispatcher.updateEndpoints(this.options.directory.cells.listEndpoints(cell));
     }
   }
 
@@ -222,7 +222,7 @@
   /** Imports what an active dispatcher reports, for cells that this daemon does not dispatch. */
   importCellReports(cells: readonly CellReport[], source: string): void {
     for (const { name, suspects, ...announced } of cells) {
-      if (this.options.directory.hasCell(name) && !this.isActiveFor(name)) {
+      if (this.options.directory.cells.has(name) && !this.isActiveFor(name)) {
         const dispatcher = this.getOrCreate(name);
         dispatcher.importSuspects(new Set(suspects));
         if (announced.announcements !== undefined) {
@@ -235,7 +235,7 @@
   /** Records what an endpoint announced to this daemon although another one granted the request. */
   learn(cell: string, { endpoint, lifetime, announcement, elapsed }: OwnResponse): void {
     const isKnown = this.cells.has(cell) || announcement?.requestsPerSecond != null;
-    if (isKnown && this.options.directory.hasCell(cell)) {
+    if (isKnown && this.options.directory.cells.has(cell)) {
       const stated = announcement ?? noAnnouncement;
       const sentAt = performance.now() - elapsed;
       const process = { endpoint, lifetime };
@@ -262,7 +262,7 @@
         decide: (request, decision) => this.sendDecision(cell, request, decision),
         onAnnouncement: (change) => this.options.onAnnouncement(cell, change),
       });
-      dispatcher.updateEndpoints(this.options.directory.listEndpoints(cell));
+      dispatcher.updateEndpoints(this.options.directory.cells.listEndpoints(cell));
       this.cells.set(cell, dispatcher);
     }
     return dispatcher;
@@ -347,7 +347,7 @@
   private removeFormerCells(): void {
     for (const [name, dispatcher] of this.cells) {
       const isUnused = dispatcher.isIdle && !this.isActiveFor(name);
-      if (!this.options.directory.hasCell(name) && isUnused) {
+      if (!this.options.directory.cells.has(name) && isUnused) {
         this.cells.delete(name);
         this.lastAskByCell.delete(name);
       }
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -180,7 +180,7 @@
       self: settings.name,
       directory: this.directory,
       crashRecords: this.crashRecords.records,
-      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
+      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.cells.get(cell)),
       isVerifying: () => this.roleAssignment.isVerifying,
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
@@ -399,12 +399,18 @@
         this.pingExchange.announceToAll();
         this.candidates.pingAll();
       },
+      onNewEra: (era) => {
+        logger.warn('store has lost its latest changes', { era });
+        this.candidates.pingAll();
+        this.peerState.registerAgain().catch(this.createErrorHandler('registration'));
+        this.crashRecordStore.saveAgain();
+      },
       onEndpoints: (source) => {
         this.dispatcherRole.updateEndpoints();
         this.pingExchange.announceEndpoints();
         this.silentAttempts.check();
         logger.info('endpoints changed', {
-          revision: this.directory.endpointRevision,
+          ...this.directory.position,
           endpoints: this.directory.listAll().length,
           source,
         });
@@ -432,11 +438,12 @@
     const logger = this.options.log.getLogger('membership');
     return new Candidates({
       members: this.members,
-      listCells: () => this.directory.listCells(),
+      listCells: () => this.directory.cells.list(),
       isSelfUsable: () => this.roleAssignment.isSettled() && !this.dispatcherRole.stopping,
       getVersions: () => ({
         configurationVersion: this.directory.configurationVersion,
-        directoryRevision: this.directory.endpointRevision,
+        directoryRevision: this.directory.position.revision,
+        directoryEra: this.directory.position.era,
       }),
       send: (message, target) => this.datagramSocket.send(message, target),
       onChange: (name, responsive) =>
@@ -457,7 +464,7 @@
       cells: new CellSelector({
         name: self,
         zone,
-        listCells: (service) => this.directory.listCellsOf(service),
+        listCells: (service) => this.directory.cells.listOf(service),
         now: () => performance.now(),
         random: Math.random,
       }),
@@ -481,8 +488,8 @@
 
   private createEndpointPaths(): EndpointPaths {
     const listAddresses = (service: string): string[] =>
-      this.directory
-        .listCellsOf(service)
+      this.directory.cells
+        .listOf(service)
         .flatMap(({ endpoints }) => endpoints.map(({ address }) => address));
     return new EndpointPaths({
       listAddresses,
--- a/packages/daemon/gateway-daemon/src/index.ts
+++ b/packages/daemon/gateway-daemon/src/index.ts
@@ -17,3 +17,4 @@
   type VersionedCrashRecords,
   storedCrashRecordSchema,
 } from './directory-source.js';
+export type { StorePosition } from './store-position.js';
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -9,6 +9,7 @@
 import type { Directory, State } from './directory.js';
 import type { Member, MemberTable } from './member.js';
 import { type StateRequest, requestState } from './state-server.js';
+import { type ReportedPosition, isLater, readPosition } from './store-position.js';
 
 /** Wait before the members are read again, so that daemons that start together have all registered. */
 const JOIN_PAUSE_MILLISECONDS = 700;
@@ -61,11 +62,12 @@
 
   /** Fetches the state of a daemon whose ping or pong shows a newer configuration, newer endpoints or other members. */
   fetchIfNewer(
-    known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'>,
+    known: Pick<datagrams.Pong, 'configurationVersion'> & ReportedPosition,
     host: string,
     membersDiffer: boolean,
   ): void {
-    const hasNewerEndpoints = known.directoryRevision > this.options.directory.endpointRevision;
+    const { position } = this.options.directory;
+    const hasNewerEndpoints = isLater(readPosition(known, position), position);
     const canDelay = this.options.directory.hasEndpoints && !this.options.isDispatching();
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
     const shouldFetch =
@@ -91,7 +93,8 @@
     try {
       const state = await requestState(address, {
         configurationVersion: this.options.directory.configurationVersion,
-        directoryRevision: this.options.directory.endpointRevision,
+        directoryRevision: this.options.directory.position.revision,
+        directoryEra: this.options.directory.position.era,
         memberDigest: this.options.members.digest,
         members: [this.options.members.self],
       });
@@ -107,7 +110,9 @@
       this.options.directory.activateConfiguration(state.configuration, source);
     }
     if (state.endpoints !== undefined) {
-      this.options.directory.replaceEndpoints(state.endpoints, state.directoryRevision, source);
+      const { directory } = this.options;
+      const position = readPosition(state, directory.position);
+      directory.replaceEndpoints(state.endpoints, position, source, state.unconfirmed);
     }
   }
 
@@ -128,12 +133,13 @@
   handleStateRequest(request: StateRequest): State {
     this.addMembers(request.members, 'peer');
     const hasOtherMembers = request.memberDigest !== this.options.members.digest;
-    const { endpointRevision, configurationVersion } = this.options.directory;
+    const { position, configurationVersion } = this.options.directory;
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
-    const hasNewerEndpoints = endpointRevision > request.directoryRevision;
+    const hasNewerEndpoints = isLater(position, readPosition(request, position));
+    const unconfirmed = this.options.directory.listUnconfirmed();
     const content = [
       hasNewerConfiguration && configurationVersion,
-      hasNewerEndpoints && endpointRevision,
+      hasNewerEndpoints && [position.era, position.revision, ...unconfirmed],
       hasOtherMembers && this.options.members.digest,
     ];
     const key = content.join(' ');
@@ -153,12 +159,15 @@
     withEndpoints: boolean,
     withMembers: boolean,
   ): State {
-    const { routes, endpointRevision } = this.options.directory;
+    const { routes, position } = this.options.directory;
+    const unconfirmed = this.options.directory.listUnconfirmed();
     return {
       ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
       ...(withEndpoints && { endpoints: this.options.directory.listStored() }),
+      ...(withEndpoints && unconfirmed.length > 0 && { unconfirmed }),
       ...(withMembers && { members: this.options.members.list() }),
-      directoryRevision: endpointRevision,
+      directoryRevision: position.revision,
+      directoryEra: position.era,
     };
   }
 
@@ -167,7 +176,6 @@
    * and retries. Resolves once the members have been read from the store.
    */
   async join(): Promise<void> {
-    const { source } = this.options;
     const { signal } = this.closing;
     const readMembers = (allowStale: boolean): Promise<boolean> =>
       results.callWithTimeout(JOIN_CALL_MILLISECONDS, signal, (limited) =>
@@ -177,9 +185,7 @@
       try {
         // After a restart the entry of this daemon is still in the store and need not be written again.
         if (!(await readMembers(true))) {
-          await results.callWithTimeout(JOIN_CALL_MILLISECONDS, signal, (limited) =>
-            source.writeMember(this.options.members.self, limited),
-          );
+          await this.register();
           await delay(JOIN_PAUSE_MILLISECONDS);
           await readMembers(false);
         }
@@ -197,6 +203,27 @@
     }
   }
 
+  /** Writes the entry of this daemon again, because the store may have lost it. Retries until the store has it. */
+  async registerAgain(): Promise<void> {
+    while (!this.options.isStopping()) {
+      try {
+        await this.register();
+        return;
+      } catch (error) {
+        const { kind, message } = results.toFailure(error);
+        this.options.logger.warn('registering again failed', { result: kind, reason: message });
+        await delay(JOIN_RETRY_MILLISECONDS);
+      }
+    }
+  }
+
+  private register(): Promise<void> {
+    const { source, members } = this.options;
+    return results.callWithTimeout(JOIN_CALL_MILLISECONDS, this.closing.signal, (limited) =>
+      source.writeMember(members.self, limited),
+    );
+  }
+
   /** Reads the daemons from the store; returns whether this one is registered with its current host. */
   private async readMembers(allowStale: boolean, signal: AbortSignal): Promise<boolean> {
     const { self } = this.options.members;
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -10,6 +10,7 @@
 import type { MemberTable } from './member.js';
 import type { PeerState } from './peer-state.js';
 import type { RoleAssignment } from './role-assignment.js';
+import { isLater, readPosition } from './store-position.js';
 
 /** Time since its last ping for which a daemon receives announcements. */
 const SUBSCRIPTION_MILLISECONDS = 3000;
@@ -67,7 +68,8 @@
     dispatcherRole.importCellReports(pong.cells, member.name);
     peerState.fetchIfNewer(pong, from.host, pong.memberDigest !== members.digest);
     const mayConfirm = pong.settled && !pong.stopping && candidates().isCurrent(pong);
-    if (mayConfirm && pong.directoryRevision <= directory.endpointRevision) {
+    const { position } = directory;
+    if (mayConfirm && !isLater(readPosition(pong, position), position)) {
       roleAssignment.confirmEndpoints();
     }
   }
@@ -103,7 +105,8 @@
           stopping: dispatcherRole.stopping,
           settled: roleAssignment.isSettled(),
           configurationVersion: directory.configurationVersion,
-          directoryRevision: directory.endpointRevision,
+          directoryRevision: directory.position.revision,
+          directoryEra: directory.position.era,
           storeAge: Math.round(roleAssignment.storeAge),
           memberDigest: members.digest,
           cells: standby ? dispatcherRole.listCellReports() : [],
--- a/packages/daemon/gateway-daemon/src/side-task-errors.ts
+++ b/packages/daemon/gateway-daemon/src/side-task-errors.ts
@@ -12,6 +12,7 @@
 /** The tasks, as they appear in the log and the metrics. */
 export type SideTask =
   | 'crash-record'
+  | 'registration'
   | 'endpoint-path'
   | 'metrics-request'
   | 'server'
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -26,6 +26,8 @@
 export const stateRequestSchema = z.object({
   configurationVersion: z.number(),
   directoryRevision: z.number(),
+  /** Absent from older daemons. */
+  directoryEra: z.number().int().optional(),
   /** Members that the other daemon may lack; the requesting daemon itself at least. */
   members: z.array(memberSchema),
   /** Digest of the known members; older daemons lack it and get the members in any case. */
--- a/packages/daemon/gateway-daemon/src/store-contact-tracker.ts
+++ b/packages/daemon/gateway-daemon/src/store-contact-tracker.ts
@@ -6,8 +6,8 @@
 
 /** Gap in contacts that may be an outage; longer than the time between two responses of a store without changes. */
 export const MAXIMUM_CONTACT_GAP_MILLISECONDS = 1800;
-/** After an outage, endpoints register their expired entries again within about two seconds. */
-const REREGISTRATION_MILLISECONDS = 2300;
+/** After an outage, or when the store has lost changes, endpoints register their expired entries again within about two seconds. */
+export const REREGISTRATION_MILLISECONDS = 2300;
 
 /** Tracks contacts with the store and failed calls, in monotonic milliseconds. */
 export class StoreContactTracker {
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -113,7 +113,7 @@
       source.readEndpoints(signal),
     );
     this.recordContact();
-    directory.replaceEndpoints(snapshot.endpoints, snapshot.revision, 'store');
+    directory.replaceEndpoints(snapshot.endpoints, snapshot, 'store');
     if (readAt > suspension.resumedAt) {
       onCurrent();
     }
@@ -141,10 +141,10 @@
         }
       }
       if (
-        !directory.changeEndpoints(puts, removed, revision, 'store') &&
-        changes.changes.length > 0
+        changes.era !== snapshot.era ||
+        (!directory.changeEndpoints(puts, removed, changes, 'store') && changes.changes.length > 0)
       ) {
-        // Another daemon knew later changes already. Reads all endpoints, in case its list lacks one of these.
+        // The store has lost changes, or another daemon knew later ones already, whose list may lack one of these.
         return;
       }
       if (watchedAt > suspension.resumedAt) {
@@ -164,10 +164,14 @@
         directory.activateConfiguration(stored.configuration, 'store');
       }
       const wait = CONFIGURATION_WAIT_MILLISECONDS;
-      const { revision } = stored;
+      const { era, revision } = stored;
       stored = await this.callWithTimeout(wait + CALL_TIMEOUT_MILLISECONDS, (signal) =>
         source.watchConfiguration(revision, wait, signal),
       );
+      if (stored.era !== era) {
+        // Changes up to the revision that were made again are not reported.
+        return;
+      }
     }
   };
 
--- a/packages/daemon/gateway-daemon/test/crash-record-store.test.ts
+++ b/packages/daemon/gateway-daemon/test/crash-record-store.test.ts
@@ -154,3 +154,24 @@
   await delay(50);
   assert.deepEqual([later.source.calls, later.loaded.length], [1, 0]);
 });
+
+// Guards against a request that crashes endpoints again after a restart of all, since the store has lost its record.
+test('records that the store has lost are saved again, and those that were removed are removed again', async () => {
+  const store = new MemoryStore();
+  const daemon = new StoringDaemon(store, 0);
+  const cleared = daemon.createRecord('cleared', 3);
+  daemon.records.update(cleared, 0);
+  await waitUntil('it is saved', () => store.crashRecords.revision > 0, SAVED_MILLISECONDS);
+  const restore = store.copy();
+  daemon.records.update({ ...cleared, evidence: [], clearedAt: daemon.clocks.steady() }, 0);
+  await waitUntil('it is removed', () => store.crashRecords.records.length === 0, 1000);
+  daemon.records.update(daemon.createRecord('culprit', 3), 0);
+  await waitUntil('it is saved', () => store.crashRecords.records.length > 0, SAVED_MILLISECONDS);
+  restore();
+  daemon.records.saveAgain();
+  await delay(ALL_SAVED_MILLISECONDS);
+  assert.deepEqual(
+    store.crashRecords.records.map(({ fingerprint }) => fingerprint),
+    ['culprit'],
+  );
+});
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -31,7 +31,7 @@
 } {
   const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
   const endpoints = ['valuation', 'archive'].flatMap((service) => createEndpoints(service, 2));
-  directory.replaceEndpoints(endpoints, 1, 'store');
+  directory.replaceEndpoints(endpoints, { era: 0, revision: 1 }, 'store');
   const decisions: grants.Decision[] = [];
   const role = new DispatcherRole({
     self: 'daemon-1',
@@ -46,7 +46,7 @@
   let revision = 1;
   const setEndpoints = (changed: readonly Endpoint[]): void => {
     revision += 1;
-    directory.replaceEndpoints(changed, revision, 'store');
+    directory.replaceEndpoints(changed, { era: 0, revision }, 'store');
     role.updateEndpoints();
   };
   return { role, decisions, setEndpoints };
--- a/packages/daemon/gateway-daemon/test/memory-source.ts
+++ b/packages/daemon/gateway-daemon/test/memory-source.ts
@@ -22,7 +22,7 @@
     this.fullReads += 1;
     return this.respond(() => ({
       endpoints: [...this.store.endpoints.values()],
-      revision: this.store.revision,
+      ...this.position,
     }));
   }
 
@@ -31,6 +31,7 @@
     wait: number,
     signal: AbortSignal,
   ): Promise<gatewayDaemon.EndpointChanges> {
+    this.checkHistory(after);
     await this.waitFor(
       () => this.store.changes.some(({ revision }) => revision > after),
       wait,
@@ -40,14 +41,14 @@
       changes: this.store.changes
         .filter(({ revision }) => revision > after)
         .map(({ change }) => change),
-      revision: this.store.revision,
+      ...this.position,
     }));
   }
 
   readConfiguration(): Promise<gatewayDaemon.VersionedConfiguration> {
     return this.respond(() => ({
       configuration: this.store.configuration,
-      revision: this.store.revision,
+      ...this.position,
     }));
   }
 
@@ -56,6 +57,7 @@
     wait: number,
     signal: AbortSignal,
   ): Promise<gatewayDaemon.VersionedConfiguration> {
+    this.checkHistory(after);
     await this.waitFor(() => this.store.configurationRevision > after, wait, signal);
     return this.readConfiguration();
   }
@@ -71,22 +73,33 @@
   }
 
   readCrashRecords(): Promise<gatewayDaemon.VersionedCrashRecords> {
-    return this.respond(() => this.store.crashRecords);
+    return this.respond(() => ({ ...this.store.crashRecords, era: this.store.era }));
   }
 
   writeCrashRecords(
     records: readonly gatewayDaemon.StoredCrashRecord[],
-    expectedRevision: number,
+    expected: gatewayDaemon.StorePosition,
   ): Promise<void> {
     return this.respond(() => {
-      if (this.store.crashRecords.revision !== expectedRevision) {
+      const { era, crashRecords } = this.store;
+      if (crashRecords.revision !== expected.revision || era !== expected.era) {
         throw new FailureError('StoreConditionFailed');
       }
       this.store.revision += 1;
-      this.store.crashRecords = { records, revision: this.store.revision };
+      this.store.crashRecords = { records, ...this.position };
     });
   }
 
+  private get position(): gatewayDaemon.StorePosition {
+    return { era: this.store.era, revision: this.store.revision };
+  }
+
+  private checkHistory(after: number): void {
+    if (after > this.store.revision) {
+      throw new FailureError('StoreHistoryLost');
+    }
+  }
+
   private async waitFor(
     hasChanged: () => boolean,
     wait: number,
--- a/packages/daemon/gateway-daemon/test/memory-store.ts
+++ b/packages/daemon/gateway-daemon/test/memory-store.ts
@@ -11,6 +11,8 @@
 
 /** The content of the store, shared by the connections of all daemons. */
 export class MemoryStore {
+  era = 0;
+
   revision = 1;
 
   configuration: TrafficConfiguration | undefined;
@@ -19,11 +21,31 @@
 
   readonly endpoints = new Map<string, Endpoint>();
 
-  readonly changes: Change[] = [];
+  changes: Change[] = [];
 
   readonly members = new Map<string, gatewayDaemon.Member>();
 
-  crashRecords: gatewayDaemon.VersionedCrashRecords = { records: [], revision: 0 };
+  crashRecords: gatewayDaemon.VersionedCrashRecords = { records: [], revision: 0, era: 0 };
+
+  /** Returns a function that puts the store back to its present content, in a new era. */
+  copy(): () => void {
+    const { revision, configuration, configurationRevision, changes, crashRecords } = this;
+    const endpoints = [...this.endpoints];
+    const members = [...this.members];
+    return () => {
+      this.era += 1;
+      Object.assign(this, { revision, configuration, configurationRevision, crashRecords });
+      this.changes = changes.filter((change) => change.revision <= revision);
+      this.endpoints.clear();
+      for (const [id, endpoint] of endpoints) {
+        this.endpoints.set(id, endpoint);
+      }
+      this.members.clear();
+      for (const [name, member] of members) {
+        this.members.set(name, member);
+      }
+    };
+  }
 
   put(endpoint: Endpoint): void {
     this.revision += 1;
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLog } from '@dogwoodstall/observability';
+import type { Endpoint } from '@dogwoodstall/traffic';
 import { Directory } from '../src/directory.js';
 import { type Member, MemberTable } from '../src/member.js';
 import { PeerState } from '../src/peer-state.js';
@@ -20,11 +21,19 @@
   };
 }
 
-function createPeerState(members: MemberTable): PeerState {
+function createDirectory(): Directory {
+  return new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+}
+
+function createPeerState(
+  members: MemberTable,
+  directory = createDirectory(),
+  store = new MemoryStore(),
+): PeerState {
   return new PeerState({
     members,
-    directory: new Directory({ onConfiguration: () => {}, onEndpoints: () => {} }),
-    source: new MemorySource(new MemoryStore()),
+    directory,
+    source: new MemorySource(store),
     seeds: () => [],
     isDispatching: () => false,
     isStopping: () => false,
@@ -51,3 +60,56 @@
   });
   assert.equal(peerState.handleStateRequest(request).members?.length, 3);
 });
+
+const endpoint: Endpoint = {
+  id: 'one',
+  service: 'valuation',
+  address: '127.0.0.1:1',
+  zone: 'a',
+  slots: 2,
+  draining: false,
+  warmUpMilliseconds: 0,
+  lifetime: 1,
+};
+
+// Guards against daemons that keep a list with a higher revision, which the store has lost.
+test('a state has the endpoints for a daemon that knows those of an earlier era, and names the unconfirmed ones', () => {
+  const directory = createDirectory();
+  const peerState = createPeerState(new MemberTable(createMember(1)), directory);
+  directory.replaceEndpoints([endpoint], { era: 1, revision: 20 }, 'store');
+  const two = { ...endpoint, id: 'two' };
+  directory.replaceEndpoints([endpoint, two], { era: 2, revision: 15 }, 'store');
+  const request = { configurationVersion: 0, members: [], directoryRevision: 20 };
+  const state = peerState.handleStateRequest({ ...request, directoryEra: 1 });
+  assert.equal(state.endpoints?.length, 2);
+  assert.equal(state.directoryEra, 2);
+  assert.deepEqual(state.unconfirmed, ['two']);
+  assert.equal(
+    peerState.handleStateRequest({ ...request, directoryEra: 2 }).endpoints,
+    undefined,
+    'a later position',
+  );
+  assert.equal(
+    peerState.handleStateRequest(request).endpoints,
+    undefined,
+    'an older daemon is taken to be in the same era',
+  );
+  // A daemon that has just started knows nothing else of the endpoints.
+  const started = createDirectory();
+  const { unconfirmed } = state;
+  started.replaceEndpoints(state.endpoints, { era: 2, revision: 15 }, 'peer', unconfirmed);
+  assert.deepEqual(
+    started.listAll().map(({ id }) => id),
+    ['one'],
+  );
+  directory.close();
+  started.close();
+});
+
+// Guards against a daemon that others don't find, because the store has lost its entry.
+test('a daemon writes its entry again', async () => {
+  const store = new MemoryStore();
+  const members = new MemberTable(createMember(1));
+  await createPeerState(members, createDirectory(), store).registerAgain();
+  assert.deepEqual([...store.members.keys()], ['front-1']);
+});
--- a/packages/peers/datagrams/src/encoding.ts
+++ b/packages/peers/datagrams/src/encoding.ts
@@ -8,20 +8,32 @@
 
 type Schema = (typeof messages.messageSchema.options)[number];
 
+/** A place of an encoded message: a field, or a value that is sent and not read. */
+type Place = { readonly field: string } | { readonly retired: unknown };
+
 interface Layout {
   readonly code: number;
   readonly name: string;
   readonly schema: Schema;
-  /** Field names in the order of the schema; undefined if the content is a single value. */
-  readonly fields: readonly string[] | undefined;
+  /** Fields in the order of the schema; undefined if the content is a single value. */
+  readonly places: readonly Place[] | undefined;
+}
+
+function listPlaces(message: string, fields: readonly string[]): Place[] {
+  return fields.flatMap((field): Place[] => {
+    const retired = messages.retiredValues[`${message}.${field}`] ?? [];
+    return [...retired.map((value) => ({ retired: value })), { field }];
+  });
 }
 
 const layouts: Layout[] = [];
 const layoutByName = new Map<string, Layout>();
 for (const [code, schema] of messages.messageSchema.options.entries()) {
   const [name, content] = schema.def.items;
-  const fields = content instanceof z.ZodObject ? Object.keys(content.shape) : undefined;
-  const layout = { code, name: [...name.values][0] as string, schema, fields };
+  const text = [...name.values][0] as string;
+  const places =
+    content instanceof z.ZodObject ? listPlaces(text, Object.keys(content.shape)) : undefined;
+  const layout = { code, name: text, schema, places };
   layouts.push(layout);
   layoutByName.set(layout.name, layout);
 }
@@ -29,18 +41,27 @@
 /** Encodes a message as the payload of one datagram. */
 export function encodeMessage(message: messages.Message): Uint8Array {
   const [name, content] = message;
-  const { code, fields } = layoutByName.get(name) as Layout;
-  if (fields === undefined) {
+  const { code, places } = layoutByName.get(name) as Layout;
+  if (places === undefined) {
     return msgpack.encode([code, content]);
   }
   const values = content as unknown as Readonly<Record<string, unknown>>;
-  return msgpack.encode([code, ...fields.map((field) => values[field])]);
+  const isPresent = (place: Place): boolean =>
+    'field' in place && values[place.field] !== undefined;
+  // Optional fields are the last ones and can be left out.
+  const present = places.slice(0, places.findLastIndex(isPresent) + 1);
+  return msgpack.encode([
+    code,
+    ...present.map((place) => ('field' in place ? values[place.field] : place.retired)),
+  ]);
 }
 
-function restoreContent(fields: readonly string[], values: readonly unknown[]): unknown {
+function restoreContent(places: readonly Place[], values: readonly unknown[]): unknown {
   const content: Record<string, unknown> = {};
-  for (const [index, field] of fields.entries()) {
-    content[field] = values[index + 1];
+  for (const [index, place] of places.entries()) {
+    if ('field' in place && index + 1 < values.length) {
+      content[place.field] = values[index + 1];
+    }
   }
   return content;
 }
@@ -60,7 +81,7 @@
   if (layout === undefined) {
     return undefined;
   }
-  const content = layout.fields ? restoreContent(layout.fields, values) : (values[1] as unknown);
+  const content = layout.places ? restoreContent(layout.places, values) : (values[1] as unknown);
   const parsed = layout.schema.safeParse([layout.name, content]);
   return parsed.success ? parsed.data : undefined;
 }
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -123,6 +123,8 @@
     standby: z.boolean(),
     configurationVersion: z.number().int(),
     directoryRevision: z.number(),
+    /** Era of the store to which the revision belongs; absent from older daemons. */
+    directoryEra: z.number().int().optional(),
   }),
 ]);
 
@@ -160,6 +162,8 @@
         endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
       }),
     ),
+    /** Era of the store to which the revision belongs; absent from older daemons. */
+    directoryEra: z.number().int().optional(),
   }),
 ]);
 
@@ -208,3 +212,11 @@
 export type Pong = z.infer<typeof pongSchema>[1];
 export type Crashes = z.infer<typeof crashesSchema>[1];
 export type Outcome = z.infer<typeof outcomeSchema>;
+
+/**
+ * Values that stand before a field, by message and field. Daemons of earlier versions send fields there that are no longer
+ * read, and reject a message that has something else in their place.
+ */
+export const retiredValues: Readonly<Record<string, readonly unknown[]>> = {
+  'pong.directoryEra': [0, []],
+};
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -177,6 +177,28 @@
   assert.deepEqual(datagrams.decodeMessage(msgpack.encode(older)), pong);
 });
 
+// Guards against an era that an older daemon takes for something else, or that is taken from what it sends.
+test('the era of a pong is behind what older daemons expect there', () => {
+  const pong: datagrams.Message = [
+    'pong',
+    {
+      sequence: 1,
+      stopping: false,
+      settled: true,
+      configurationVersion: 1,
+      directoryRevision: 1,
+      storeAge: 0,
+      memberDigest: 'x',
+      cells: [],
+      directoryEra: 7,
+    },
+  ];
+  const encoded = datagrams.encodeMessage(pong);
+  assert.deepEqual(datagrams.decodeMessage(encoded), pong);
+  const values = msgpack.decode(encoded) as unknown[];
+  assert.deepEqual(values.slice(8), [[], 0, [], 7]);
+});
+
 // Guards against an odd entry of a daemon whose port ends each process that pings it.
 test('an address that can not be sent to is reported like an error of the network', async () => {
   const failed: string[] = [];
