Serve waiting requests by shares of organisations and latest start

The queue of a cell was ordered by priority and arrival, so that an organisation that sends many times its usual took the slots of the others, and uploads with three seconds left were refused after half of their target.

Within a priority, requests of organisations that stay within their share now go first. The share is the max-min fair level of the slots that more urgent requests leave, or what the organisation usually uses if that is more. Then the order is that of the latest start that meets the target. A request of an organisation is admitted if its estimated wait lets it meet its target, is refused as soon as it can't, and gets a free slot at once if it is late already.

Ruled out: letting requests wait to their deadline.

The part of the dispatcher that holds waiting requests is now WaitingRoom. It tries no waiting request while no endpoint is free.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -57,8 +57,9 @@
   /** Records a decision on a slot request. */
   recordSlotDecision(cell: string, request: grants.SlotRequest, decision: grants.Decision): void {
     this.metricsServer?.countSlot(cell, decision.kind === 'grant' ? 'grant' : decision.reason);
-    const { entry, route, repeated } = request;
-    const common = { ask: request.key, entry, cell, route, repeated };
+    const { entry, route, organisation, repeated } = request;
+    const owner = organisation === '' ? {} : { organisation };
+    const common = { ask: request.key, entry, cell, route, ...owner, repeated };
     if (decision.kind === 'grant') {
       const { grantId, endpoint, risk, waited } = decision;
       this.dispatchLog.write('slot granted', {
@@ -69,8 +70,9 @@
         waited: Math.round(waited),
       });
     } else {
-      const { reason, retryAfter } = decision;
-      this.dispatchLog.write('slot refused', { ...common, reason, retryAfter });
+      const { reason, retryAfter, inExcess } = decision;
+      const excess = inExcess ? { inExcess } : {};
+      this.dispatchLog.write('slot refused', { ...common, reason, retryAfter, ...excess });
     }
   }
 
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -168,6 +168,7 @@
       entry,
       zone: ask.zone,
       route: ask.route,
+      organisation: '',
       idempotent: ask.idempotent,
       priority: ask.priority,
       remaining: ask.remaining,
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -10,16 +10,17 @@
   chooseCandidate,
   listCandidates,
 } from './endpoint-selection.js';
-import { Admission } from './admission.js';
 import type { CrashRecords } from './crash-records.js';
 import { EndpointState, type Attempt, type AttemptResult } from './endpoint-state.js';
+import * as endpointReports from './endpoint-reports.js';
 import { EntryLossEstimates } from './entry-loss.js';
 import { ConnectionReuseLimit } from './connection-reuse-limit.js';
 import { FailedShare } from './failed-share.js';
 import { ServiceTimes } from './service-times.js';
-import { SUSPECT_RISK, countSlots, computeLoad } from './slot-count.js';
+import { countSlots, computeLoad } from './slot-count.js';
 import type { SlotRequest } from './slot-request.js';
-import { type Waiter, WaitingQueue } from './waiting-queue.js';
+import type { Waiter } from './waiting-order.js';
+import { WaitingRoom } from './waiting-room.js';
 
 /** The decision of a dispatcher about a request. */
 export type Decision =
@@ -37,20 +38,10 @@
       readonly kind: 'refuse';
       readonly reason: 'no-endpoint' | 'overload' | 'crashing' | 'stopping';
       readonly retryAfter: number;
+      /** Whether the organisation used more than its share while not everybody could be served. */
+      readonly inExcess: boolean;
     };
 
-/** An endpoint without requests, and what explains it. */
-export interface UnusedEndpoint {
-  readonly id: string;
-  readonly risk: number;
-  /** Attempts without a response yet. */
-  readonly inFlight: number;
-  /** Whether connections to it failed recently. */
-  readonly inBackoff: boolean;
-  /** Milliseconds since the last grant. */
-  readonly idle: number;
-}
-
 /** Options of `CellDispatcher`. */
 export interface CellDispatcherOptions {
   readonly now: () => number;
@@ -78,12 +69,6 @@
 /** A grant without a report expires this long after the request's deadline. */
 const LOST_REPORT_MILLISECONDS = 300;
 const NO_ENDPOINT_RETRY_MILLISECONDS = 250;
-/** Time without grants after which an endpoint is listed as unused. */
-const UNUSED_MILLISECONDS = 1500;
-/** Time without grants after which the risk of an endpoint is replaced by what another dispatcher reports. */
-const IMPORT_AFTER_MILLISECONDS = 1000;
-const IMPORTED_SUSPECT_RISK = 0.85;
-const IMPORTED_TRUSTED_RISK = 0.1;
 
 /** Dispatches the requests of one cell to its endpoints. */
 export class CellDispatcher {
@@ -97,12 +82,13 @@
 
   private readonly reuseLimit = new ConnectionReuseLimit();
 
-  private readonly queue = new WaitingQueue();
-
-  private readonly admission = new Admission({
+  private readonly room = new WaitingRoom({
     states: this.states,
-    queue: this.queue,
     serviceTimes: this.serviceTimes,
+    tryGrant: (waiter, now) => this.tryGrant(waiter, now),
+    refuse: (request, reason, retryAfter, inExcess) =>
+      this.refuse(request, reason, retryAfter, inExcess),
+    isCrashing: ({ fingerprint }, now) => this.options.crashRecords.shouldRefuse(fingerprint, now),
   });
 
   /** What the endpoints of the cell announce about themselves. */
@@ -135,7 +121,7 @@
         this.states.delete(id);
       }
     }
-    this.serveQueue();
+    this.room.serve(this.options.now());
   }
 
   /** Grants, queues or refuses a request. Returns whether it was queued. */
@@ -149,26 +135,17 @@
       this.refuse(request, 'no-endpoint', NO_ENDPOINT_RETRY_MILLISECONDS);
       return false;
     }
-    if (!this.admission.canServe(request, now)) {
-      this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
-      return false;
-    }
-    const waiter = { request, arrivedAt: now };
-    if (!this.queue.hasRequestAhead(request) && this.tryGrant(waiter, now)) {
-      return false;
-    }
-    this.queue.add(waiter);
-    return true;
+    return this.room.ask(request, now);
   }
 
   /** Removes a request from the queue. */
   withdraw(key: string): void {
-    this.queue.remove(key);
+    this.room.remove(key);
   }
 
   /** Refuses all queued requests, so that another dispatcher decides about them. */
   stop(): void {
-    for (const { request } of this.queue.clear()) {
+    for (const { request } of this.room.clear()) {
       this.refuse(request, 'stopping', 0);
     }
   }
@@ -177,7 +154,7 @@
   report(grantId: number, result: AttemptResult): boolean {
     const state = this.grants.get(grantId);
     const attempt = state?.attemptsInFlight.get(grantId);
-    this.grants.delete(grantId);
+    this.endGrant(grantId);
     if (state === undefined || attempt === undefined) {
       return false;
     }
@@ -193,23 +170,23 @@
     );
     this.recordResult(grantId, attempt, result);
     this.announcements.recordResult(state, attempt, result, now);
-    this.serveQueue();
+    this.room.serve(this.options.now());
     return true;
   }
 
   /** Slots in use plus queued requests, as a share of the slots of usable endpoints. */
   get load(): number {
-    return computeLoad(countSlots(this.states.values(), this.options.now()), this.queue.size);
+    return computeLoad(countSlots(this.states.values(), this.options.now()), this.room.size);
   }
 
   /** Whether any request is queued. */
   get hasWaitingRequests(): boolean {
-    return this.queue.size > 0;
+    return this.room.size > 0;
   }
 
   /** Whether no request is queued or in flight. */
   get isIdle(): boolean {
-    return this.queue.size === 0 && this.grants.size === 0;
+    return this.room.size === 0 && this.grants.size === 0;
   }
 
   /** Whether a grant exists and its attempt has not ended. */
@@ -223,7 +200,7 @@
     for (const [grantId, state] of this.grants) {
       const attempt = state.attemptsInFlight.get(grantId);
       if (attempt === undefined) {
-        this.grants.delete(grantId);
+        this.endGrant(grantId);
       } else if (now > attempt.expiresAt) {
         const elapsed = now - attempt.startedAt;
         this.report(grantId, {
@@ -236,47 +213,29 @@
         });
       }
     }
-    this.serveQueue();
+    this.room.serve(this.options.now());
   }
 
   /** Lists the ids of endpoints that are unreachable or probably in a gray failure. */
   listSuspects(): string[] {
-    const now = this.options.now();
-    const suspects: string[] = [];
-    for (const [id, state] of this.states) {
-      if (state.isInBackoff(now) || state.estimateRisk(now) > SUSPECT_RISK) {
-        suspects.push(id);
-      }
-    }
-    return suspects;
+    return endpointReports.listSuspects(this.states, this.options.now());
   }
 
   /** Lists the usable endpoints that were granted nothing for some time, while a part of the requests fails. */
-  listUnused(): UnusedEndpoint[] {
+  listUnused(): endpointReports.UnusedEndpoint[] {
     const now = this.options.now();
-    const unused: UnusedEndpoint[] = [];
-    if (this.failedShare.at(now) <= SPREAD_FAILED_SHARE) {
-      return unused;
-    }
-    for (const [id, state] of this.states) {
-      const idle = now - state.lastGrantAt;
-      if (!state.isDraining && idle > UNUSED_MILLISECONDS) {
-        const inFlight = state.attemptsInFlight.size;
-        const inBackoff = state.isInBackoff(now);
-        unused.push({ id, risk: state.estimateRisk(now), inFlight, inBackoff, idle });
-      }
-    }
-    return unused;
+    const isFailing = this.failedShare.at(now) > SPREAD_FAILED_SHARE;
+    return isFailing ? endpointReports.listUnused(this.states, now) : [];
   }
 
   /** Applies the suspects that another dispatcher reported to endpoints that this one has not used recently. */
   importSuspects(suspects: ReadonlySet<string>): void {
-    const now = this.options.now();
-    for (const [id, state] of this.states) {
-      if (now - state.lastGrantAt > IMPORT_AFTER_MILLISECONDS) {
-        state.importRisk(suspects.has(id) ? IMPORTED_SUSPECT_RISK : IMPORTED_TRUSTED_RISK, now);
-      }
-    }
+    endpointReports.importSuspects(this.states, suspects, this.options.now());
+  }
+
+  private endGrant(grantId: number): void {
+    this.grants.delete(grantId);
+    this.room.endGrant(grantId);
   }
 
   private recordResult(grantId: number, attempt: Attempt, result: AttemptResult): void {
@@ -296,34 +255,6 @@
     return true;
   }
 
-  private hasAvailableEndpoint(now: number): boolean {
-    for (const state of this.states.values()) {
-      if (state.isAvailable(now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private serveQueue(): void {
-    if (this.queue.size === 0) {
-      return;
-    }
-    const now = this.options.now();
-    this.queue.retain((waiter) => {
-      const { request, arrivedAt } = waiter;
-      if (this.options.crashRecords.shouldRefuse(request.fingerprint, now)) {
-        this.refuse(request, 'crashing', request.target);
-        return false;
-      }
-      if (now - arrivedAt > this.admission.getMaximumWait(request)) {
-        this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
-        return false;
-      }
-      return !this.tryGrant(waiter, now);
-    });
-  }
-
   private tryGrant(waiter: Waiter, now: number): boolean {
     const { request, arrivedAt } = waiter;
     const selection: SelectionRequest = {
@@ -335,7 +266,7 @@
     const chosen = chooseCandidate(candidates, selection, now);
     const waited = now - arrivedAt;
     if (chosen === undefined) {
-      this.queue.setPassing(waiter, this.hasAvailableEndpoint(now));
+      this.room.setPassing(waiter, this.room.hasAvailableEndpoint(now));
       return false;
     }
     const mayWait = waited < request.target * RISK_WAIT_OF_TARGET;
@@ -363,6 +294,7 @@
       expected,
       expiresAt: now + request.remaining - waited + LOST_REPORT_MILLISECONDS,
     };
+    this.room.startGrant(grantId, request, now);
     state.startAttempt(grantId, attempt);
     this.failedShare.start(grantId, attempt);
     this.grants.set(grantId, state);
@@ -381,7 +313,8 @@
     request: SlotRequest,
     reason: Extract<Decision, { kind: 'refuse' }>['reason'],
     retryAfter: number,
+    inExcess = false,
   ): void {
-    this.options.decide(request, { kind: 'refuse', reason, retryAfter });
+    this.options.decide(request, { kind: 'refuse', reason, retryAfter, inExcess });
   }
 }
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -2,12 +2,8 @@
  * Dispatching of requests to endpoint slots: partitions a service into cells and grants the slots of each cell.
  */
 export { type FleetAnnouncement } from './announced-state.js';
-export {
-  type Decision,
-  type CellDispatcherOptions,
-  type UnusedEndpoint,
-  CellDispatcher,
-} from './cell-dispatcher.js';
+export { type Decision, type CellDispatcherOptions, CellDispatcher } from './cell-dispatcher.js';
+export type { UnusedEndpoint } from './endpoint-reports.js';
 export {
   type Cell,
   findServiceOfCell,
--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -9,6 +9,8 @@
   readonly entry: string;
   readonly zone: string;
   readonly route: string;
+  /** Organisation of the caller; empty if none. */
+  readonly organisation: string;
   readonly idempotent: boolean;
   readonly priority: number;
   readonly remaining: number;
--- a/packages/routing/grants/test/crash-records.test.ts
+++ b/packages/routing/grants/test/crash-records.test.ts
@@ -208,6 +208,7 @@
     kind: 'refuse',
     reason: 'crashing',
     retryAfter: 400,
+    inExcess: false,
   });
 });
 
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -64,6 +64,7 @@
       entry: 'entry-1',
       zone: 'a',
       route: 'offers',
+      organisation: '',
       idempotent: false,
       priority: 1,
       remaining: 1500,
