--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -9,10 +9,10 @@
   readonly entry: string;
   readonly zone: string;
   readonly route: string;
-  /** Organisation of the caller; empty if none. */
-  readonly organisation: string;
   readonly idempotent: boolean;
   readonly priority: number;
+  /** Name of the caller's organisation; empty if it has none. */
+  readonly organisation: string;
   readonly remaining: number;
   readonly target: number;
   /** Whether an earlier attempt may have reached an endpoint. */
