Limit the first pings of a daemon while no candidate is usable

While all daemons start together, no candidate of a role is usable, so that each daemon pinged the whole ranking: every daemon sent a ping to every other one, again when its configuration came into force, and each answer was a log line and a subscription to announcements.

A daemon now pings at most four candidates of a role for the first time at once, and as many more as are known as unresponsive. Candidates that answer but are not settled don't count, so that the next four follow with the next tick. Waiting for unresponsive ones alone was ruled out: with nine of ten daemons lost the search would take a timeout for every four.

The new test of pings fails before with 294 pings of one of 295 daemons.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -8,6 +8,7 @@
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
 import * as hashing from '@dogwoodstall/hashing';
+import { type Contact, countFirstPings, createContact } from './contact.js';
 import { type Member, type MemberTable, type Role, STORE_WATCHER_ROLE } from './member.js';
 
 /** Address of a daemon that may dispatch. */
@@ -18,16 +19,6 @@
   readonly isSelf: boolean;
 }
 
-interface Contact {
-  /** Time at which the pending ping was sent; undefined when there is none. */
-  pendingSince: number | undefined;
-  lastPingAt: number;
-  /** Whether the daemon responds and is not stopping. */
-  responsive: boolean;
-  /** Whether the daemon knows enough to dispatch. */
-  settled: boolean;
-}
-
 /** Interval between pings of the first responsive candidate by a daemon that may take over its role. */
 const FIRST_PING_MILLISECONDS = 450;
 /** Interval between pings of the second responsive candidate by such a daemon. */
@@ -43,6 +34,11 @@
 const LEADING_CANDIDATES = 2;
 /** A daemon monitors the roles for which it ranks among this many first, so that it notices when it has to take over. */
 const TAKEOVER_RANKS = 4;
+/**
+ * Number of candidates of a role that are pinged for the first time at once, besides as many as are known as
+ * unresponsive. While all daemons start, no candidate is usable, and each would otherwise ping the whole fleet.
+ */
+const FIRST_PINGS_PER_ROLE = 4;
 
 /** Options of `Candidates`. */
 export interface CandidatesOptions {
@@ -59,15 +55,6 @@
   readonly now: () => number;
 }
 
-function createContact(): Contact {
-  return {
-    pendingSince: undefined,
-    lastPingAt: -Infinity,
-    responsive: false,
-    settled: false,
-  };
-}
-
 /** Monitors the candidates of the roles that concern this daemon. */
 export class Candidates {
   private readonly contacts = new Map<string, Contact>();
@@ -182,6 +169,7 @@
     this.setResponsive(name, false);
     const contact = this.contacts.get(name) ?? createContact();
     this.contacts.set(name, contact);
+    contact.known = true;
     contact.lastPingAt =
       this.options.now() - UNRESPONSIVE_PING_MILLISECONDS + PONG_TIMEOUT_MILLISECONDS;
   }
@@ -193,6 +181,7 @@
       return;
     }
     contact.pendingSince = undefined;
+    contact.known = true;
     contact.settled = pong.settled;
     this.setResponsive(name, !pong.stopping);
   }
@@ -231,6 +220,7 @@
         now - contact.pendingSince > PONG_TIMEOUT_MILLISECONDS
       ) {
         contact.pendingSince = undefined;
+        contact.known = true;
         this.setResponsive(name, false);
       }
     }
@@ -291,9 +281,16 @@
     const { members } = this.options;
     const mayTakeOver = this.mayTakeOver(role);
     let leadingCount = 0;
+    let firstPings = FIRST_PINGS_PER_ROLE;
     for (const member of members.rank(role)) {
       const isSelf = member.name === members.self.name;
       const responsive = isSelf || this.isUsable(member, role);
+      if (!responsive) {
+        firstPings += countFirstPings(this.contacts.get(member.name));
+      }
+      if (firstPings < 0) {
+        return;
+      }
       let interval = UNRESPONSIVE_PING_MILLISECONDS;
       if (responsive) {
         const takeoverInterval =
--- a/packages/daemon/gateway-daemon/test/candidates.test.ts
+++ b/packages/daemon/gateway-daemon/test/candidates.test.ts
@@ -52,8 +52,13 @@
 
   readonly dead = new Set<string>();
 
+  /** Whether the daemons know enough to dispatch. */
+  settled = true;
+
   readonly receivedBytes = new Map<string, number>();
 
+  readonly pingsBySender = new Map<string, number>();
+
   readonly candidatesByName = new Map<string, Candidates>();
 
   readonly ranking: (role: grants.Cell) => readonly Member[];
@@ -78,7 +83,7 @@
     return new Candidates({
       members: SimulatedFleet.createTable(self),
       listCells: () => cells,
-      isSelfUsable: () => true,
+      isSelfUsable: () => this.settled,
       getVersions: () => ({ configurationVersion: 12, directoryRevision: 34_567 }),
       send: (message, { name }) => this.deliver(message, self.name, name),
       onChange: () => {},
@@ -88,13 +93,17 @@
 
   private deliver(message: datagrams.Message, from: string, to: string): void {
     this.countBytes(to, message);
-    if (message[0] !== 'ping' || this.dead.has(to)) {
+    if (message[0] !== 'ping') {
+      return;
+    }
+    this.pingsBySender.set(from, (this.pingsBySender.get(from) ?? 0) + 1);
+    if (this.dead.has(to)) {
       return;
     }
     const pong: datagrams.Pong = {
       sequence: message[1].sequence,
       stopping: false,
-      settled: true,
+      settled: this.settled,
       configurationVersion: 12,
       directoryRevision: 34_567,
       storeAge: 250,
@@ -165,6 +174,34 @@
   }
 });
 
+test('mass-restart: daemons that start together ping a part of the fleet each until they can dispatch', () => {
+  const fleet = new SimulatedFleet();
+  fleet.settled = false;
+  fleet.advance(0.45);
+  const most = Math.max(...fleet.pingsBySender.values());
+  assert.ok(most <= members.length / 4, `a daemon sent ${most} pings`);
+});
+
+test('mass-restart: daemons find the dispatchers when nine of ten others are lost', () => {
+  const fleet = new SimulatedFleet();
+  for (const [index, { name }] of members.entries()) {
+    if (index % 10 !== 0) {
+      fleet.dead.add(name);
+    }
+  }
+  fleet.advance(3);
+  for (const cell of cells) {
+    const alive = fleet.ranking(cell).filter(({ name }) => !fleet.dead.has(name));
+    const first = alive[0]?.name;
+    for (const { name } of alive) {
+      const candidates = fleet.candidatesByName.get(name) as Candidates;
+      if (candidates.isMonitored(cell)) {
+        assert.equal(candidates.choose(cell, new Set()).name, first, `${cell.name} of ${name}`);
+      }
+    }
+  }
+});
+
 test('the standby of a cell and of the store watch notices without slot requests that it has to take over', () => {
   const fleet = new SimulatedFleet();
   fleet.advance(2);
