Give up connections to endpoints after 250 ms

undici measures its connect timeout in steps of half a second, so that an attempt at an endpoint without power took 1,044 to 1,061 ms instead of 250 ms. Connections are now opened by the gateway itself, with a timer of its own; undici's options for TLS and HTTP/2 were not in use. Ruled out: a timer beside undici's connector, which has no handle to abort.

--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -2,22 +2,17 @@
  * A connection to an endpoint, based on the undici `Client`.
  */
 import type { Socket } from 'node:net';
-import { Client, type Dispatcher, buildConnector } from 'undici';
+import { Client, type Dispatcher } from 'undici';
+import { connectSocket } from './connect-socket.js';
 import { ConnectionHistory } from './connection-history.js';
 import { RepeatedResponseFilter } from './repeated-response-filter.js';
 import { StatusLineCheck } from './status-line-check.js';
 
-/** Connect timeout; covers several round trips between availability zones and one retransmission on a fast network. */
-export const CONNECT_TIMEOUT_MILLISECONDS = 250;
-/** A connection that took longer was established while this process was suspended; its timeout had no chance to end it. */
-const SUSPENDED_CONNECT_MILLISECONDS = 1000;
 /** Keep-alive timeout for endpoints that do not announce one. */
 const KEEP_ALIVE_MILLISECONDS = 8000;
 /** Subtracted from an announced keep-alive timeout, so that no request is sent while the endpoint closes. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 1500;
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS, allowH2: false });
-
 /** Options of `EndpointConnection`. */
 export interface EndpointConnectionOptions {
   /** Lower-case name of the header by which a response names its request. */
@@ -76,17 +71,13 @@
       pipelining: 1,
       connect: (connectOptions, callback) => {
         options.onSocketOpened();
-        const startedAt = performance.now();
-        connect(connectOptions, (...result) => {
-          const [, socket] = result;
-          if (socket && performance.now() - startedAt > SUSPENDED_CONNECT_MILLISECONDS) {
-            socket.destroy();
-            this.watchSocket(null);
-            callback(new Error('process was suspended while connecting'), null);
-            return;
-          }
+        connectSocket(connectOptions, (error, socket) => {
           this.watchSocket(socket);
-          callback(...result);
+          if (socket === null) {
+            callback(error ?? new Error('no connection'), null);
+          } else {
+            callback(null, socket);
+          }
         });
       },
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
