Pass the first state along a tree when all daemons start together

All but three daemons waited for news from these three and then requested the state from the same ones at once. Most requests timed out, and every daemon without a state read the store itself 500 ms after it had joined, and watched the configuration for two more seconds.

A joined daemon now requests the state at once, from the daemon that it follows in the ranking of the store watch: three daemons read the store, and no daemon is the first provider of more than six. A provider that starts as well answers when it has its state, for which it waits up to 300 ms (`waitMilliseconds`, an optional field; older daemons answer at once). Daemons further down wait longer before they read the store, 600 ms and 400 ms more for each level, so that a lost provider does not make its whole branch read it.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -237,7 +237,7 @@
       logger: this.logger,
     });
     this.stateServer = new StateServer(
-      (request) => this.peerState.handleStateRequest(request),
+      (request) => this.peerState.provideState(request),
       this.errors,
       this.burstConnections,
     );
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -7,7 +7,8 @@
 import * as results from '@dogwoodstall/results';
 import type { DirectorySource } from './directory-source.js';
 import type { Directory, State } from './directory.js';
-import type { Member, MemberTable } from './member.js';
+import { type Member, type MemberTable, STORE_WATCHER_ROLE } from './member.js';
+import { findStartPlace } from './start-tree.js';
 import { type StateRequest, requestState } from './state-server.js';
 
 /** Wait before the members are read again, so that daemons that start together have all registered. */
@@ -18,6 +19,8 @@
 const MAXIMUM_STATES = 4;
 /** Number of new members that a log line names. */
 const LOGGED_MEMBERS = 3;
+/** Time for which a daemon that starts as well may wait for its own state before it answers. */
+const FIRST_STATE_WAIT_MILLISECONDS = 300;
 /** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 
@@ -85,7 +88,7 @@
     }
   }
 
-  private async fetchState(address: string): Promise<void> {
+  private async fetchState(address: string, waitMilliseconds?: number): Promise<void> {
     this.fetching = true;
     this.lastFetchAt = performance.now();
     try {
@@ -94,6 +97,7 @@
         directoryRevision: this.options.directory.endpointRevision,
         memberDigest: this.options.members.digest,
         members: [this.options.members.self],
+        waitMilliseconds,
       });
       this.importState(state, address);
     } finally {
@@ -124,6 +128,15 @@
     }
   }
 
+  /** Responds to a request; a daemon without a state waits for it as long as the request allows. */
+  async provideState(request: StateRequest): Promise<State> {
+    const wait = Math.min(request.waitMilliseconds ?? 0, FIRST_STATE_WAIT_MILLISECONDS);
+    if (wait > 0) {
+      await this.options.directory.waitUntilComplete(wait);
+    }
+    return this.handleStateRequest(request);
+  }
+
   /** Adds the members of a request and returns what the requesting daemon does not know yet. */
   handleStateRequest(request: StateRequest): State {
     this.addMembers(request.members, 'peer');
@@ -164,7 +177,7 @@
 
   /**
    * Registers this daemon in the store and reads the others from it. While the store does not respond, queries the seeds
-   * and retries. Resolves once the members have been read from the store.
+   * and retries. Then requests the first state from other daemons.
    */
   async join(): Promise<void> {
     const { source } = this.options;
@@ -184,7 +197,7 @@
           await readMembers(false);
         }
         this.joinTime = performance.now();
-        return;
+        break;
       } catch (error) {
         const { kind, message } = results.toFailure(error);
         this.options.logger.warn('joining failed because the store is unavailable', {
@@ -195,6 +208,24 @@
         await delay(JOIN_RETRY_MILLISECONDS);
       }
     }
+    await this.fetchFirstState();
+  }
+
+  /** Requests the state from the daemons that get it before this one when all start together. */
+  private async fetchFirstState(): Promise<void> {
+    const { members, directory, isStopping, logger } = this.options;
+    const { providers } = findStartPlace(members.rank(STORE_WATCHER_ROLE), members.self);
+    for (const { name, peerAddress } of providers) {
+      if (directory.isComplete || isStopping()) {
+        return;
+      }
+      try {
+        await this.fetchState(peerAddress, FIRST_STATE_WAIT_MILLISECONDS);
+      } catch (error) {
+        const result = results.toFailure(error).kind;
+        logger.info('fetching the first state failed', { from: name, result });
+      }
+    }
   }
 
   /** Reads the daemons from the store; returns whether this one is registered with its current host. */
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -6,6 +6,7 @@
 import type { Directory } from './directory.js';
 import { type MemberTable, STORE_WATCHER_ROLE } from './member.js';
 import type { GatewaySettings } from './settings.js';
+import { computeStartTimeout, findStartPlace } from './start-tree.js';
 import {
   MAXIMUM_CONTACT_GAP_MILLISECONDS,
   type StoreContactTracker,
@@ -21,10 +22,6 @@
 const LOST_AGE_MILLISECONDS = 100_000;
 /** Interval by rank at which they then start to watch the store. */
 const LOST_TAKEOVER_STEP_MILLISECONDS = 400;
-/** Number of daemons that read the complete state from the store when all start together. */
-const INITIAL_READERS = 3;
-/** Time for which a joined daemon waits for the state of its peers: some round trips and the first read of the store. */
-const PEER_STATE_TIMEOUT_MILLISECONDS = 500;
 /** Time after its start at which a daemon that could not join reads the complete state itself. */
 const UNJOINED_READ_MILLISECONDS = 1500;
 /** Precedes a service in the name of the role by whose ranking the slack of its retry budget is divided. */
@@ -179,11 +176,12 @@
     if (joinedAt === undefined) {
       return isEmpty ? now - this.startedAt > UNJOINED_READ_MILLISECONDS : undefined;
     }
-    if (now - joinedAt > PEER_STATE_TIMEOUT_MILLISECONDS) {
+    const { members } = this.options;
+    const { level } = findStartPlace(members.rank(STORE_WATCHER_ROLE), members.self);
+    if (now - joinedAt > computeStartTimeout(level)) {
       return isEmpty || undefined;
     }
-    const readers = this.options.members.rank(STORE_WATCHER_ROLE).slice(0, INITIAL_READERS);
-    return readers.some(({ name }) => name === this.options.members.self.name);
+    return level === 0;
   }
 
   /**
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -30,6 +30,8 @@
   members: z.array(memberSchema),
   /** Digest of the known members; older daemons lack it and get the members in any case. */
   memberDigest: z.string().optional(),
+  /** Time for which the other daemon may wait for its own first state. Older daemons send none and ignore it. */
+  waitMilliseconds: z.number().nonnegative().optional(),
 });
 
 export type StateRequest = z.infer<typeof stateRequestSchema>;
@@ -54,7 +56,11 @@
   private readonly bodies = new WeakMap<State, Promise<Buffer>>();
 
   /** `burst` connections may arrive at once beyond the usual ones. */
-  constructor(getState: (request: StateRequest) => State, errors: SideTaskErrors, burst: number) {
+  constructor(
+    getState: (request: StateRequest) => Promise<State>,
+    errors: SideTaskErrors,
+    burst: number,
+  ) {
     this.server = http.createServer((request, response) => {
       const serve = async (): Promise<void> => {
         const parsed = stateRequestSchema.safeParse(JSON.parse(await readText(request)));
@@ -62,7 +68,7 @@
           response.writeHead(400).end();
           return;
         }
-        const body = await this.encode(getState(parsed.data));
+        const body = await this.encode(await getState(parsed.data));
         response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Encoding': 'gzip' });
         response.end(body);
       };
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLog } from '@dogwoodstall/observability';
+import type { TrafficConfiguration } from '@dogwoodstall/traffic';
 import { Directory } from '../src/directory.js';
 import { type Member, MemberTable } from '../src/member.js';
 import { PeerState } from '../src/peer-state.js';
@@ -20,10 +21,13 @@
   };
 }
 
-function createPeerState(members: MemberTable): PeerState {
+function createPeerState(
+  members: MemberTable,
+  directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} }),
+): PeerState {
   return new PeerState({
     members,
-    directory: new Directory({ onConfiguration: () => {}, onEndpoints: () => {} }),
+    directory,
     source: new MemorySource(new MemoryStore()),
     seeds: () => [],
     isDispatching: () => false,
@@ -51,3 +55,22 @@
   });
   assert.equal(peerState.handleStateRequest(request).members?.length, 3);
 });
+
+test('a daemon that starts too answers a request for the first state once it has it', async () => {
+  const members = new MemberTable(createMember(1));
+  const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const peerState = createPeerState(members, directory);
+  const response = peerState.provideState({
+    configurationVersion: 0,
+    directoryRevision: 0,
+    members: [createMember(2)],
+    waitMilliseconds: 10_000,
+  });
+  const store = new MemoryStore();
+  store.configure(4, 'offers');
+  directory.activateConfiguration(store.configuration as TrafficConfiguration, 'store');
+  directory.replaceEndpoints([], 7, 'store');
+  const state = await response;
+  assert.equal(state.configuration?.version, 4);
+  assert.equal(state.directoryRevision, 7);
+});
