--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -72,7 +72,12 @@
     } else {
       const { reason, retryAfter, inExcess } = decision;
       const excess = inExcess ? { inExcess } : {};
-      this.dispatchLog.write('slot refused', { ...common, reason, retryAfter, ...excess });
+      this.dispatchLog.write('slot refused', {
+        ...common,
+        reason,
+        retryAfter: Math.round(retryAfter),
+        ...excess,
+      });
     }
   }
 
