Model usage limits of organisations that keepers lend in tokens

Nothing enforces the usage limits of organisations. Each daemon pledges its part of all limits to one keeper at a time; a keeper lends the share that is pledged to it, so that the shares add up to at most one whatever is partitioned, killed or added. Buckets of new keepers begin empty, but for a part of the slack that each daemon's part brings once in a window.

The property found that parts of an ended daemon were counted by several keepers at once (kill of the first daemon, then eight times the demand: 40 requests beyond the rule); they now count only at a keeper that is the only one.

--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -31,3 +31,16 @@
 } from './entry-retry-budget.js';
 export { type RetryBudget, computeRetryBudgetShare } from './retry-budget-shares.js';
 export type { AnnouncementChange, RelayedAnnouncement } from './cell-announcements.js';
+export {
+  type UsageAdmission,
+  type UsageAgentOptions,
+  USAGE_TICK_MILLISECONDS,
+  UsageAgent,
+} from './usage-agent.js';
+export {
+  type UsageLimit,
+  type UsageTolerance,
+  computeLendingLimit,
+  computeOwnAllowance,
+} from './usage-limit.js';
+export type { PledgeContent, PledgePurpose, UsageMessage } from './usage-messages.js';
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -66,7 +66,7 @@
       route: 'offers',
       idempotent: false,
       organisation: '',
-    priority: 1,
+      priority: 1,
       remaining: 1500,
       target: 400,
       repeated: false,
