Apply usage limits of organisations in all daemons

The gateway admitted every request. Daemons now borrow tokens by datagram from a keeper of each of two groups of organisations, and pledge their parts of the limits to it. Configurations without limits start no timer and send nothing.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -10,6 +10,7 @@
 import { DecisionLog } from './decision-log.js';
 import { DescriptorLog } from './descriptor-log.js';
 import type { MetricsServer } from './metrics-server.js';
+import type { UsageReport } from './usage-counts.js';
 
 /** Endpoints named in one line. */
 const LOGGED_ENDPOINTS = 10;
@@ -97,6 +98,21 @@
     }
   }
 
+  /** Records what was decided about usage limits in a second; it is logged only if requests were refused. */
+  recordUsage(report: UsageReport): void {
+    this.metricsServer?.countUsage(report);
+    if (report.refused > 0) {
+      const { refusedMost, ...counts } = report;
+      const organisations = Object.fromEntries(refusedMost);
+      this.budgetLog.write('usage limits are reached', { ...counts, organisations });
+    }
+  }
+
+  /** Records from which daemon this one borrows for a group of organisations. */
+  recordUsageKeeper(group: number, keeper: string): void {
+    this.logger.info('usage limits have a keeper', { group, keeper });
+  }
+
   /** Records that an endpoint announces something else than before. */
   recordAnnouncement(cell: string, change: grants.AnnouncementChange): void {
     const { endpoint, origin, source, requestsPerSecond, leaving, previous } = change;
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -6,6 +6,7 @@
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
+import type { OrganisationIndex } from '@dogwoodstall/traffic';
 import { Candidates, type DispatcherTarget } from './candidates.js';
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
@@ -19,6 +20,7 @@
 import { DispatcherRole } from './dispatcher-role.js';
 import { drainRequests } from './graceful-shutdown.js';
 import { MemberTable, createMemberEntry } from './member.js';
+import { FleetUsageLimits } from './fleet-usage-limits.js';
 import { EndpointPaths } from './endpoint-paths.js';
 import { PathAwareSlots } from './path-aware-slots.js';
 import { MetricsServer, type MetricsSnapshot } from './metrics-server.js';
@@ -79,6 +81,8 @@
 
   private readonly retryBudgets: RetryBudgets;
 
+  private readonly usageLimits: FleetUsageLimits;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -193,6 +197,7 @@
         this.reporter.recordRetryBudget(service, state, refused),
       now: () => performance.now(),
     });
+    this.usageLimits = this.createUsageLimits();
     this.peerState = new PeerState({
       members: this.members,
       directory: this.directory,
@@ -299,13 +304,14 @@
     });
   }
 
-  /** Applies changed seeds, retry budget and grace time. All other settings need a restart. */
+  /** Applies changed seeds, retry budget, tolerance of usage limits and grace time. All other settings need a restart. */
   applySettings(settings: GatewaySettings): void {
-    const { seeds, retries, stop } = settings;
-    this.settings = { ...this.settings, seeds, retries, stop };
+    const { seeds, retries, usage, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, usage, stop };
     this.logger.info('settings are in force', {
       seeds,
       retries,
+      usage,
       stop,
       needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
     });
@@ -341,6 +347,7 @@
     this.candidates.stop();
     this.dispatcherRole.stop();
     this.retryBudgets.stop();
+    this.usageLimits.close();
     this.dispatcherClient.close();
     this.endpointPaths.close();
     this.datagramSocket.close();
@@ -396,6 +403,7 @@
       toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
         logger.info('configuration is in force', { version, routes: routes.length, source });
+        this.usageLimits.update();
         this.pingExchange.announceToAll();
         this.candidates.pingAll();
       },
@@ -500,6 +508,22 @@
     });
   }
 
+  private createUsageLimits(): FleetUsageLimits {
+    const findOrganisations = (): OrganisationIndex | undefined =>
+      this.directory.routes?.organisations;
+    return new FleetUsageLimits({
+      members: this.members,
+      hasJoined: () => this.peerState.joinedAt !== undefined,
+      settings: () => this.settings,
+      listOrganisations: () => this.directory.routes?.configuration.organisations ?? [],
+      findOrganisation: (name) => findOrganisations()?.findByName(name),
+      send: (message, to) => this.datagramSocket.send(message, to),
+      onReport: (report) => this.reporter.recordUsage(report),
+      onKeeper: (group, keeper) => this.reporter.recordUsageKeeper(group, keeper),
+      now: () => performance.now(),
+    });
+  }
+
   private createErrorHandler(task: SideTask): (error: unknown) => void {
     return (error) => this.errors.record(task, error);
   }
@@ -519,7 +543,7 @@
         random: Math.random,
       }),
       retryBudgets: this.retryBudgets,
-      usageLimits: gateway.noUsageLimits,
+      usageLimits: this.usageLimits,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
@@ -594,6 +618,12 @@
       case 'crashes':
         this.crashRecords.receive(message[1], from);
         return;
+      case 'borrow':
+      case 'lend':
+      case 'pledge':
+      case 'pledged':
+        this.usageLimits.receive(message, from);
+        return;
       default:
         this.dispatcherClient.receive(message, target);
     }
@@ -610,6 +640,7 @@
     }
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
     this.dispatcherRole.beginStop();
+    this.usageLimits.beginStop();
     const elapsed = await drainRequests(this.server, this.settings.stop.graceSeconds * 1000);
     this.logger.info('daemon has stopped', {
       inFlight: this.server.inFlight,
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -9,6 +9,7 @@
 import { limitConnections } from './limit-connections.js';
 import { listenHttp } from './listen-http.js';
 import type { SideTaskErrors } from './side-task-errors.js';
+import type { UsageReport } from './usage-counts.js';
 
 /** Upper bounds of the latency buckets, from below the shortest processing time to above the longest deadline in use. */
 const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
@@ -53,6 +54,10 @@
 
   private readonly retryBudget: promClient.Gauge<'service' | 'kind'>;
 
+  private readonly usage: promClient.Counter<'event'>;
+
+  private readonly usageShare: promClient.Gauge<'group'>;
+
   private readonly descriptorEvents: promClient.Counter<'event'>;
 
   private readonly server: http.Server;
@@ -119,6 +124,18 @@
       labelNames: ['service', 'kind'],
       registers,
     });
+    this.usage = new library.Counter({
+      name: 'dogwoodstall_usage_total',
+      help: 'Requests admitted or refused by usage limits, tokens given back, and messages sent for them, by event',
+      labelNames: ['event'],
+      registers,
+    });
+    this.usageShare = new library.Gauge({
+      name: 'dogwoodstall_usage_share',
+      help: 'Fraction of the usage limits that this daemon may lend, by group of organisations',
+      labelNames: ['group'],
+      registers,
+    });
     this.descriptorEvents = new library.Counter({
       name: 'dogwoodstall_descriptor_shortage_total',
       help: 'Connections and requests that were closed, refused or failed for lack of descriptors, by event',
@@ -295,6 +312,16 @@
     }
   }
 
+  /** Counts what was decided about usage limits. */
+  countUsage({ shares, refusedMost, ...counts }: UsageReport): void {
+    for (const [event, count] of Object.entries(counts)) {
+      this.usage.inc({ event }, count);
+    }
+    for (const [group, share] of shares.entries()) {
+      this.usageShare.set({ group }, share);
+    }
+  }
+
   /** Counts connections and requests that were closed, refused or failed for lack of descriptors. */
   countDescriptorEvents(event: DescriptorEvent, count: number): void {
     this.descriptorEvents.inc({ event }, count);
--- a/packages/daemon/gateway-daemon/src/settings.ts
+++ b/packages/daemon/gateway-daemon/src/settings.ts
@@ -39,6 +39,16 @@
       windowSeconds: z.number().positive().default(10),
     })
     .prefault({}),
+  usage: z
+    .object({
+      /** Window over which the usage limits of organisations hold. */
+      windowSeconds: z.number().positive().default(5),
+      /** Requests beyond a limit that are tolerated in a window, as a fraction of it. */
+      overage: z.number().nonnegative().default(0),
+      /** The same as a number of requests of each organisation. */
+      slack: z.number().nonnegative().default(0),
+    })
+    .prefault({}),
   stop: z
     .object({
       /** Seconds from SIGTERM until the process is killed. */
--- a/packages/peers/datagrams/src/index.ts
+++ b/packages/peers/datagrams/src/index.ts
@@ -3,11 +3,15 @@
  */
 export {
   type Ask,
+  type Borrow,
   type Crashes,
   type Grant,
+  type Lend,
   type Message,
   type Outcome,
   type Ping,
+  type PledgeMessage,
+  type Pledged,
   type Pong,
   type Refusal,
   type Report,
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -185,6 +185,59 @@
   }),
 ]);
 
+const fraction = z.number().min(0).max(1);
+/** Sum of 1 if the sender pledges its part of the usage limits, 2 if it is certain, 4 if it keeps, 8 if it has rested. */
+const pledgeFlags = z.number().int().min(0).max(15);
+const pledgePurpose = z.enum(['renew', 'release', 'probe']);
+
+/** Asks a keeper of usage limits for tokens of an organisation. */
+export const borrowSchema = z.tuple([
+  z.literal('borrow'),
+  z.object({
+    sequence: z.number().int(),
+    organisation: z.string(),
+    wanted: z.number().int().min(1),
+    pledge: pledgeFlags,
+  }),
+]);
+
+/** Lends tokens of an organisation, or says when there will be one. */
+export const lendSchema = z.tuple([
+  z.literal('lend'),
+  z.object({
+    sequence: z.number().int(),
+    organisation: z.string(),
+    tokens: z.number().int().nonnegative(),
+    retryAfter: milliseconds,
+    settling: z.boolean(),
+    share: fraction,
+  }),
+]);
+
+/** Pledges the sender's part of the limits of a group of organisations, or takes it back. */
+export const pledgeSchema = z.tuple([
+  z.literal('pledge'),
+  z.object({
+    group: z.number().int().nonnegative(),
+    sequence: z.number().int(),
+    purpose: pledgePurpose,
+    pledge: pledgeFlags,
+  }),
+]);
+
+/** Response to such a pledge. */
+export const pledgedSchema = z.tuple([
+  z.literal('pledged'),
+  z.object({
+    group: z.number().int().nonnegative(),
+    sequence: z.number().int(),
+    purpose: pledgePurpose,
+    declined: z.boolean(),
+    keeping: z.boolean(),
+    share: fraction,
+  }),
+]);
+
 /** Any message; the position of a schema in this union is its code on the wire. */
 export const messageSchema = z.union([
   askSchema,
@@ -197,6 +250,10 @@
   pingSchema,
   pongSchema,
   crashesSchema,
+  borrowSchema,
+  lendSchema,
+  pledgeSchema,
+  pledgedSchema,
 ]);
 
 export type Message = z.infer<typeof messageSchema>;
@@ -208,3 +265,7 @@
 export type Pong = z.infer<typeof pongSchema>[1];
 export type Crashes = z.infer<typeof crashesSchema>[1];
 export type Outcome = z.infer<typeof outcomeSchema>;
+export type Borrow = z.infer<typeof borrowSchema>[1];
+export type Lend = z.infer<typeof lendSchema>[1];
+export type PledgeMessage = z.infer<typeof pledgeSchema>[1];
+export type Pledged = z.infer<typeof pledgedSchema>[1];
--- a/packages/routing/grants/src/usage-agent.ts
+++ b/packages/routing/grants/src/usage-agent.ts
@@ -42,6 +42,8 @@
   readonly send: (to: string, message: UsageMessage) => void;
   /** Calls back if a daemon's process has certainly ended. */
   readonly checkEnded: (name: string, onEnded: () => void) => void;
+  /** Start of the process, in the time of `now`. */
+  readonly startedAt: number;
   readonly now: () => number;
 }
 
@@ -79,7 +81,7 @@
 
   constructor(private readonly options: UsageAgentOptions) {
     const { self, rank, findLimit, tolerance, now, checkEnded } = options;
-    this.startedAt = now();
+    this.startedAt = options.startedAt;
     this.ledger = new UsageLedger({
       listMembers: rank,
       findLimit: (organisation) => {
--- a/packages/routing/grants/src/usage-ledger.ts
+++ b/packages/routing/grants/src/usage-ledger.ts
@@ -72,6 +72,9 @@
 
   private currentShare = 0;
 
+  /** The members by which the share was computed last. */
+  private members: readonly string[] | undefined;
+
   private gains: Gains = { shareTime: 0, restedParts: 0 };
 
   /** The last falls of the share. */
@@ -118,10 +121,14 @@
   accept(pledge: Pledge, now: number): void {
     this.advance(now);
     const expiresAt = now + PLEDGE_MILLISECONDS;
-    const isNew = !this.pledges.has(pledge.name);
+    const known = this.pledges.get(pledge.name);
+    const isNew = known === undefined;
+    const isChanged = isNew || known.certain !== pledge.certain || known.keeping !== pledge.keeping;
     this.pledges.set(pledge.name, { ...pledge, expiresAt });
     this.earliestExpiryAt = Math.min(this.earliestExpiryAt, expiresAt);
-    this.updateShare();
+    if (isChanged || this.options.listMembers() !== this.members) {
+      this.updateShare();
+    }
     if (isNew && pledge.rested) {
       const part = 1 / Math.max(1, this.options.listMembers().length);
       this.gains = { ...this.gains, restedParts: this.gains.restedParts + part };
@@ -199,6 +206,7 @@
 
   private updateShare(): void {
     const members = this.options.listMembers();
+    this.members = members;
     let certain = 0;
     let uncertain = 0;
     let isOnlyKeeper = true;
--- a/packages/routing/grants/test/usage-fleet.test.ts
+++ b/packages/routing/grants/test/usage-fleet.test.ts
@@ -142,6 +142,10 @@
   'every sixth daemon reaches no other': (fleet) =>
     fleet.partition((index) => (index % 6 === 5 ? index : 0)),
   'the daemons are split into halves': (fleet) => fleet.partition((index) => index % 2),
+  'halves, and the largest organisation sends 7.5 times its usual': (fleet) => {
+    fleet.partition((index) => index % 2);
+    fleet.setRate('organisation-1', HOT_FACTOR * fleet.getDemand('organisation-1').rate);
+  },
   'all daemons restart': (fleet) => fleet.killAll(1000),
   'all limits are lowered to a fifth': (fleet) => {
     for (let rank = 1; rank <= ORGANISATIONS; rank += 1) {
@@ -162,6 +166,9 @@
   fleet.run(8000);
   const calm = fleet.beginPeriod();
   fleet.run(8000);
+  // Requests that wait when their daemon is killed count for neither period.
+  fleet.beginPeriod();
+  fleet.run(100);
   course(fleet);
   const first = fleet.beginPeriod();
   fleet.run(1000);
--- a/packages/routing/grants/test/usage-fleet.ts
+++ b/packages/routing/grants/test/usage-fleet.ts
@@ -224,6 +224,7 @@
     Object.assign(daemon, {
       limiter: createLimiter({
         self: daemon.name,
+        startedAt,
         rank,
         findLimit: (organisation) => this.demands.get(organisation)?.limit,
         tolerance: () => TOLERANCE,
