--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -10,6 +10,7 @@
 import { DecisionLog } from './decision-log.js';
 import { DescriptorLog } from './descriptor-log.js';
 import type { MetricsServer } from './metrics-server.js';
+import type { UsageReport } from './usage-counts.js';
 
 /** Endpoints named in one line. */
 const LOGGED_ENDPOINTS = 10;
@@ -57,8 +58,9 @@
   /** Records a decision on a slot request. */
   recordSlotDecision(cell: string, request: grants.SlotRequest, decision: grants.Decision): void {
     this.metricsServer?.countSlot(cell, decision.kind === 'grant' ? 'grant' : decision.reason);
-    const { entry, route, repeated } = request;
-    const common = { ask: request.key, entry, cell, route, repeated };
+    const { entry, route, organisation, repeated } = request;
+    const owner = organisation === '' ? {} : { organisation };
+    const common = { ask: request.key, entry, cell, route, ...owner, repeated };
     if (decision.kind === 'grant') {
       const { grantId, endpoint, risk, waited } = decision;
       this.dispatchLog.write('slot granted', {
@@ -69,8 +71,14 @@
         waited: Math.round(waited),
       });
     } else {
-      const { reason, retryAfter } = decision;
-      this.dispatchLog.write('slot refused', { ...common, reason, retryAfter });
+      const { reason, retryAfter, inExcess } = decision;
+      const excess = inExcess ? { inExcess } : {};
+      this.dispatchLog.write('slot refused', {
+        ...common,
+        reason,
+        retryAfter: Math.round(retryAfter),
+        ...excess,
+      });
     }
   }
 
@@ -95,6 +103,21 @@
     }
   }
 
+  /** Records what was decided about usage limits in a second; it is logged only if requests were refused. */
+  recordUsage(report: UsageReport): void {
+    this.metricsServer?.countUsage(report);
+    if (report.refused > 0) {
+      const { refusedMost, ...counts } = report;
+      const organisations = Object.fromEntries(refusedMost);
+      this.budgetLog.write('usage limits are reached', { ...counts, organisations });
+    }
+  }
+
+  /** Records from which daemon this one borrows for a group of organisations. */
+  recordUsageKeeper(group: number, keeper: string): void {
+    this.logger.info('usage limits have a keeper', { group, keeper });
+  }
+
   /** Records that an endpoint announces something else than before. */
   recordAnnouncement(cell: string, change: grants.AnnouncementChange): void {
     const { endpoint, origin, source, requestsPerSecond, leaving, previous } = change;
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLog } from '@dogwoodstall/observability';
-import type { Endpoint } from '@dogwoodstall/traffic';
+import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
 import { Directory } from '../src/directory.js';
 import { type Member, MemberTable } from '../src/member.js';
 import { PeerState } from '../src/peer-state.js';
@@ -113,3 +113,22 @@
   await createPeerState(members, createDirectory(), store).registerAgain();
   assert.deepEqual([...store.members.keys()], ['front-1']);
 });
+
+test('a daemon that starts too answers a request for the first state once it has it', async () => {
+  const members = new MemberTable(createMember(1));
+  const directory = createDirectory();
+  const peerState = createPeerState(members, directory);
+  const response = peerState.provideState({
+    configurationVersion: 0,
+    directoryRevision: 0,
+    members: [createMember(2)],
+    waitMilliseconds: 10_000,
+  });
+  const store = new MemoryStore();
+  store.configure(4, 'offers');
+  directory.activateConfiguration(store.configuration as TrafficConfiguration, 'store');
+  directory.replaceEndpoints([], { era: 0, revision: 7 }, 'store');
+  const state = await response;
+  assert.equal(state.configuration?.version, 4);
+  assert.equal(state.directoryRevision, 7);
+});
