--- a/packages/testing/measure/test/crash.test.ts
+++ b/packages/testing/measure/test/crash.test.ts
@@ -106,6 +106,8 @@
     // An ejected server would get no requests for longer than a restarted one that was only marked as lost.
     while (!served(await readCounters(fleet))) {
       assert.equal(await send('other-owner'), '0');
+      // Only the last lines of a daemon are kept, and each request adds some.
+      await sleep(POLL_MILLISECONDS);
     }
     const log = fleet.daemons.map((daemon) => daemon.output).join('\n');
     const reasons = [...log.matchAll(/endpoint ejected.*"reason":"([a-z-]+)"/g)].map(
