Rank only the daemons that matter to each role

A daemon ranked all others for every cell when its members or cells had changed, to find the few roles that it may take over, and computed at each tick, ping and pong whether it dispatches any cell.

Whether a daemon is among the first of a ranking is now found by comparing it with others until enough rank before it, which is a few comparisons in most cases. Rankings begin with the daemons of the highest CPU capacity and are completed only if these do not suffice. The monitored cells are selected again when cells or members change, and the two watches of the store share one check of whether the daemon is responsible. Whether a ping calls for a fetch is asked before whether this daemon dispatches.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -7,9 +7,9 @@
  * request shows otherwise.
  */
 import type * as datagrams from '@dogwoodstall/datagrams';
-import * as hashing from '@dogwoodstall/hashing';
 import { type Contact, countFirstPings, createContact } from './contact.js';
 import { type Member, type MemberTable, type Role, STORE_WATCHER_ROLE } from './member.js';
+import { MonitoredCells, TAKEOVER_RANKS } from './monitored-cells.js';
 
 /** Address of a daemon that may dispatch. */
 export interface DispatcherTarget {
@@ -32,8 +32,6 @@
 const PONG_TIMEOUT_MILLISECONDS = 250;
 /** Number of responsive candidates per role: the active one and its standby. */
 const LEADING_CANDIDATES = 2;
-/** A daemon monitors the roles for which it ranks among this many first, so that it notices when it has to take over. */
-const TAKEOVER_RANKS = 4;
 /**
  * Number of candidates of a role that are pinged for the first time at once, besides as many as are known as
  * unresponsive. While all daemons start, no candidate is usable, and each would otherwise ping the whole fleet.
@@ -64,13 +62,20 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Result of `isSelfDispatcherOrStandby`; undefined after a change. */
+  private leadsAnyCell: boolean | undefined;
+
+  private readonly monitoredCells: MonitoredCells;
+
   /** Sequence number of the last ping to any daemon. */
   private lastSequence = 0;
 
   /** Sequence number of the last ping before the latest suspension of this daemon. */
   private suspendedSequence = 0;
 
-  constructor(private readonly options: CandidatesOptions) {}
+  constructor(private readonly options: CandidatesOptions) {
+    this.monitoredCells = new MonitoredCells(options.members);
+  }
 
   start(): void {
     this.timer = setInterval(() => this.tick(), TICK_MILLISECONDS);
@@ -83,7 +88,7 @@
 
   /** Returns the first usable daemon that was not tried yet, or this daemon if there is none. */
   choose(role: Role, tried: ReadonlySet<string>): DispatcherTarget {
-    for (const member of this.options.members.rank(role)) {
+    for (const member of this.options.members.iterateRanking(role)) {
       if (!tried.has(member.name) && this.isUsable(member, role)) {
         return this.toTarget(member);
       }
@@ -99,8 +104,11 @@
   /** Returns the names of the first responsive candidates of a role; this daemon always counts as responsive. */
   listLeading(role: Role): string[] {
     const { self } = this.options.members;
+    if (role !== STORE_WATCHER_ROLE && !this.hasUsablePeer()) {
+      return [self.name];
+    }
     const leading: string[] = [];
-    for (const member of this.options.members.rank(role)) {
+    for (const member of this.options.members.iterateRanking(role)) {
       if (member.name === self.name || this.isUsable(member, role)) {
         leading.push(member.name);
       }
@@ -121,8 +129,13 @@
     return this.monitored.has(role.name);
   }
 
-  /** Whether this daemon is the dispatcher or the standby of any cell. */
+  /** Whether this daemon is the dispatcher or the standby of any cell, as of the last tick or change of a candidate. */
   isSelfDispatcherOrStandby(): boolean {
+    this.leadsAnyCell ??= this.computeLeadsAnyCell();
+    return this.leadsAnyCell;
+  }
+
+  private computeLeadsAnyCell(): boolean {
     for (const cell of this.options.listCells()) {
       if (this.isSelfLeading(cell)) {
         return true;
@@ -170,6 +183,7 @@
     const contact = this.contacts.get(name) ?? createContact();
     this.contacts.set(name, contact);
     contact.known = true;
+    this.leadsAnyCell = undefined;
     contact.lastPingAt =
       this.options.now() - UNRESPONSIVE_PING_MILLISECONDS + PONG_TIMEOUT_MILLISECONDS;
   }
@@ -182,7 +196,10 @@
     }
     contact.pendingSince = undefined;
     contact.known = true;
-    contact.settled = pong.settled;
+    if (contact.settled !== pong.settled) {
+      contact.settled = pong.settled;
+      this.leadsAnyCell = undefined;
+    }
     this.setResponsive(name, !pong.stopping);
   }
 
@@ -207,6 +224,7 @@
     const contact = this.contacts.get(name);
     if (contact !== undefined && contact.responsive !== responsive) {
       contact.responsive = responsive;
+      this.leadsAnyCell = undefined;
       this.options.onChange(name, responsive);
     }
   }
@@ -224,8 +242,10 @@
         this.setResponsive(name, false);
       }
     }
+    this.leadsAnyCell = undefined;
     const roles = this.listMonitoredRoles();
     this.monitored = new Set(roles.map(({ name }) => name));
+    this.leadsAnyCell = undefined;
     const intervals = new Map<string, { member: Member; interval: number }>();
     for (const role of roles) {
       this.collectIntervals(role, intervals);
@@ -242,24 +262,15 @@
     }
   }
 
-  /** Lists the roles that this daemon may take over, and one cell whose dispatcher tells it of changes. */
+  /** Lists the monitored roles. */
   private listMonitoredRoles(): Role[] {
     const { members, listCells } = this.options;
     const cells = [...listCells()];
-    const roles = cells.filter((cell) => this.mayTakeOver(cell));
-    const [home] = hashing.rankMembers(
-      members.self.name,
-      cells.filter(({ zone }) => zone === undefined || zone === members.self.zone),
-      ({ name }) => name,
-    );
-    const subscribed = home ?? cells[0];
-    if (subscribed !== undefined && !roles.includes(subscribed)) {
-      roles.push(subscribed);
-    }
+    const roles = [...this.monitoredCells.list(cells)];
     // Dispatchers pass the age of the store's state on to the daemons that do not monitor its watchers.
     if (
       cells.length === 0 ||
-      this.mayTakeOver(STORE_WATCHER_ROLE) ||
+      members.isSelfAmongFirst(STORE_WATCHER_ROLE, TAKEOVER_RANKS) ||
       this.isSelfDispatcherOrStandby()
     ) {
       roles.push(STORE_WATCHER_ROLE);
@@ -267,22 +278,16 @@
     return roles;
   }
 
-  private mayTakeOver(role: Role): boolean {
-    const { members } = this.options;
-    const first = members.rank(role).slice(0, TAKEOVER_RANKS);
-    return first.some(({ name }) => name === members.self.name);
-  }
-
   /** Adds the candidates of a role with their ping intervals; a candidate of several roles gets the shortest interval. */
   private collectIntervals(
     role: Role,
     intervals: Map<string, { member: Member; interval: number }>,
   ): void {
     const { members } = this.options;
-    const mayTakeOver = this.mayTakeOver(role);
+    const mayTakeOver = members.isSelfAmongFirst(role, TAKEOVER_RANKS);
     let leadingCount = 0;
     let firstPings = FIRST_PINGS_PER_ROLE;
-    for (const member of members.rank(role)) {
+    for (const member of members.iterateRanking(role)) {
       const isSelf = member.name === members.self.name;
       const responsive = isSelf || this.isUsable(member, role);
       if (!responsive) {
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -56,6 +56,18 @@
   return Math.round(Math.log2(cores));
 }
 
+/** Number of daemons at the head of a ranking that is enough in most cases. */
+const HEAD_MEMBERS = 12;
+
+function rankByPreference(members: Iterable<Member>, { name: roleName, zone }: Role): Member[] {
+  const hashed = hashing.rankMembers(roleName, members, ({ name }) => name);
+  const isNear = (member: Member): number => (member.zone === zone ? 1 : 0);
+  return hashed.sort(
+    (left, right) =>
+      computeCapacityClass(right) - computeCapacityClass(left) || isNear(right) - isNear(left),
+  );
+}
+
 /** The known daemons. An entry is kept until a daemon with the same name starts later. */
 export class MemberTable {
   private readonly byName = new Map<string, Member>();
@@ -64,12 +76,27 @@
 
   private readonly rankings = new Map<string, readonly Member[]>();
 
+  /** The heads of the rankings, by role. */
+  private readonly heads = new Map<string, readonly Member[]>();
+
+  /** Results of `isSelfAmongFirst`. */
+  private readonly amongFirst = new Map<string, boolean>();
+
+  private strongest: readonly Member[] | undefined;
+
   private cachedDigest: string | undefined;
 
+  private changes = 0;
+
   constructor(readonly self: Member) {
     this.add(self);
   }
 
+  /** Number of changes so far. */
+  get changeCount(): number {
+    return this.changes;
+  }
+
   /** Digest of the names and hosts of all daemons; daemons compare it to detect missing members. */
   get digest(): string {
     if (this.cachedDigest === undefined) {
@@ -106,22 +133,89 @@
     this.byName.set(member.name, member);
     this.byHost.set(member.host, member);
     this.rankings.clear();
+    this.heads.clear();
+    this.amongFirst.clear();
+    this.strongest = undefined;
+    this.changes += 1;
     this.cachedDigest = undefined;
     return true;
   }
 
   /** Returns the daemons in order of preference for a role: by CPU capacity, then by zone, then by hash. */
-  rank({ name: roleName, zone }: Role): readonly Member[] {
-    let ranking = this.rankings.get(roleName);
+  rank(role: Role): readonly Member[] {
+    let ranking = this.rankings.get(role.name);
     if (ranking === undefined) {
-      const hashed = hashing.rankMembers(roleName, this.byName.values(), ({ name }) => name);
-      const isNear = (member: Member): number => (member.zone === zone ? 1 : 0);
-      ranking = hashed.sort(
-        (left, right) =>
-          computeCapacityClass(right) - computeCapacityClass(left) || isNear(right) - isNear(left),
-      );
-      this.rankings.set(roleName, ranking);
+      ranking = rankByPreference(this.byName.values(), role);
+      this.rankings.set(role.name, ranking);
     }
     return ranking;
   }
+
+  /** Iterates over the ranking for a role; ranks only the daemons with the highest CPU capacity until more are needed. */
+  *iterateRanking(role: Role): Iterable<Member> {
+    let head = this.heads.get(role.name);
+    if (head === undefined) {
+      head = rankByPreference(this.listStrongest(), role);
+      this.heads.set(role.name, head);
+    }
+    yield* head;
+    if (head.length < this.byName.size) {
+      yield* this.rank(role).slice(head.length);
+    }
+  }
+
+  /** Returns the daemons of the highest classes of CPU capacity that have at least `HEAD_MEMBERS` together. */
+  private listStrongest(): readonly Member[] {
+    if (this.strongest === undefined) {
+      const sorted = this.list().sort(
+        (left, right) => computeCapacityClass(right) - computeCapacityClass(left),
+      );
+      const last = sorted[HEAD_MEMBERS - 1];
+      this.strongest =
+        last === undefined
+          ? sorted
+          : sorted.filter((member) => computeCapacityClass(member) >= computeCapacityClass(last));
+    }
+    return this.strongest;
+  }
+
+  /**
+   * Whether this daemon is among the first of the ranking for a role. Unlike `rank`, this compares few daemons in most
+   * cases, so that a daemon can check it for many cells.
+   */
+  isSelfAmongFirst(role: Role, count: number): boolean {
+    const key = `${count} ${role.name}`;
+    let isAmongFirst = this.amongFirst.get(key);
+    if (isAmongFirst === undefined) {
+      isAmongFirst = this.ranksBehindLessThan(role, count);
+      this.amongFirst.set(key, isAmongFirst);
+    }
+    return isAmongFirst;
+  }
+
+  /** Whether less than `count` daemons rank before this one. */
+  private ranksBehindLessThan(role: Role, count: number): boolean {
+    let before = 0;
+    for (const member of this.byName.values()) {
+      if (member !== this.self && this.isRankedBeforeSelf(member, role)) {
+        before += 1;
+        if (before >= count) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private isRankedBeforeSelf(member: Member, { name, zone }: Role): boolean {
+    const { self } = this;
+    const capacity = computeCapacityClass(member) - computeCapacityClass(self);
+    if (capacity !== 0) {
+      return capacity > 0;
+    }
+    if (member.zone !== self.zone && (member.zone === zone || self.zone === zone)) {
+      return member.zone === zone;
+    }
+    return hashing.ranksBefore(name, member.name, self.name);
+  }
 }
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -69,11 +69,12 @@
     membersDiffer: boolean,
   ): void {
     const hasNewerEndpoints = known.directoryRevision > this.options.directory.endpointRevision;
-    const canDelay = this.options.directory.hasEndpoints && !this.options.isDispatching();
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
+    const mustFetchEndpoints = (): boolean =>
+      isDue || !this.options.directory.hasEndpoints || this.options.isDispatching();
     const shouldFetch =
       known.configurationVersion > this.options.directory.configurationVersion ||
-      (hasNewerEndpoints && (!canDelay || isDue)) ||
+      (hasNewerEndpoints && mustFetchEndpoints()) ||
       (membersDiffer && isDue);
     const member = this.options.members.findByHost(host);
     if (shouldFetch && !this.fetching && member !== undefined) {
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -50,6 +50,8 @@
 
   private lost = false;
 
+  private waiting: Promise<void> | undefined;
+
   constructor(private readonly options: StoreWatcherOptions) {}
 
   /** Monotonic milliseconds of the last response of the store. */
@@ -85,12 +87,7 @@
     let retry = FIRST_RETRY_MILLISECONDS;
     while (!this.closing.signal.aborted) {
       try {
-        while (!this.options.isResponsible()) {
-          const pause = this.options.directory.isComplete
-            ? IDLE_CHECK_MILLISECONDS
-            : START_CHECK_MILLISECONDS;
-          await delay(pause, undefined, { signal: this.closing.signal });
-        }
+        await this.waitUntilResponsible();
         await watch();
         retry = FIRST_RETRY_MILLISECONDS;
       } catch (error) {
@@ -106,6 +103,25 @@
     }
   }
 
+  /** Both watches wait for the same checks. */
+  private async waitUntilResponsible(): Promise<void> {
+    this.waiting ??= this.checkUntilResponsible();
+    try {
+      await this.waiting;
+    } finally {
+      this.waiting = undefined;
+    }
+  }
+
+  private async checkUntilResponsible(): Promise<void> {
+    while (!this.options.isResponsible()) {
+      const pause = this.options.directory.isComplete
+        ? IDLE_CHECK_MILLISECONDS
+        : START_CHECK_MILLISECONDS;
+      await delay(pause, undefined, { signal: this.closing.signal });
+    }
+  }
+
   private readonly watchEndpoints = async (): Promise<void> => {
     const { source, directory, suspension, onCurrent } = this.options;
     const readAt = performance.now();
--- a/packages/daemon/gateway-daemon/test/member.test.ts
+++ b/packages/daemon/gateway-daemon/test/member.test.ts
@@ -45,3 +45,25 @@
     backward.rank(role).map(({ name }) => name),
   );
 });
+
+test('a daemon is among the first of a role exactly if the ranking says so', () => {
+  const zones = ['a', 'b', 'c'] as const;
+  const members = Array.from({ length: 30 }, (_, index) =>
+    createMember(`d-${index}`, zones[index % 3] as string, index % 5 === 0 ? 1.35 : 0.27),
+  );
+  const roles = Array.from({ length: 20 }, (_, index) => ({
+    name: `service-${index}`,
+    zone: [...zones, undefined][index % 4],
+  }));
+  for (const self of members) {
+    const table = new MemberTable(self);
+    for (const member of members) {
+      table.add(member);
+    }
+    for (const role of roles) {
+      const first = table.rank(role).slice(0, 4);
+      assert.deepEqual([...table.iterateRanking(role)], table.rank(role));
+      assert.equal(table.isSelfAmongFirst(role, 4), first.includes(self), self.name);
+    }
+  }
+});
--- a/packages/foundation/hashing/src/rendezvous.ts
+++ b/packages/foundation/hashing/src/rendezvous.ts
@@ -34,6 +34,12 @@
   return scored.map((entry) => entry.member);
 }
 
+/** Whether `rankMembers` ranks the member with the first name before that with the second one. */
+export function ranksBefore(key: string, first: string, second: string): boolean {
+  const difference = hashText32(`${first}\u0000${key}`) - hashText32(`${second}\u0000${key}`);
+  return difference > 0 || (difference === 0 && first < second);
+}
+
 /**
  * Assigns a name to one of `count` groups. If a group is added, only the names that are assigned to it change their
  * group.
