Test usage limits with real daemons

Kills, restarts, a parted fleet: an organisation that sends four times its limit and one that sends half of it.

--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -89,6 +89,7 @@
         },
         store: { address: '127.0.0.1:1' },
         retries: { ratio: 0.2, slack: 20, windowSeconds: 10 },
+        usage: { windowSeconds: 5, overage: 0.1, slack: 20 },
         stop: { graceSeconds },
         limits: { memoryMegabytes: 100 },
       }),
--- a/packages/daemon/gateway-daemon/test/memory-store.ts
+++ b/packages/daemon/gateway-daemon/test/memory-store.ts
@@ -1,7 +1,7 @@
 /**
  * Content of the in-memory store, with the history of endpoint changes.
  */
-import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
+import type { Endpoint, Organisation, TrafficConfiguration } from '@dogwoodstall/traffic';
 import type * as gatewayDaemon from '../src/index.js';
 
 interface Change {
@@ -37,7 +37,7 @@
     this.changes.push({ revision: this.revision, change: { kind: 'removed', id } });
   }
 
-  configure(version: number, service: string): void {
+  configure(version: number, service: string, organisations?: Organisation[]): void {
     this.revision += 1;
     this.configurationRevision = this.revision;
     this.configuration = {
@@ -56,6 +56,7 @@
         },
       ],
       services: [],
+      ...(organisations !== undefined && { organisations }),
       limits: {
         headerBytes: 16_384,
         bodyBytes: 1_000_000,
--- /dev/null
+++ b/packages/daemon/gateway-daemon/test/usage-traffic.ts
@@ -0,0 +1,97 @@
+/**
+ * Requests of organisations with usage limits, sent to all daemons of a test fleet in turn.
+ */
+import * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { type Organisation, digestToken } from '@dogwoodstall/traffic';
+import { CALLER_PORT, type FleetDaemon } from './fleet.js';
+
+const WINDOW_MILLISECONDS = 5000;
+const OVERAGE = 0.1;
+const SLACK = 20;
+
+/** An organisation with a token of the same name. */
+export function createOrganisation(
+  name: string,
+  requestsPerSecond: number,
+  burst: number,
+): Organisation {
+  return { name, tokenDigests: [digestToken(name)], requestsPerSecond, burst };
+}
+
+function send(host: string, token: string, id: string): Promise<http.IncomingMessage | undefined> {
+  return new Promise((resolve) => {
+    const headers = { Host: 'shop.example', 'Request-Id': id, Token: token };
+    const request = http.request({ host, port: CALLER_PORT, path: '/', agent: false, headers });
+    request.on('error', () => resolve(undefined));
+    request.on('response', (response) => {
+      response.on('error', () => {});
+      response.resume();
+      resolve(response);
+    });
+    request.end();
+  });
+}
+
+/** Sends the requests of one organisation and records how they are answered. */
+export class UsageTraffic {
+  /** Times at which requests that were served had been sent. */
+  readonly servedAt: number[] = [];
+
+  refused = 0;
+
+  /** Requests that were neither served nor refused for the limit. */
+  failed = 0;
+
+  readonly retryAfter: number[] = [];
+
+  private sent = 0;
+
+  constructor(private readonly organisation: Organisation) {}
+
+  async send(
+    daemons: () => readonly FleetDaemon[],
+    perSecond: number,
+    milliseconds: number,
+  ): Promise<void> {
+    const startedAt = performance.now();
+    const answers: Promise<void>[] = [];
+    while (performance.now() - startedAt < milliseconds) {
+      const due = ((performance.now() - startedAt) * perSecond) / 1000;
+      for (let count = answers.length; count < due; count += 1) {
+        answers.push(this.sendOne(daemons()));
+      }
+      await delay(5);
+    }
+    await Promise.all(answers);
+  }
+
+  /** Returns by how much served requests exceed the limit in the worst window. */
+  findExcess(): number {
+    const { requestsPerSecond, burst } = this.organisation;
+    const limit = (requestsPerSecond * WINDOW_MILLISECONDS) / 1000 + burst;
+    const times = this.servedAt.toSorted((left, right) => left - right);
+    let worst = 0;
+    for (const [index, from] of times.entries()) {
+      const count = times.slice(index).filter((at) => at <= from + WINDOW_MILLISECONDS).length;
+      worst = Math.max(worst, count);
+    }
+    return worst - limit * (1 + OVERAGE) - SLACK;
+  }
+
+  private async sendOne(daemons: readonly FleetDaemon[]): Promise<void> {
+    const { name } = this.organisation;
+    this.sent += 1;
+    const { host } = daemons[this.sent % daemons.length] as FleetDaemon;
+    const sentAt = performance.now();
+    const response = await send(host, name, `${name}-${this.sent}`);
+    if (response?.statusCode === 200) {
+      this.servedAt.push(sentAt);
+    } else if (response?.statusCode === 429) {
+      this.refused += 1;
+      this.retryAfter.push(Number(response.headers['retry-after']));
+    } else {
+      this.failed += 1;
+    }
+  }
+}
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -29,6 +29,23 @@
 ];
 
 const messages: datagrams.Message[] = [
+  ['borrow', { sequence: 3, organisation: 'shop', wanted: 2, pledge: 5 }],
+  [
+    'lend',
+    {
+      sequence: 3,
+      organisation: 'shop',
+      tokens: 2,
+      retryAfter: 0,
+      settling: false,
+      share: 0.5,
+    },
+  ],
+  ['pledge', { group: 1, sequence: 4, purpose: 'renew', pledge: 15 }],
+  [
+    'pledged',
+    { group: 1, sequence: 4, purpose: 'renew', declined: false, keeping: true, share: 1 },
+  ],
   ask,
   [
     'grant',
