Lend a part of the slack steadily, and bound what waits

A bucket that admits exactly the rate refuses other requests than an exact counter of the fleet would, so that some of those it refuses lie below the limit. Keepers now lend 0.4 of the slack and 0.6 of the overage on top of the rate; tokens expire after 150 ms instead of 250 ms, which pays for it. At most 64 requests of an organisation wait, and a new keeper counts as new for 2.5 s. Pledges are renewed every 450 ms at the latest; ticks are 100 ms apart while nothing waits.

--- a/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
+++ b/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
@@ -17,6 +17,8 @@
 const GROUPS = 2;
 /** Precedes the number of a group in the name of the role by whose ranking its keeper is chosen. */
 const USAGE_ROLE_PREFIX = '@usage/';
+/** Interval of the agents' ticks while no request waits. */
+const CALM_TICK_MILLISECONDS = 100;
 const CHECK_ENDED_MILLISECONDS = 500;
 const REPORT_MILLISECONDS = 1000;
 /** Checks of ended processes that run at a time. */
@@ -60,6 +62,8 @@
 
   private timers: NodeJS.Timeout[] = [];
 
+  private nextTick: NodeJS.Timeout | undefined;
+
   private checks = 0;
 
   private isStopping = false;
@@ -77,10 +81,10 @@
     const agents = Array.from({ length: GROUPS }, (_, group) => this.createAgent(group));
     this.agents = agents;
     this.timers = [
-      setInterval(() => this.tick(), grants.USAGE_TICK_MILLISECONDS),
       setInterval(() => agents.forEach((agent) => agent.countEnded()), CHECK_ENDED_MILLISECONDS),
       setInterval(() => this.report(), REPORT_MILLISECONDS),
     ];
+    this.scheduleTick();
   }
 
   admit(organisation: Organisation): Promise<gateway.UsageDecision> | gateway.UsageDecision {
@@ -124,6 +128,7 @@
     this.isStopping = true;
     this.timers.forEach((timer) => clearInterval(timer));
     this.timers = [];
+    clearTimeout(this.nextTick);
   }
 
   private static hasLimit({ requestsPerSecond }: Organisation): boolean {
@@ -211,6 +216,17 @@
     return { kind: 'admitted', giveBack };
   }
 
+  private scheduleTick(): void {
+    const isWaiting = this.agents.some((agent) => agent.isWaiting);
+    this.nextTick = setTimeout(
+      () => {
+        this.tick();
+        this.scheduleTick();
+      },
+      isWaiting ? grants.USAGE_TICK_MILLISECONDS : CALM_TICK_MILLISECONDS,
+    );
+  }
+
   private tick(): void {
     for (const [group, agent] of this.agents.entries()) {
       agent.tick();
--- a/packages/routing/grants/src/keeper-choice.ts
+++ b/packages/routing/grants/src/keeper-choice.ts
@@ -5,7 +5,7 @@
 import { KEEPER_CANDIDATES, PLEDGE_MILLISECONDS } from './usage-ledger.js';
 import type { PledgeContent, PledgePurpose, UsageMessage } from './usage-messages.js';
 
-const RENEW_MILLISECONDS = 400;
+const RENEW_MILLISECONDS = 450;
 const RELEASE_MILLISECONDS = 200;
 const PROBE_MILLISECONDS = 1000;
 /** The same for a keeper that still counts the pledge. */
--- a/packages/routing/grants/src/usage-agent.ts
+++ b/packages/routing/grants/src/usage-agent.ts
@@ -23,6 +23,10 @@
 const MAXIMUM_WAIT_MILLISECONDS = 1500;
 /** Least time between requests of a daemon for tokens of an organisation that is over its limit. */
 const MINIMUM_BLOCK_MILLISECONDS = 100;
+/** Time in which the buckets of a new keeper may be empty because it is new. */
+const SETTLE_MILLISECONDS = 2500;
+/** Requests of an organisation that wait at a time; others are refused at once. */
+const MAXIMUM_WAITERS = 64;
 /** Time that a caller is told to wait when no keeper responds. */
 const UNKNOWN_RETRY_MILLISECONDS = 1000;
 
@@ -134,7 +138,11 @@
     }
     const waiter = { since: now, respond };
     if (pending !== undefined) {
-      pending.waiters.push(waiter);
+      if (pending.waiters.length >= MAXIMUM_WAITERS) {
+        respond({ kind: 'refused', retryAfter: UNKNOWN_RETRY_MILLISECONDS });
+      } else {
+        pending.waiters.push(waiter);
+      }
       return;
     }
     const created = { waiters: [waiter], sentAt: new Map<number, number>(), askAt: now };
@@ -149,7 +157,7 @@
         const { sequence, organisation, wanted, pledge } = message;
         this.acceptPledge(from, pledge, now);
         const loan = this.ledger.lend(organisation, wanted, now);
-        const settling = this.ledger.isSettling(this.options.tolerance().windowMilliseconds, now);
+        const settling = this.ledger.isSettling(SETTLE_MILLISECONDS, now);
         const share = this.ledger.computeShare(now);
         this.send(from, { kind: 'lend', sequence, organisation, ...loan, settling, share });
         if (pledge !== undefined && this.mustDecline(from)) {
--- a/packages/routing/grants/src/usage-limit.ts
+++ b/packages/routing/grants/src/usage-limit.ts
@@ -1,8 +1,7 @@
 /**
  * Division of an organisation's usage limit. In any window all daemons together may run
- * `(rate * window + burst) * (1 + overage) + slack` requests. Tokens are lent by keepers at the rate, from buckets whose
- * depths add up to `depth`; they expire after `TOKEN_MILLISECONDS`, which the overage covers. A part of the slack is for
- * daemons that reach no keeper.
+ * `(rate * window + burst) * (1 + overage) + slack` requests. Keepers lend tokens from buckets that fill at a little more
+ * than the rate; the tokens expire after `TOKEN_MILLISECONDS`. A part of the slack is for daemons that reach no keeper.
  */
 
 /** The limit of an organisation. */
@@ -21,15 +20,14 @@
 }
 
 /** Time for which a lent token can be used. */
-export const TOKEN_MILLISECONDS = 250;
-/** Fraction of the slack that keepers lend on top of the burst. */
-const LENT_SLACK_SHARE = 0.3;
-/** Fraction of the slack that keepers lend when they have just become keepers. */
-const INITIAL_SLACK_SHARE = 0.3;
-/** The same as a part of what the overage leaves beside the time that tokens are held. */
-const INITIAL_OVERAGE_SHARE = 0.6;
-/** Fraction of the slack that daemons spend while they reach no keeper. */
-const OWN_SLACK_SHARE = 0.3;
+export const TOKEN_MILLISECONDS = 150;
+/**
+ * Fractions of the slack: added to the rate and to the burst that keepers lend, for the buckets of new keepers, and for
+ * daemons that reach no keeper. The rest covers daemons that others don't know yet.
+ */
+const SLACK_SHARES = { rate: 0.4, burst: 0.1, initial: 0.2, own: 0.2 };
+/** Fractions of the overage, likewise. */
+const OVERAGE_SHARES = { rate: 0.6, burst: 0.5, initial: 0.25 };
 
 /** What the keepers of an organisation may lend together. */
 export interface LendingLimit {
@@ -42,21 +40,20 @@
 /** Returns what all keepers together may lend. */
 export function computeLendingLimit(limit: UsageLimit, tolerance: UsageTolerance): LendingLimit {
   const { windowMilliseconds, overage, slack } = tolerance;
-  const held = windowMilliseconds + TOKEN_MILLISECONDS;
-  // Without enough overage for the time that tokens are held, the rate is lowered instead.
-  const factor = Math.min(1, ((1 + overage) * windowMilliseconds) / held);
-  const tokensPerMillisecond = (limit.requestsPerSecond * factor) / 1000;
-  const spare = Math.max(0, overage * windowMilliseconds - TOKEN_MILLISECONDS);
+  const inWindow = (limit.requestsPerSecond * windowMilliseconds) / 1000;
+  const lentInWindow = inWindow * (1 + overage * OVERAGE_SHARES.rate) + slack * SLACK_SHARES.rate;
+  const depth = limit.burst * (1 + overage * OVERAGE_SHARES.burst) + slack * SLACK_SHARES.burst;
   return {
-    tokensPerMillisecond,
-    depth: Math.max(1, limit.burst + slack * LENT_SLACK_SHARE),
-    initial: slack * INITIAL_SLACK_SHARE + tokensPerMillisecond * spare * INITIAL_OVERAGE_SHARE,
+    // Tokens that are used in a window were lent in it or shortly before.
+    tokensPerMillisecond: lentInWindow / (windowMilliseconds + TOKEN_MILLISECONDS),
+    depth: Math.max(1, depth),
+    initial: inWindow * overage * OVERAGE_SHARES.initial + slack * SLACK_SHARES.initial,
   };
 }
 
 /** Returns the requests in a window that the daemon at a position may admit while it reaches no keeper. */
 export function computeOwnAllowance(slack: number, position: number, daemons: number): number {
-  const spent = slack * OWN_SLACK_SHARE;
+  const spent = slack * SLACK_SHARES.own;
   const countUpTo = (end: number): number => Math.floor((end * spent) / Math.max(1, daemons));
   return position < 0 ? 0 : countUpTo(position + 1) - countUpTo(position);
 }
--- a/packages/routing/grants/src/usage-tokens.ts
+++ b/packages/routing/grants/src/usage-tokens.ts
@@ -11,7 +11,7 @@
 /** Time constant of the estimated demand. */
 const DEMAND_MILLISECONDS = 1000;
 /** Time for whose expected demand tokens are borrowed ahead. */
-const AHEAD_MILLISECONDS = 150;
+const AHEAD_MILLISECONDS = 100;
 
 /** Tokens by expiry. A daemon counts their time from its own request, so that no clocks are compared. */
 export class UsageTokens {
