--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -71,11 +71,12 @@
   ): void {
     const { position } = this.options.directory;
     const hasNewerEndpoints = isLater(readPosition(known, position), position);
-    const canDelay = this.options.directory.hasEndpoints && !this.options.isDispatching();
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
+    const mustFetchEndpoints = (): boolean =>
+      isDue || !this.options.directory.hasEndpoints || this.options.isDispatching();
     const shouldFetch =
       known.configurationVersion > this.options.directory.configurationVersion ||
-      (hasNewerEndpoints && (!canDelay || isDue)) ||
+      (hasNewerEndpoints && mustFetchEndpoints()) ||
       (membersDiffer && isDue);
     const member = this.options.members.findByHost(host);
     if (shouldFetch && !this.fetching && member !== undefined) {
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -61,6 +61,25 @@
   assert.equal(peerState.handleStateRequest(request).members?.length, 3);
 });
 
+test('a daemon that starts too answers a request for the first state once it has it', async () => {
+  const members = new MemberTable(createMember(1));
+  const directory = createDirectory();
+  const peerState = createPeerState(members, directory);
+  const response = peerState.provideState({
+    configurationVersion: 0,
+    directoryRevision: 0,
+    members: [createMember(2)],
+    waitMilliseconds: 10_000,
+  });
+  const store = new MemoryStore();
+  store.configure(4, 'offers');
+  directory.activateConfiguration(store.configuration as TrafficConfiguration, 'store');
+  directory.replaceEndpoints([], { era: 0, revision: 7 }, 'store');
+  const state = await response;
+  assert.equal(state.configuration?.version, 4);
+  assert.equal(state.directoryRevision, 7);
+});
+
 const endpoint: Endpoint = {
   id: 'one',
   service: 'valuation',
@@ -113,22 +132,3 @@
   await createPeerState(members, createDirectory(), store).registerAgain();
   assert.deepEqual([...store.members.keys()], ['front-1']);
 });
-
-test('a daemon that starts too answers a request for the first state once it has it', async () => {
-  const members = new MemberTable(createMember(1));
-  const directory = createDirectory();
-  const peerState = createPeerState(members, directory);
-  const response = peerState.provideState({
-    configurationVersion: 0,
-    directoryRevision: 0,
-    members: [createMember(2)],
-    waitMilliseconds: 10_000,
-  });
-  const store = new MemoryStore();
-  store.configure(4, 'offers');
-  directory.activateConfiguration(store.configuration as TrafficConfiguration, 'store');
-  directory.replaceEndpoints([], { era: 0, revision: 7 }, 'store');
-  const state = await response;
-  assert.equal(state.configuration?.version, 4);
-  assert.equal(state.directoryRevision, 7);
-});
