--- a/packages/daemon/gateway-daemon/test/counting-endpoint.ts
+++ b/packages/daemon/gateway-daemon/test/counting-endpoint.ts
@@ -9,11 +9,15 @@
 export class CountingEndpoint {
   requests = 0;
 
+  /** Times at which requests arrived, by their id. */
+  readonly arrivedAt = new Map<string, number>();
+
   /** Milliseconds before each response. */
   responseDelay = 5;
 
   private readonly server = http.createServer((request, response) => {
     this.requests += 1;
+    this.arrivedAt.set(String(request.headers['request-id']), performance.now());
     request.resume();
     setTimeout(() => {
       response.writeHead(200, { 'Request-Id': String(request.headers['request-id']) });
--- a/packages/routing/grants/src/usage-agent.ts
+++ b/packages/routing/grants/src/usage-agent.ts
@@ -155,14 +155,15 @@
     switch (message.kind) {
       case 'borrow': {
         const { sequence, organisation, wanted, pledge } = message;
+        if (pledge !== undefined && this.mustDecline(from)) {
+          this.ledger.release(from, now);
+          this.respond(from, sequence, 'renew', now);
+        }
         this.acceptPledge(from, pledge, now);
         const loan = this.ledger.lend(organisation, wanted, now);
         const settling = this.ledger.isSettling(SETTLE_MILLISECONDS, now);
         const share = this.ledger.computeShare(now);
         this.send(from, { kind: 'lend', sequence, organisation, ...loan, settling, share });
-        if (pledge !== undefined && this.mustDecline(from)) {
-          this.respond(from, sequence, 'renew', now);
-        }
         return;
       }
       case 'lend':
