--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -123,6 +123,8 @@
     standby: z.boolean(),
     configurationVersion: z.number().int(),
     directoryRevision: z.number(),
+    /** Era of the store to which the revision belongs; absent from older daemons. */
+    directoryEra: z.number().int().optional(),
   }),
 ]);
 
@@ -160,6 +162,8 @@
         endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
       }),
     ),
+    /** Era of the store to which the revision belongs; absent from older daemons. */
+    directoryEra: z.number().int().optional(),
   }),
 ]);
 
@@ -269,3 +273,11 @@
 export type Lend = z.infer<typeof lendSchema>[1];
 export type PledgeMessage = z.infer<typeof pledgeSchema>[1];
 export type Pledged = z.infer<typeof pledgedSchema>[1];
+
+/**
+ * Values that stand before a field, by message and field. Daemons of earlier versions send fields there that are no longer
+ * read, and reject a message that has something else in their place.
+ */
+export const retiredValues: Readonly<Record<string, readonly unknown[]>> = {
+  'pong.directoryEra': [0, []],
+};
