Exchange changes of endpoints instead of all endpoints

At each change every daemon requested, parsed and validated all endpoints. Beyond that, daemons with the same endpoints requested them again and again: each of the first readers has the revision at which it read, heartbeats move it, and a list without a difference left the lower revision as it was, so that the next pong of the other one called for another fetch.

A daemon now adopts the revision of another one whose endpoints are the same, and remembers the revision at which each endpoint last changed. It responds with the changes after the revision of a request that sets `acceptsChanges`; without this field, or when the request is older than what it remembers, with all endpoints, as before.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -10,19 +10,24 @@
 } from '@dogwoodstall/traffic';
 import * as grants from '@dogwoodstall/grants';
 import * as z from 'zod';
+import { EndpointHistory, isSameEndpoint } from './endpoint-history.js';
 import { memberSchema } from './member.js';
 
 function selectEndpoints(entries: readonly unknown[]): Endpoint[] {
   return entries.flatMap((entry) => endpointSchema.safeParse(entry).data ?? []);
 }
 
+const storedEndpointsSchema = z.array(z.unknown()).transform(selectEndpoints);
+
 const MAXIMUM_DRAINED = 4096;
 
 /** Response to a daemon that requests the state of another one. */
 export const stateSchema = z.object({
   configuration: trafficConfigurationSchema.optional(),
   /** Absent when the requesting daemon already has this revision. Older daemons may list entries that are invalid. */
-  endpoints: z.array(z.unknown()).transform(selectEndpoints).optional(),
+  endpoints: storedEndpointsSchema.optional(),
+  /** The changes since the revision of the requesting daemon, instead of all endpoints. Older daemons send none. */
+  changes: z.object({ puts: storedEndpointsSchema, removed: z.array(z.string()) }).optional(),
   directoryRevision: z.number(),
   /** Absent when the requesting daemon knows the same members. */
   members: z.array(memberSchema).optional(),
@@ -30,17 +35,6 @@
 
 export type State = z.infer<typeof stateSchema>;
 
-function isSameEndpoint(left: Endpoint, right: Endpoint): boolean {
-  return (
-    left.lifetime === right.lifetime &&
-    left.address === right.address &&
-    left.service === right.service &&
-    left.draining === right.draining &&
-    left.slots === right.slots &&
-    left.zone === right.zone
-  );
-}
-
 /** Options of `Directory`. */
 export interface DirectoryOptions {
   readonly onConfiguration: (configuration: TrafficConfiguration, source: string) => void;
@@ -68,6 +62,8 @@
 
   private revision = 0;
 
+  private readonly history = new EndpointHistory();
+
   /** Resolvers that are called once the configuration and the endpoints are known. */
   private readonly completionCallbacks: (() => void)[] = [];
 
@@ -202,16 +198,44 @@
       return;
     }
     const ids = new Set(endpoints.map(({ id }) => id));
-    let changed = this.revision === 0;
-    for (const id of this.endpoints.keys()) {
-      if (!ids.has(id)) {
-        changed = this.remove(id) || changed;
-      }
+    const removed = [...this.endpoints.keys()].filter((id) => !ids.has(id));
+    const isFirst = this.revision === 0;
+    if (isFirst) {
+      this.history.begin(revision);
     }
-    for (const endpoint of endpoints) {
-      changed = this.put(endpoint) || changed;
+    const changed = this.applyChanges(endpoints, removed, revision);
+    this.finishChange(changed || isFirst, revision, source);
+  }
+
+  /** Raises the revision to that of another daemon with the same endpoints, so that they are not fetched again. */
+  adoptRevision(revision: number): void {
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  /** Lists the changes after a revision; undefined if not all of them are known. */
+  listChangesSince(revision: number): State['changes'] {
+    const ids = this.history.listSince(revision);
+    return (
+      ids && {
+        puts: this.listStored().filter(({ id }) => ids.has(id)),
+        removed: [...ids].filter((id) => !this.endpoints.has(id) || this.lapsed.has(id)),
+      }
+    );
+  }
+
+  private applyChanges(
+    puts: readonly Endpoint[],
+    removed: readonly string[],
+    revision: number,
+  ): boolean {
+    const changed = [
+      ...puts.filter((endpoint) => this.put(endpoint)).map(({ id }) => id),
+      ...removed.filter((id) => this.remove(id)),
+    ];
+    for (const id of changed) {
+      this.history.record(id, revision);
     }
-    this.finishChange(changed, revision, source);
+    return changed.length > 0;
   }
 
   /**
@@ -227,14 +251,7 @@
     if (revision < this.revision) {
       return false;
     }
-    let changed = false;
-    for (const endpoint of puts) {
-      changed = this.put(endpoint) || changed;
-    }
-    for (const id of removed) {
-      changed = this.remove(id) || changed;
-    }
-    this.finishChange(changed, revision, source);
+    this.finishChange(this.applyChanges(puts, removed, revision), revision, source);
     return true;
   }
 
--- /dev/null
+++ b/packages/daemon/gateway-daemon/src/endpoint-history.ts
@@ -0,0 +1,59 @@
+/**
+ * Which endpoints changed since a revision, so that daemons can exchange changes instead of all endpoints.
+ */
+
+import type { Endpoint } from '@dogwoodstall/traffic';
+
+/** More endpoints than change within minutes; a daemon that is further behind gets all endpoints. */
+const MAXIMUM_ENTRIES = 4096;
+
+/** Whether two entries of an endpoint differ in nothing that matters to other daemons. */
+export function isSameEndpoint(left: Endpoint, right: Endpoint): boolean {
+  return (
+    left.lifetime === right.lifetime &&
+    left.address === right.address &&
+    left.service === right.service &&
+    left.draining === right.draining &&
+    left.slots === right.slots &&
+    left.zone === right.zone
+  );
+}
+
+/** Remembers the revision of the last change of each endpoint. */
+export class EndpointHistory {
+  /** Revisions by id, the latest last. */
+  private readonly revisions = new Map<string, number>();
+
+  private startRevision = Infinity;
+
+  /** Begins with all endpoints of a revision; what changed before it is not known. */
+  begin(revision: number): void {
+    this.startRevision = revision;
+    this.revisions.clear();
+  }
+
+  /** Records that an endpoint was put or removed at a revision or before. */
+  record(id: string, revision: number): void {
+    this.revisions.delete(id);
+    this.revisions.set(id, revision);
+    const [oldest] = this.revisions;
+    if (this.revisions.size > MAXIMUM_ENTRIES && oldest !== undefined) {
+      this.revisions.delete(oldest[0]);
+      [, this.startRevision] = oldest;
+    }
+  }
+
+  /** Returns the ids that changed after a revision; undefined if not all of them are known. */
+  listSince(revision: number): Set<string> | undefined {
+    if (revision < this.startRevision) {
+      return undefined;
+    }
+    const ids = new Set<string>();
+    for (const [id, changedAt] of this.revisions) {
+      if (changedAt > revision) {
+        ids.add(id);
+      }
+    }
+    return ids;
+  }
+}
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -16,7 +16,7 @@
 const JOIN_CALL_MILLISECONDS = 700;
 const JOIN_RETRY_MILLISECONDS = 800;
 /** Number of cached states; `StateServer` caches their encoded form. */
-const MAXIMUM_STATES = 4;
+const MAXIMUM_STATES = 16;
 /** Number of new members that a log line names. */
 const LOGGED_MEMBERS = 3;
 /** Time for which a daemon that starts as well may wait for its own state before it answers. */
@@ -99,6 +99,7 @@
         memberDigest: this.options.members.digest,
         members: [this.options.members.self],
         waitMilliseconds,
+        acceptsChanges: true,
       });
       this.importState(state, address);
     } finally {
@@ -111,8 +112,16 @@
     if (state.configuration !== undefined) {
       this.options.directory.activateConfiguration(state.configuration, source);
     }
-    if (state.endpoints !== undefined) {
-      this.options.directory.replaceEndpoints(state.endpoints, state.directoryRevision, source);
+    const { directory } = this.options;
+    const { endpoints, changes, directoryRevision } = state;
+    if (endpoints !== undefined) {
+      directory.replaceEndpoints(endpoints, directoryRevision, source);
+      directory.adoptRevision(directoryRevision);
+    } else if (
+      changes !== undefined &&
+      directory.changeEndpoints(changes.puts, changes.removed, directoryRevision, source)
+    ) {
+      directory.adoptRevision(directoryRevision);
     }
   }
 
@@ -142,18 +151,31 @@
   handleStateRequest(request: StateRequest): State {
     this.addMembers(request.members, 'peer');
     const hasOtherMembers = request.memberDigest !== this.options.members.digest;
-    const { endpointRevision, configurationVersion } = this.options.directory;
+    const { directory } = this.options;
+    const { routes, endpointRevision, configurationVersion } = directory;
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
     const hasNewerEndpoints = endpointRevision > request.directoryRevision;
+    const changes =
+      hasNewerEndpoints && request.acceptsChanges === true
+        ? directory.listChangesSince(request.directoryRevision)
+        : undefined;
     const content = [
       hasNewerConfiguration && configurationVersion,
       hasNewerEndpoints && endpointRevision,
+      changes !== undefined && request.directoryRevision,
       hasOtherMembers && this.options.members.digest,
     ];
     const key = content.join(' ');
     let state = this.states.get(key);
     if (state === undefined) {
-      state = this.createState(hasNewerConfiguration, hasNewerEndpoints, hasOtherMembers);
+      const endpoints = changes === undefined ? { endpoints: directory.listStored() } : { changes };
+      state = {
+        ...(hasNewerConfiguration &&
+          routes !== undefined && { configuration: routes.configuration }),
+        ...(hasNewerEndpoints && endpoints),
+        ...(hasOtherMembers && { members: this.options.members.list() }),
+        directoryRevision: endpointRevision,
+      };
       this.states.set(key, state);
       if (this.states.size > MAXIMUM_STATES) {
         this.states.delete(this.states.keys().next().value as string);
@@ -162,20 +184,6 @@
     return state;
   }
 
-  private createState(
-    withConfiguration: boolean,
-    withEndpoints: boolean,
-    withMembers: boolean,
-  ): State {
-    const { routes, endpointRevision } = this.options.directory;
-    return {
-      ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
-      ...(withEndpoints && { endpoints: this.options.directory.listStored() }),
-      ...(withMembers && { members: this.options.members.list() }),
-      directoryRevision: endpointRevision,
-    };
-  }
-
   /**
    * Registers this daemon in the store and reads the others from it. While the store does not respond, queries the seeds
    * and retries. Then requests the first state from other daemons.
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -32,6 +32,8 @@
   memberDigest: z.string().optional(),
   /** Time for which the other daemon may wait for its own first state. Older daemons send none and ignore it. */
   waitMilliseconds: z.number().nonnegative().optional(),
+  /** Whether the other daemon may respond with changes only. Older daemons send none. */
+  acceptsChanges: z.boolean().optional(),
 });
 
 export type StateRequest = z.infer<typeof stateRequestSchema>;
--- a/packages/daemon/gateway-daemon/test/directory.test.ts
+++ b/packages/daemon/gateway-daemon/test/directory.test.ts
@@ -78,3 +78,50 @@
   assert.equal(directory.changeEndpoints([createEndpoint('one')], [], 21, 'store'), true);
   assert.deepEqual(listIds(directory.listAll()), ['one', 'two']);
 });
+
+// Guards against daemons that request all endpoints again with each ping, because each read them at another revision.
+test('the revision of another daemon with the same endpoints is adopted without a change', () => {
+  let changes = 0;
+  const directory = new Directory({
+    onConfiguration: () => {},
+    onEndpoints: () => {
+      changes += 1;
+    },
+  });
+  const endpoints = [createEndpoint('one'), createEndpoint('two')];
+  directory.replaceEndpoints(endpoints, 10, 'store');
+  directory.replaceEndpoints(endpoints, 14, 'peer');
+  directory.adoptRevision(14);
+  assert.equal(directory.endpointRevision, 14);
+  directory.adoptRevision(12);
+  assert.equal(directory.endpointRevision, 14);
+  assert.equal(changes, 1);
+});
+
+test('the changes since each earlier revision lead to the same endpoints', () => {
+  const create = (): Directory =>
+    new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const source = create();
+  const followers = [];
+  const initial = Array.from({ length: 12 }, (_, index) => createEndpoint(`e${index}`));
+  source.replaceEndpoints(initial, 100, 'store');
+  for (let step = 0; step < 60; step += 1) {
+    const follower = create();
+    follower.replaceEndpoints(source.listStored(), source.endpointRevision, 'peer');
+    followers.push(follower);
+    const id = `e${(step * 7) % 15}`;
+    const isListed = source.findLifetime(id) !== undefined;
+    const puts = step % 3 === 0 && isListed ? [] : [{ ...createEndpoint(id), lifetime: step }];
+    source.changeEndpoints(puts, puts.length === 0 ? [id] : [], 101 + step, 'store');
+  }
+  for (const follower of followers) {
+    const changes = source.listChangesSince(follower.endpointRevision);
+    assert.ok(changes !== undefined);
+    const { puts, removed } = changes;
+    follower.changeEndpoints(puts, removed, source.endpointRevision, 'peer');
+    const list = (directory: Directory): string[] =>
+      directory.listStored().map((endpoint) => JSON.stringify(endpoint));
+    assert.deepEqual(list(follower).sort(), list(source).sort());
+  }
+  assert.equal(source.listChangesSince(99), undefined, 'what changed before the first read');
+});
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLog } from '@dogwoodstall/observability';
-import type { TrafficConfiguration } from '@dogwoodstall/traffic';
+import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
 import { Directory } from '../src/directory.js';
 import { type Member, MemberTable } from '../src/member.js';
 import { PeerState } from '../src/peer-state.js';
@@ -21,6 +21,19 @@
   };
 }
 
+function createEndpoint(id: string): Endpoint {
+  return {
+    id,
+    service: 'offers',
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 2,
+    draining: false,
+    warmUpMilliseconds: 0,
+    lifetime: 1,
+  };
+}
+
 function createPeerState(
   members: MemberTable,
   directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} }),
@@ -74,3 +87,25 @@
   assert.equal(state.configuration?.version, 4);
   assert.equal(state.directoryRevision, 7);
 });
+
+test('a daemon gets the changes of endpoints only, and an older one gets all endpoints', () => {
+  const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const peerState = createPeerState(new MemberTable(createMember(1)), directory);
+  const endpoints = ['one', 'two', 'three'].map((id) => createEndpoint(id));
+  directory.replaceEndpoints(endpoints, 7, 'store');
+  directory.changeEndpoints([{ ...createEndpoint('two'), draining: true }], ['one'], 9, 'store');
+  const request = { configurationVersion: 0, directoryRevision: 7, members: [createMember(2)] };
+  const older = peerState.handleStateRequest(request);
+  assert.deepEqual(older.endpoints?.map(({ id }) => id).sort(), ['three', 'two']);
+  assert.equal(older.changes, undefined);
+  const { changes, endpoints: all } = peerState.handleStateRequest({
+    ...request,
+    acceptsChanges: true,
+  });
+  assert.equal(all, undefined);
+  assert.deepEqual(changes?.removed, ['one']);
+  assert.deepEqual(
+    changes.puts.map(({ id }) => id),
+    ['two'],
+  );
+});
