Tell all daemons at once of an endpoint that begins to drain

A daemon that does not dispatch learned of changed endpoints with the answer to its next ping, up to a second later, and fetched them at most every 2 s (LAZY_FETCH_MILLISECONDS), which is as long as the drain itself. While no dispatcher answers it grants its own requests by what it knows, so that it could send them to an endpoint that had left.

A pong now carries the revision at which an endpoint last began to drain (`drains`). A daemon that learns of a drain announces it to all daemons that pinged it, not to standbys only, and one that gets a pong with a later drain than its endpoints fetches the changes without the wait. The field is an array because older daemons sent a number at its place; they ignore it. A shorter wait for all changes was ruled out: each heartbeat of changed slots would be a fetch of every daemon.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -62,7 +62,8 @@
 
   private revision = 0;
 
-  private readonly history = new EndpointHistory();
+  /** The revisions of the last changes. */
+  readonly history = new EndpointHistory();
 
   /** Resolvers that are called once the configuration and the endpoints are known. */
   private readonly completionCallbacks: (() => void)[] = [];
@@ -228,14 +229,10 @@
     removed: readonly string[],
     revision: number,
   ): boolean {
-    const changed = [
-      ...puts.filter((endpoint) => this.put(endpoint)).map(({ id }) => id),
-      ...removed.filter((id) => this.remove(id)),
-    ];
-    for (const id of changed) {
-      this.history.record(id, revision);
-    }
-    return changed.length > 0;
+    const changedPuts = puts.filter((endpoint) => this.put(endpoint));
+    const removedIds = removed.filter((id) => this.remove(id));
+    this.history.record(changedPuts, removedIds, revision);
+    return changedPuts.length + removedIds.length > 0;
   }
 
   /**
--- a/packages/daemon/gateway-daemon/src/endpoint-history.ts
+++ b/packages/daemon/gateway-daemon/src/endpoint-history.ts
@@ -26,20 +26,35 @@
 
   private startRevision = Infinity;
 
+  private lastDrainRevision = 0;
+
+  /** Revision at which an endpoint last began to drain. */
+  get drainRevision(): number {
+    return this.lastDrainRevision;
+  }
+
   /** Begins with all endpoints of a revision; what changed before it is not known. */
   begin(revision: number): void {
     this.startRevision = revision;
     this.revisions.clear();
+    this.lastDrainRevision = 0;
   }
 
-  /** Records that an endpoint was put or removed at a revision or before. */
-  record(id: string, revision: number): void {
-    this.revisions.delete(id);
-    this.revisions.set(id, revision);
-    const [oldest] = this.revisions;
-    if (this.revisions.size > MAXIMUM_ENTRIES && oldest !== undefined) {
-      this.revisions.delete(oldest[0]);
-      [, this.startRevision] = oldest;
+  /** Records the endpoints that were put or removed at a revision or before. */
+  record(puts: readonly Endpoint[], removed: readonly string[], revision: number): void {
+    for (const id of [...puts.map((endpoint) => endpoint.id), ...removed]) {
+      this.revisions.delete(id);
+      this.revisions.set(id, revision);
+    }
+    if (revision > this.startRevision && puts.some(({ draining }) => draining)) {
+      this.lastDrainRevision = revision;
+    }
+    for (const [id, changedAt] of this.revisions) {
+      if (this.revisions.size <= MAXIMUM_ENTRIES) {
+        return;
+      }
+      this.revisions.delete(id);
+      this.startRevision = changedAt;
     }
   }
 
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -21,7 +21,7 @@
 const LOGGED_MEMBERS = 3;
 /** Time for which a daemon that starts as well may wait for its own state before it answers. */
 const FIRST_STATE_WAIT_MILLISECONDS = 300;
-/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch. */
+/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch, unless one drains. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 
 /** Options of `PeerState`. */
@@ -64,14 +64,18 @@
 
   /** Fetches the state of a daemon whose ping or pong shows a newer configuration, newer endpoints or other members. */
   fetchIfNewer(
-    known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'>,
+    known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'> &
+      Partial<Pick<datagrams.Pong, 'drains'>>,
     host: string,
     membersDiffer: boolean,
   ): void {
     const hasNewerEndpoints = known.directoryRevision > this.options.directory.endpointRevision;
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
     const mustFetchEndpoints = (): boolean =>
-      isDue || !this.options.directory.hasEndpoints || this.options.isDispatching();
+      isDue ||
+      !this.options.directory.hasEndpoints ||
+      (known.drains?.[0] ?? 0) > this.options.directory.endpointRevision ||
+      this.options.isDispatching();
     const shouldFetch =
       known.configurationVersion > this.options.directory.configurationVersion ||
       (hasNewerEndpoints && mustFetchEndpoints()) ||
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -77,9 +77,14 @@
     this.announce(() => true);
   }
 
-  /** Sends a pong to the standbys and to the daemons that have no endpoints yet. */
+  /**
+   * Sends a pong to the standbys and to the daemons that have no endpoints yet, and to all when an endpoint begins to drain:
+   * the next ping of another daemon may be too late for it.
+   */
   announceEndpoints(): void {
-    this.announce(({ standby, isNew }) => standby || isNew);
+    const { endpointRevision, history } = this.options.directory;
+    const isDrain = history.drainRevision === endpointRevision;
+    this.announce(({ standby, isNew }) => standby || isNew || isDrain);
   }
 
   private announce(isRecipient: (subscriber: Subscriber) => boolean): void {
@@ -107,6 +112,7 @@
           storeAge: Math.round(roleAssignment.storeAge),
           memberDigest: members.digest,
           cells: standby ? dispatcherRole.listCellReports() : [],
+          drains: directory.history.drainRevision > 0 ? [directory.history.drainRevision] : [],
         },
       ],
       to,
--- a/packages/daemon/gateway-daemon/test/candidates.test.ts
+++ b/packages/daemon/gateway-daemon/test/candidates.test.ts
@@ -109,6 +109,7 @@
       storeAge: 250,
       memberDigest: '3v1k8xq9zc2w',
       cells: [],
+      drains: [],
     };
     this.countBytes(from, ['pong', pong]);
     this.candidatesByName.get(from)?.receivePong(to, pong);
--- a/packages/daemon/gateway-daemon/test/directory.test.ts
+++ b/packages/daemon/gateway-daemon/test/directory.test.ts
@@ -125,3 +125,19 @@
   }
   assert.equal(source.listChangesSince(99), undefined, 'what changed before the first read');
 });
+
+test('the revision at which an endpoint began to drain is known, also to a daemon that got the change from another', () => {
+  const create = (): Directory =>
+    new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const [source, follower] = [create(), create()];
+  const draining = { ...createEndpoint('two'), draining: true };
+  for (const directory of [source, follower]) {
+    directory.replaceEndpoints([createEndpoint('one'), draining], 10, 'store');
+  }
+  assert.equal(source.history.drainRevision, 0, 'drained before the first read');
+  source.changeEndpoints([{ ...createEndpoint('one'), draining: true }], [], 12, 'store');
+  source.changeEndpoints([createEndpoint('three')], [], 13, 'store');
+  assert.equal(source.history.drainRevision, 12);
+  follower.replaceEndpoints(source.listStored(), source.endpointRevision, 'peer');
+  assert.equal(follower.history.drainRevision, 13);
+});
--- a/packages/daemon/gateway-daemon/test/role-verification.test.ts
+++ b/packages/daemon/gateway-daemon/test/role-verification.test.ts
@@ -78,6 +78,7 @@
     storeAge: 0,
     memberDigest: '',
     cells: [],
+    drains: [],
   };
   candidates.tick();
   const [first] = sent as [datagrams.Ping];
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -158,6 +158,11 @@
         endedLimits: z.array(z.tuple([z.string(), z.number(), milliseconds])).optional(),
       }),
     ),
+    /**
+     * Revision at which an endpoint last began to drain, if one did. Older daemons send none, or a number that means
+     * something else.
+     */
+    drains: z.array(z.number()).max(1).catch([]),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -166,12 +166,15 @@
       storeAge: 0,
       memberDigest: 'x',
       cells: [{ name: 'valuation', suspects: [] }],
+      drains: [],
     },
   ];
   const values = msgpack.decode(datagrams.encodeMessage(pong)) as unknown[];
-  const older = values.with(-1, [
-    { name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] },
-  ]);
+  // An older daemon has no field after the cells, or fields that this one does not know.
+  assert.deepEqual(datagrams.decodeMessage(msgpack.encode(values.slice(0, -1))), pong);
+  const older = values
+    .slice(0, -1)
+    .with(-1, [{ name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] }]);
   older.push(20_000, [['archive', 'daemon-1 1', 10, 2, 100]]);
   assert.deepEqual(datagrams.decodeMessage(msgpack.encode(older)), pong);
 });
