--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -11,6 +11,7 @@
 } from '@dogwoodstall/traffic';
 import * as z from 'zod';
 import { CellIndex } from './cell-index.js';
+import { EndpointHistory } from './endpoint-history.js';
 import { memberSchema } from './member.js';
 import { REREGISTRATION_MILLISECONDS } from './store-contact-tracker.js';
 import { type StorePosition, isLater } from './store-position.js';
@@ -20,13 +21,17 @@
   return entries.flatMap((entry) => endpointSchema.safeParse(entry).data ?? []);
 }
 
+const storedEndpointsSchema = z.array(z.unknown()).transform(selectEndpoints);
+
 const MAXIMUM_DRAINED = 4096;
 
 /** Response to a daemon that requests the state of another one. */
 export const stateSchema = z.object({
   configuration: trafficConfigurationSchema.optional(),
   /** Absent when the requesting daemon already has this revision. Older daemons may list entries that are invalid. */
-  endpoints: z.array(z.unknown()).transform(selectEndpoints).optional(),
+  endpoints: storedEndpointsSchema.optional(),
+  /** The changes since the revision of the requesting daemon, instead of all endpoints. Older daemons send none. */
+  changes: z.object({ puts: storedEndpointsSchema, removed: z.array(z.string()) }).optional(),
   directoryRevision: z.number(),
   /** Absent from older daemons. */
   directoryEra: z.number().int().optional(),
@@ -75,6 +80,9 @@
 
   private readonly unconfirmed = new UnconfirmedEndpoints((endpoints) => this.confirm(endpoints));
 
+  /** The revisions of the last changes. */
+  readonly history = new EndpointHistory();
+
   /** Resolvers that are called once the configuration and the endpoints are known. */
   private readonly completionCallbacks: (() => void)[] = [];
 
@@ -184,25 +192,27 @@
     }
     const isNewEra = this.beginEra(position.era);
     const ids = new Set(endpoints.map(({ id }) => id));
-    const doubtful = new Set(isNewEra ? ids : unconfirmed);
-    let changed = isNewEra || !this.hasEndpoints;
-    for (const id of [...this.endpoints.keys(), ...this.listUnconfirmed()]) {
-      if (!ids.has(id)) {
-        changed = this.remove(id) || changed;
-      }
+    if (isNewEra || !this.hasEndpoints) {
+      this.history.begin(position.revision);
     }
-    for (const endpoint of endpoints) {
-      const isOutdated =
-        this.unconfirmed.holds(endpoint) ||
-        (doubtful.has(endpoint.id) && mayBeOutdated(endpoint, this.endpoints.get(endpoint.id)));
-      if (isOutdated) {
-        this.lapsed.delete(endpoint.id);
-        this.unconfirmed.add(endpoint);
-      } else {
-        changed = this.put(endpoint) || changed;
-      }
+    const doubtful = new Set(isNewEra ? ids : unconfirmed);
+    const isOutdated = (endpoint: Endpoint): boolean =>
+      this.unconfirmed.holds(endpoint) ||
+      (doubtful.has(endpoint.id) && mayBeOutdated(endpoint, this.endpoints.get(endpoint.id)));
+    const known = [...this.endpoints.keys(), ...this.listUnconfirmed()];
+    const removed = known.filter((id) => !ids.has(id));
+    const outdated = endpoints.filter(isOutdated);
+    const changed = this.applyChanges(
+      endpoints.filter((endpoint) => !outdated.includes(endpoint)),
+      removed,
+      position.revision,
+    );
+    for (const endpoint of outdated) {
+      this.lapsed.delete(endpoint.id);
+      this.unconfirmed.add(endpoint);
     }
-    this.finishChange(changed, position, source);
+    this.history.record(outdated, [], position.revision);
+    this.finishChange(changed || isNewEra || !this.hasEndpoints, position, source);
     if (isNewEra) {
       this.options.onNewEra?.(position.era);
     }
@@ -218,6 +228,35 @@
     return true;
   }
 
+  /** Moves on to the position of another daemon with the same endpoints, so that they are not fetched again. */
+  adoptPosition(position: StorePosition): void {
+    if (position.era === this.latest.era && isLater(position, this.latest)) {
+      this.latest = position;
+    }
+  }
+
+  /** Lists the changes after a position; undefined if not all of them are known. */
+  listChangesSince({ era, revision }: StorePosition): State['changes'] {
+    const ids = era === this.latest.era ? this.history.listSince(revision) : undefined;
+    if (ids === undefined) {
+      return undefined;
+    }
+    const puts = this.listStored().filter(({ id }) => ids.has(id));
+    const listed = new Set(puts.map(({ id }) => id));
+    return { puts, removed: [...ids].filter((id) => !listed.has(id)) };
+  }
+
+  private applyChanges(
+    puts: readonly Endpoint[],
+    removed: readonly string[],
+    revision: number,
+  ): boolean {
+    const changedPuts = puts.filter((endpoint) => this.put(endpoint));
+    const removedIds = removed.filter((id) => this.remove(id));
+    this.history.record(changedPuts, removedIds, revision);
+    return changedPuts.length + removedIds.length > 0;
+  }
+
   /**
    * Applies the changes that the store reported up to a position. Changes up to an earlier position than that of the
    * endpoints are ignored, because later ones may be known, and those of a later era, because others may be lost; returns
@@ -232,13 +271,7 @@
     if (position.era !== this.latest.era || position.revision < this.latest.revision) {
       return false;
     }
-    let changed = false;
-    for (const endpoint of puts) {
-      changed = this.put(endpoint) || changed;
-    }
-    for (const id of removed) {
-      changed = this.remove(id) || changed;
-    }
+    const changed = this.applyChanges(puts, removed, position.revision);
     this.finishChange(changed, position, source);
     return true;
   }
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -17,12 +17,12 @@
 const JOIN_CALL_MILLISECONDS = 700;
 const JOIN_RETRY_MILLISECONDS = 800;
 /** Number of cached states; `StateServer` caches their encoded form. */
-const MAXIMUM_STATES = 4;
+const MAXIMUM_STATES = 16;
 /** Number of new members that a log line names. */
 const LOGGED_MEMBERS = 3;
 /** Time for which a daemon that starts as well may wait for its own state before it answers. */
 const FIRST_STATE_WAIT_MILLISECONDS = 300;
-/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch. */
+/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch, unless one drains. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 
 /** Options of `PeerState`. */
@@ -65,15 +65,22 @@
 
   /** Fetches the state of a daemon whose ping or pong shows a newer configuration, newer endpoints or other members. */
   fetchIfNewer(
-    known: Pick<datagrams.Pong, 'configurationVersion'> & ReportedPosition,
+    known: Pick<datagrams.Pong, 'configurationVersion'> &
+      Partial<Pick<datagrams.Pong, 'drains'>> &
+      ReportedPosition,
     host: string,
     membersDiffer: boolean,
   ): void {
     const { position } = this.options.directory;
-    const hasNewerEndpoints = isLater(readPosition(known, position), position);
+    const reported = readPosition(known, position);
+    const hasNewerEndpoints = isLater(reported, position);
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
     const mustFetchEndpoints = (): boolean =>
-      isDue || !this.options.directory.hasEndpoints || this.options.isDispatching();
+      isDue ||
+      !this.options.directory.hasEndpoints ||
+      reported.era > position.era ||
+      (known.drains?.[0] ?? 0) > position.revision ||
+      this.options.isDispatching();
     const shouldFetch =
       known.configurationVersion > this.options.directory.configurationVersion ||
       (hasNewerEndpoints && mustFetchEndpoints()) ||
@@ -102,6 +109,7 @@
         memberDigest: this.options.members.digest,
         members: [this.options.members.self],
         waitMilliseconds,
+        acceptsChanges: true,
       });
       this.importState(state, address);
     } finally {
@@ -114,10 +122,17 @@
     if (state.configuration !== undefined) {
       this.options.directory.activateConfiguration(state.configuration, source);
     }
-    if (state.endpoints !== undefined) {
-      const { directory } = this.options;
-      const position = readPosition(state, directory.position);
-      directory.replaceEndpoints(state.endpoints, position, source, state.unconfirmed);
+    const { directory } = this.options;
+    const { endpoints, changes, unconfirmed } = state;
+    const position = readPosition(state, directory.position);
+    if (endpoints !== undefined) {
+      directory.replaceEndpoints(endpoints, position, source, unconfirmed);
+      directory.adoptPosition(position);
+    } else if (
+      changes !== undefined &&
+      directory.changeEndpoints(changes.puts, changes.removed, position, source)
+    ) {
+      directory.adoptPosition(position);
     }
   }
 
@@ -147,19 +162,35 @@
   handleStateRequest(request: StateRequest): State {
     this.addMembers(request.members, 'peer');
     const hasOtherMembers = request.memberDigest !== this.options.members.digest;
-    const { position, configurationVersion } = this.options.directory;
+    const { directory } = this.options;
+    const { routes, position, configurationVersion } = directory;
+    const requested = readPosition(request, position);
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
-    const hasNewerEndpoints = isLater(position, readPosition(request, position));
-    const unconfirmed = this.options.directory.listUnconfirmed();
+    const hasNewerEndpoints = isLater(position, requested);
+    const unconfirmed = directory.listUnconfirmed();
+    const changes =
+      hasNewerEndpoints && request.acceptsChanges === true && unconfirmed.length === 0
+        ? directory.listChangesSince(requested)
+        : undefined;
     const content = [
       hasNewerConfiguration && configurationVersion,
       hasNewerEndpoints && [position.era, position.revision, ...unconfirmed],
+      changes !== undefined && requested.revision,
       hasOtherMembers && this.options.members.digest,
     ];
     const key = content.join(' ');
     let state = this.states.get(key);
     if (state === undefined) {
-      state = this.createState(hasNewerConfiguration, hasNewerEndpoints, hasOtherMembers);
+      const endpoints = changes === undefined ? { endpoints: directory.listStored() } : { changes };
+      const held = unconfirmed.length > 0 ? { unconfirmed } : {};
+      state = {
+        ...(hasNewerConfiguration &&
+          routes !== undefined && { configuration: routes.configuration }),
+        ...(hasNewerEndpoints && { ...endpoints, ...held }),
+        ...(hasOtherMembers && { members: this.options.members.list() }),
+        directoryRevision: position.revision,
+        directoryEra: position.era,
+      };
       this.states.set(key, state);
       if (this.states.size > MAXIMUM_STATES) {
         this.states.delete(this.states.keys().next().value as string);
@@ -168,23 +199,6 @@
     return state;
   }
 
-  private createState(
-    withConfiguration: boolean,
-    withEndpoints: boolean,
-    withMembers: boolean,
-  ): State {
-    const { routes, position } = this.options.directory;
-    const unconfirmed = this.options.directory.listUnconfirmed();
-    return {
-      ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
-      ...(withEndpoints && { endpoints: this.options.directory.listStored() }),
-      ...(withEndpoints && unconfirmed.length > 0 && { unconfirmed }),
-      ...(withMembers && { members: this.options.members.list() }),
-      directoryRevision: position.revision,
-      directoryEra: position.era,
-    };
-  }
-
   /**
    * Registers this daemon in the store and reads the others from it. While the store does not respond, queries the seeds
    * and retries. Then requests the first state from other daemons.
--- a/packages/daemon/gateway-daemon/test/directory.test.ts
+++ b/packages/daemon/gateway-daemon/test/directory.test.ts
@@ -185,3 +185,99 @@
   assert.equal(directory.isLeaving('one', 1), true);
   directory.close();
 });
+
+// Guards against daemons that request all endpoints again with each ping, because each read them at another revision.
+test('the revision of another daemon with the same endpoints is adopted without a change', () => {
+  let changes = 0;
+  const directory = new Directory({
+    onConfiguration: () => {},
+    onEndpoints: () => {
+      changes += 1;
+    },
+  });
+  const endpoints = [createEndpoint('one'), createEndpoint('two')];
+  directory.replaceEndpoints(endpoints, { era: 0, revision: 10 }, 'store');
+  directory.replaceEndpoints(endpoints, { era: 0, revision: 14 }, 'peer');
+  directory.adoptPosition({ era: 0, revision: 14 });
+  assert.equal(directory.position.revision, 14);
+  directory.adoptPosition({ era: 0, revision: 12 });
+  assert.equal(directory.position.revision, 14);
+  assert.equal(changes, 1);
+});
+
+test('the changes since each earlier revision lead to the same endpoints', () => {
+  const create = (): Directory =>
+    new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const source = create();
+  const followers = [];
+  const initial = Array.from({ length: 12 }, (_, index) => createEndpoint(`e${index}`));
+  source.replaceEndpoints(initial, { era: 0, revision: 100 }, 'store');
+  for (let step = 0; step < 60; step += 1) {
+    const follower = create();
+    follower.replaceEndpoints(source.listStored(), source.position, 'peer');
+    followers.push(follower);
+    const id = `e${(step * 7) % 15}`;
+    const isListed = source.findLifetime(id) !== undefined;
+    const puts = step % 3 === 0 && isListed ? [] : [{ ...createEndpoint(id), lifetime: step }];
+    source.changeEndpoints(
+      puts,
+      puts.length === 0 ? [id] : [],
+      { era: 0, revision: 101 + step },
+      'store',
+    );
+  }
+  for (const follower of followers) {
+    const changes = source.listChangesSince(follower.position);
+    assert.ok(changes !== undefined);
+    const { puts, removed } = changes;
+    follower.changeEndpoints(puts, removed, source.position, 'peer');
+    const list = (directory: Directory): string[] =>
+      directory.listStored().map((endpoint) => JSON.stringify(endpoint));
+    assert.deepEqual(list(follower).sort(), list(source).sort());
+  }
+  assert.equal(
+    source.listChangesSince({ era: 0, revision: 99 }),
+    undefined,
+    'what changed before the first read',
+  );
+});
+
+test('the revision at which an endpoint began to drain is known, also to a daemon that got the change from another', () => {
+  const create = (): Directory =>
+    new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const [source, follower] = [create(), create()];
+  const draining = { ...createEndpoint('two'), draining: true };
+  for (const directory of [source, follower]) {
+    directory.replaceEndpoints(
+      [createEndpoint('one'), draining],
+      { era: 0, revision: 10 },
+      'store',
+    );
+  }
+  assert.equal(source.history.drainRevision, 0, 'drained before the first read');
+  source.changeEndpoints(
+    [{ ...createEndpoint('one'), draining: true }],
+    [],
+    { era: 0, revision: 12 },
+    'store',
+  );
+  source.changeEndpoints([createEndpoint('three')], [], { era: 0, revision: 13 }, 'store');
+  assert.equal(source.history.drainRevision, 12);
+  follower.replaceEndpoints(source.listStored(), source.position, 'peer');
+  assert.equal(follower.history.drainRevision, 13);
+});
+
+// Guards against changes of a lost history, which a daemon would take for those that it lacks.
+test('changes are listed within an era only, and an earlier era is not adopted', () => {
+  const directory = createDirectory(-Infinity);
+  directory.changeEndpoints([createEndpoint('three')], [], { era: 0, revision: 20 }, 'store');
+  directory.replaceEndpoints([createEndpoint('one')], { era: 1, revision: 15 }, 'store');
+  directory.changeEndpoints([createEndpoint('four')], [], { era: 1, revision: 17 }, 'store');
+  assert.equal(directory.listChangesSince({ era: 0, revision: 16 }), undefined);
+  assert.equal(directory.listChangesSince({ era: 1, revision: 14 }), undefined);
+  const changes = directory.listChangesSince({ era: 1, revision: 15 });
+  assert.deepEqual(listIds(changes?.puts ?? []), ['four']);
+  directory.adoptPosition({ era: 0, revision: 30 });
+  assert.deepEqual(directory.position, { era: 1, revision: 17 });
+  directory.close();
+});
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -163,7 +163,9 @@
       }),
     ),
     /** Era of the store to which the revision belongs; absent from older daemons. */
-    directoryEra: z.number().int().optional(),
+    directoryEra: z.number().int().nullish(),
+    /** Revision at which an endpoint last began to drain, if one did. Older daemons send none. */
+    drains: z.array(z.number()).max(1).default([]),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -184,12 +184,15 @@
       storeAge: 0,
       memberDigest: 'x',
       cells: [{ name: 'valuation', suspects: [] }],
+      drains: [],
     },
   ];
   const values = msgpack.decode(datagrams.encodeMessage(pong)) as unknown[];
-  const older = values.with(-1, [
-    { name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] },
-  ]);
+  // An older daemon has no field after the cells, or fields that this one does not know.
+  assert.deepEqual(datagrams.decodeMessage(msgpack.encode(values.slice(0, 9))), pong);
+  const older = values
+    .slice(0, 9)
+    .with(-1, [{ name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] }]);
   older.push(20_000, [['archive', 'daemon-1 1', 10, 2, 100]]);
   assert.deepEqual(datagrams.decodeMessage(msgpack.encode(older)), pong);
 });
@@ -208,12 +211,13 @@
       memberDigest: 'x',
       cells: [],
       directoryEra: 7,
+      drains: [6],
     },
   ];
   const encoded = datagrams.encodeMessage(pong);
   assert.deepEqual(datagrams.decodeMessage(encoded), pong);
   const values = msgpack.decode(encoded) as unknown[];
-  assert.deepEqual(values.slice(8), [[], 0, [], 7]);
+  assert.deepEqual(values.slice(8), [[], 0, [], 7, [6]]);
 });
 
 // Guards against an odd entry of a daemon whose port ends each process that pings it.
