Limit second attempts of late requests to a share that the operator sets

A hedge started after a multiple of the mean service time, was limited by the retry budget alone, and its slot request went ahead of all queued requests.

With the section hedging of the settings, a request is late against a quantile of the recent first attempts of its route, at most a share of the requests is hedged, a part of the retry budget is kept for failures, and the dispatcher grants a hedge only a slot that is free below a maximum load. A hedge that is refused is tried again after the same delay. Without the section, hedges are decided as before.

--- a/packages/daemon/gateway-daemon/src/decision-reporter.ts
+++ b/packages/daemon/gateway-daemon/src/decision-reporter.ts
@@ -95,6 +95,14 @@
     }
   }
 
+  /** Records what became of a hedge; its start is only counted, since a line about its end follows. */
+  recordHedge(decision: gateway.HedgeDecision): void {
+    this.metricsServer?.countHedge(decision);
+    if (decision.event !== 'started') {
+      this.entryLog.write('hedge decided', { ...decision });
+    }
+  }
+
   /** Records that an endpoint announces something else than before. */
   recordAnnouncement(cell: string, change: grants.AnnouncementChange): void {
     const { endpoint, origin, source, requestsPerSecond, leaving, previous } = change;
--- a/packages/daemon/gateway-daemon/src/dispatcher-client.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-client.ts
@@ -126,7 +126,8 @@
       const waitedElsewhere = tried.size > 0 ? Math.round(performance.now() - startedAt) : 0;
       const decision = await this.acquireIn(cell, ask, waitedElsewhere, signal);
       tried.add(cell.name);
-      if (decision.kind === 'slot' || !redirectableReasons.has(decision.reason)) {
+      const isFinal = decision.kind === 'slot' || !redirectableReasons.has(decision.reason);
+      if (isFinal || ask.maximumLoad !== undefined) {
         return decision;
       }
       if (refusal === undefined || decision.retryAfter < refusal.retryAfter) {
@@ -226,6 +227,7 @@
       kilobytes: Math.round(ask.bodyBytes / BYTES_PER_KILOBYTE),
       fingerprint: ask.fingerprint,
       excluded: [...ask.excluded],
+      maximumLoad: ask.maximumLoad === undefined ? null : Math.round(ask.maximumLoad * PERCENT),
     };
     return new Promise((resolve) => {
       let timer: NodeJS.Timeout | undefined;
--- a/packages/daemon/gateway-daemon/src/dispatcher-role.ts
+++ b/packages/daemon/gateway-daemon/src/dispatcher-role.ts
@@ -178,6 +178,7 @@
       kilobytes: ask.kilobytes,
       fingerprint: ask.fingerprint,
       excluded: new Set(ask.excluded),
+      maximumLoad: ask.maximumLoad === null ? undefined : ask.maximumLoad / PERCENT,
     });
     if (isQueued) {
       this.scheduleTick();
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -79,6 +79,8 @@
 
   private readonly retryBudgets: RetryBudgets;
 
+  private readonly hedging: gateway.Hedging;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -193,6 +195,11 @@
         this.reporter.recordRetryBudget(service, state, refused),
       now: () => performance.now(),
     });
+    this.hedging = new gateway.Hedging({
+      settings: () => this.settings.hedging,
+      onDecision: (decision) => this.reporter.recordHedge(decision),
+      now: () => performance.now(),
+    });
     this.peerState = new PeerState({
       members: this.members,
       directory: this.directory,
@@ -299,13 +306,14 @@
     });
   }
 
-  /** Applies changed seeds, retry budget and grace time. All other settings need a restart. */
+  /** Applies changed seeds, retry budget, limits of hedging and grace time. All other settings need a restart. */
   applySettings(settings: GatewaySettings): void {
-    const { seeds, retries, stop } = settings;
-    this.settings = { ...this.settings, seeds, retries, stop };
+    const { seeds, retries, hedging, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, hedging, stop };
     this.logger.info('settings are in force', {
       seeds,
       retries,
+      hedging,
       stop,
       needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
     });
@@ -395,6 +403,7 @@
     return new Directory({
       toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
+        this.hedging.retainRoutes(new Set(routes.map(({ name }) => name)));
         logger.info('configuration is in force', { version, routes: routes.length, source });
         this.pingExchange.announceToAll();
         this.candidates.pingAll();
@@ -519,6 +528,7 @@
         random: Math.random,
       }),
       retryBudgets: this.retryBudgets,
+      hedging: this.hedging,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -2,7 +2,7 @@
  * HTTP server for the metrics of a daemon in the Prometheus text format.
  */
 import * as http from 'node:http';
-import type { DescriptorEvent, RequestDecision } from '@dogwoodstall/gateway';
+import type { DescriptorEvent, HedgeDecision, RequestDecision } from '@dogwoodstall/gateway';
 import type { RetryBudgetState } from '@dogwoodstall/grants';
 import type * as promClient from 'prom-client';
 import { countOpenDescriptors } from './descriptor-limit.js';
@@ -41,6 +41,8 @@
 
   private readonly failedAttempts: promClient.Counter<'reason'>;
 
+  private readonly hedges: promClient.Counter<'service' | 'event'>;
+
   private readonly repeatedResponses: promClient.Counter;
 
   private readonly slots: promClient.Counter<'cell' | 'decision'>;
@@ -84,6 +86,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.hedges = new library.Counter({
+      name: 'dogwoodstall_hedges_total',
+      help: 'Second attempts of late requests that were started, won, cancelled, failed or refused, by event',
+      labelNames: ['service', 'event'],
+      registers,
+    });
     this.repeatedResponses = new library.Counter({
       name: 'dogwoodstall_repeated_responses_total',
       help: 'Copies of earlier responses that endpoints sent where the next one was due',
@@ -263,6 +271,11 @@
     }
   }
 
+  /** Counts an event of a hedge. */
+  countHedge({ service, event }: HedgeDecision): void {
+    this.hedges.inc({ service, event });
+  }
+
   /** Counts a copy of an earlier response. */
   countRepeatedResponse(): void {
     this.repeatedResponses.inc();
--- a/packages/daemon/gateway-daemon/src/retry-budgets.ts
+++ b/packages/daemon/gateway-daemon/src/retry-budgets.ts
@@ -52,6 +52,10 @@
     return this.getOrCreate(service).budget.hasProbeReserve(this.options.now());
   }
 
+  hasReserve(service: string, share: number): boolean {
+    return this.getOrCreate(service).budget.hasReserve(this.options.now(), share);
+  }
+
   canRetry(service: string): boolean {
     const entry = this.getOrCreate(service);
     const canRetry = entry.budget.countRemaining(this.options.now()) >= 1;
--- a/packages/daemon/gateway-daemon/src/settings.ts
+++ b/packages/daemon/gateway-daemon/src/settings.ts
@@ -11,8 +11,20 @@
 export const MINIMUM_SOCKETS = 64;
 const portSchema = z.number().int().min(1).max(65_535);
 
+/** Limits of second attempts of requests that are late; without them, only the retry budget limits these attempts. */
+const hedgingSchema = z.strictObject({
+  /** Second attempts per request that may be repeated; 0 for none. */
+  share: z.number().min(0).max(1),
+  /** A request is late when it takes longer than this share of the recent requests of its route. */
+  quantile: z.number().min(0.5).lt(1).default(0.95),
+  /** Load of a cell, as a share of its slots, above which it gets no second attempts. */
+  maximumLoad: z.number().positive().max(1).default(0.8),
+  /** Share of the retry budget that is kept for retries after failures. */
+  reserve: z.number().min(0).max(1).default(0.5),
+});
+
 /** The settings file of a gateway daemon. */
-export const gatewaySettingsSchema = z.object({
+const settingsSchema = z.object({
   /** Name of the daemon, unique in the fleet. */
   name: z.string().min(1),
   zone: z.string().min(1),
@@ -39,6 +51,7 @@
       windowSeconds: z.number().positive().default(10),
     })
     .prefault({}),
+  hedging: hedgingSchema.optional(),
   stop: z
     .object({
       /** Seconds from SIGTERM until the process is killed. */
@@ -78,6 +91,14 @@
     .prefault({}),
 });
 
+export const gatewaySettingsSchema = settingsSchema.refine(
+  ({ hedging, retries }) => hedging === undefined || hedging.share <= retries.ratio,
+  {
+    path: ['hedging', 'share'],
+    error: 'must not exceed retries.ratio, since hedges are taken from the retry budget',
+  },
+);
+
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
 /** Loads and validates a settings file; throws `SettingsUnreadable`, `SettingsSyntax` or `SettingsInvalid`. */
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -69,6 +69,7 @@
     kilobytes: 0,
     fingerprint: String(askId),
     excluded: [],
+    maximumLoad: null,
   };
 }
 
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -38,6 +38,11 @@
     waitedElsewhere: milliseconds.default(0),
     /** Whether the sender can repeat the request, so that it may probe an endpoint. Older daemons send none. */
     mayProbe: z.boolean().default(false),
+    /**
+     * Load of the cell in percent above which the slot is refused, as it is if none is free at once; null if the request
+     * may wait. Older daemons send none.
+     */
+    maximumLoad: load.nullable().default(null),
   }),
 ]);
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -24,6 +24,7 @@
     fingerprint: '1x',
     excluded: ['i-1'],
     mayProbe: false,
+    maximumLoad: 80,
   },
 ];
 
@@ -145,11 +146,11 @@
   }
 });
 
-test('a slot request of an older daemon, which tells neither the time waited elsewhere nor whether it may probe, is decoded', () => {
+test('a slot request of an older daemon, which tells neither the time waited elsewhere nor whether it may probe nor a maximum load, is decoded', () => {
   const values = msgpack.decode(datagrams.encodeMessage(ask)) as unknown[];
-  for (const missing of [1, 2]) {
+  for (const missing of [1, 2, 3]) {
     const decoded = datagrams.decodeMessage(msgpack.encode(values.slice(0, -missing)));
-    assert.deepEqual(decoded, ask);
+    assert.deepEqual(decoded, ['ask', { ...ask[1], maximumLoad: null }]);
   }
 });
 
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -14,6 +14,7 @@
   NOT_READY_RETRY_MILLISECONDS,
 } from './caller-responder.js';
 import type { AttemptOptions } from './attempt.js';
+import type { Hedging } from './hedging.js';
 import { CallerConnections } from './caller-connections.js';
 import { ConnectionLimiter, type DescriptorEvent } from './connection-limiter.js';
 import { type ConnectionLimits, isDescriptorShortage } from './connection-limits.js';
@@ -46,6 +47,7 @@
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
   readonly retryBudgets: RetryBudgets;
+  readonly hedging: Hedging;
   /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
   readonly isDaemon: (host: string) => boolean;
   /** Returns the active routes; undefined until configuration and endpoints are known. */
@@ -292,7 +294,7 @@
 
   private async processRequest(incoming: IncomingRequest): Promise<void> {
     const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots, retryBudgets } = this.options;
+    const { protocol, slots, retryBudgets, hedging } = this.options;
     const responseShare = new MemoryShare(this.responseMemory);
     response.once('close', () => responseShare.close());
     const checked = proxy.checkRequest(request);
@@ -350,6 +352,7 @@
         context,
         slots,
         retryBudgets,
+        hedging,
         attemptOptions: {
           pool: this.pool,
           protocol,
--- a/packages/routing/gateway/src/index.ts
+++ b/packages/routing/gateway/src/index.ts
@@ -29,3 +29,10 @@
 } from './connection-limits.js';
 export { ConnectionPool } from './connection-pool.js';
 export { type AttemptResult, sendAttempt } from './attempt.js';
+export {
+  type HedgeDecision,
+  type HedgingOptions,
+  type HedgingSettings,
+  Hedging,
+} from './hedging.js';
+export { type HedgeEvent, Hedge } from './hedge.js';
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -5,25 +5,20 @@
  * daemon relayed, one attempt is made, which that daemon has counted.
  */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Outcome } from '@dogwoodstall/datagrams';
 import { FailureError, type ResultName } from '@dogwoodstall/results';
 import type { Route } from '@dogwoodstall/traffic';
 import {
   type AttemptConnection,
-  type AttemptOutcome,
   type AttemptOptions,
   type AttemptResult,
   type EndpointResponse,
   sendAttempt,
 } from './attempt.js';
+import { classifyHedge, createSlotReport, hasArrived, isMeasured } from './attempt-outcomes.js';
+import type { Hedge } from './hedge.js';
+import type { Hedging } from './hedging.js';
 import type { RelayState } from './relay.js';
-import {
-  type RetryBudgets,
-  type SlotDecision,
-  type SlotReport,
-  type SlotSource,
-  unusedReport,
-} from './slots.js';
+import { type RetryBudgets, type SlotDecision, type SlotSource, unusedReport } from './slots.js';
 
 /** An attempt as recorded in the log. */
 export interface AttemptRecord {
@@ -33,6 +28,8 @@
   /** Why the attempt got no complete response; undefined if it got one. */
   readonly reason: string | undefined;
   readonly connection: AttemptConnection | undefined;
+  /** Whether it was made beside an earlier attempt that was late. */
+  readonly hedge: boolean;
 }
 
 /** A request, independent of the connection it arrived on. */
@@ -57,6 +54,7 @@
   readonly context: RequestContext;
   readonly slots: SlotSource;
   readonly retryBudgets: RetryBudgets;
+  readonly hedging: Hedging;
   readonly attemptOptions: Pick<
     AttemptOptions,
     'pool' | 'protocol' | 'responseMemory' | 'onUnreadableAnnouncement'
@@ -102,23 +100,6 @@
   readonly abortController: AbortController;
 }
 
-const reportOutcomeByKind: Readonly<Record<Exclude<AttemptOutcome['kind'], 'answer'>, Outcome>> = {
-  shed: 'shed',
-  'not-arrived': 'shed',
-  misdirected: 'misdirected',
-  refused: 'refused',
-  'no-descriptor': 'unused',
-  broken: 'reset',
-  abandoned: 'abandoned',
-};
-
-/** Outcomes after which the request has certainly reached no endpoint. */
-const NOT_ARRIVED: ReadonlySet<AttemptOutcome['kind']> = new Set([
-  'refused',
-  'no-descriptor',
-  'not-arrived',
-]);
-
 const resultByRefusalReason: Readonly<
   Record<Extract<SlotDecision, { kind: 'refused' }>['reason'], ResultName>
 > = {
@@ -129,27 +110,8 @@
   stopping: 'NotReady',
 };
 
-function createSlotReport({
-  outcome: attemptOutcome,
-  ...measurements
-}: Omit<AttemptResult, 'connection'>): SlotReport {
-  if (attemptOutcome.kind === 'answer') {
-    const outcome = attemptOutcome.response.status >= 500 ? 'error' : 'success';
-    return { outcome, ...measurements };
-  }
-  const outcome =
-    attemptOutcome.kind === 'abandoned' && !attemptOutcome.sent
-      ? 'unused'
-      : reportOutcomeByKind[attemptOutcome.kind];
-  return { outcome, ...measurements };
-}
-
-/** Whether an attempt may have reached an endpoint, which may have rejected it. */
-function hasArrived(outcome: AttemptOutcome): boolean {
-  if (outcome.kind === 'abandoned') {
-    return outcome.sent;
-  }
-  return !NOT_ARRIVED.has(outcome.kind);
+function readRefusal(result: Exclude<RunningAttemptResult, { kind: 'ended' }>) {
+  return result.kind === 'refused' ? result.decision.reason : 'expired';
 }
 
 /** Runs the attempts of one request and decides on retries and hedging. */
@@ -166,6 +128,13 @@
   /** Whether the hedge delay has expired; a request is hedged at most once. */
   private hedged = false;
 
+  private hedgeDelay: number | undefined;
+
+  /** Resolves when a hedge that was refused may be tried again. */
+  private postponed: Promise<'silent'> | undefined;
+
+  private readonly endAbort = new AbortController();
+
   private errorResponse: EndpointResponse | undefined;
 
   private failure: FailureError | undefined;
@@ -175,13 +144,22 @@
   constructor(private readonly options: RequestExecutionOptions) {}
 
   async run(): Promise<RequestResult> {
-    const { relayed, service } = this.options.context;
-    if (relayed === undefined) {
-      this.options.retryBudgets.countRequest(service);
+    const { context, retryBudgets, hedging } = this.options;
+    if (context.relayed === undefined) {
+      retryBudgets.countRequest(context.service);
+      hedging.countRequest(context);
+    }
+    try {
+      return await this.runAttempts();
+    } finally {
+      this.endAbort.abort();
     }
+  }
+
+  private async runAttempts(): Promise<RequestResult> {
     const running = new Map<number, RunningAttempt>();
-    const start = (): void => {
-      const started = this.startAttempt();
+    const start = (hedge?: Hedge): void => {
+      const started = this.startAttempt(hedge);
       running.set(started.number, started);
     };
     start();
@@ -189,8 +167,11 @@
       const event = await this.nextEvent(running);
       if (event === 'silent') {
         this.hedged = true;
-        if (this.canStartAttempt()) {
-          start();
+        const hedge = this.tryBeginHedge();
+        if (hedge === undefined) {
+          this.postponeHedge();
+        } else {
+          start(hedge);
         }
       } else {
         running.delete(event.number);
@@ -203,6 +184,8 @@
         }
         if (running.size === 0 && this.shouldRetry(event.result)) {
           start();
+        } else if (event.result.kind === 'refused') {
+          this.postponeHedge();
         }
       }
     }
@@ -213,16 +196,35 @@
     running: ReadonlyMap<number, RunningAttempt>,
   ): Promise<Awaited<RunningAttempt['done']> | 'silent'> {
     const events: Promise<Awaited<RunningAttempt['done']> | 'silent'>[] = [];
+    if (!this.hedged && this.postponed !== undefined) {
+      events.push(this.postponed);
+    }
     for (const { done, hedgeDelayExpired } of running.values()) {
       events.push(done);
-      if (!this.hedged) {
+      if (!this.hedged && this.postponed === undefined) {
         events.push(hedgeDelayExpired);
       }
     }
     return Promise.race(events);
   }
 
-  private startAttempt(): RunningAttempt {
+  private tryBeginHedge(): Hedge | undefined {
+    const { context, hedging, retryBudgets } = this.options;
+    return this.canStartAttempt() ? hedging.tryBegin(context, retryBudgets) : undefined;
+  }
+
+  /** Lets a request whose hedge was refused be hedged after the same delay again. */
+  private postponeHedge(): void {
+    if (this.hedgeDelay === undefined || !this.options.hedging.isLimited) {
+      return;
+    }
+    this.hedged = false;
+    this.postponed = delay(this.hedgeDelay, 'silent' as const, {
+      signal: this.endAbort.signal,
+    }).catch(() => 'silent' as const);
+  }
+
+  private startAttempt(hedge: Hedge | undefined): RunningAttempt {
     this.startedAttempts += 1;
     const number = this.startedAttempts;
     const abortController = new AbortController();
@@ -231,15 +233,21 @@
     const hedgeDelayExpired = new Promise<'silent'>((resolve) => {
       onHedgeDelay = () => resolve('silent');
     });
-    const done = this.runAttempt(signal, onHedgeDelay).then((result) => ({ number, result }));
+    const done = this.runAttempt(signal, onHedgeDelay, hedge).then((result) => {
+      if (result.kind !== 'ended') {
+        hedge?.refuse(signal.aborted ? 'not-needed' : readRefusal(result));
+      }
+      return { number, result };
+    });
     return { number, done, hedgeDelayExpired, abortController };
   }
 
   private async runAttempt(
     signal: AbortSignal,
     onHedgeDelay: () => void,
+    hedge: Hedge | undefined,
   ): Promise<RunningAttemptResult> {
-    const { context, slots, retryBudgets } = this.options;
+    const { context, slots, retryBudgets, hedging } = this.options;
     const { service, relayed } = context;
     if (this.sentAttempts > 0 && !retryBudgets.canRetry(service)) {
       return this.createBudgetRefusal();
@@ -256,6 +264,7 @@
         fingerprint: context.fingerprint,
         excluded: this.excluded,
         relayed: !context.mayRelay,
+        maximumLoad: hedge?.maximumLoad,
       },
       signal,
     );
@@ -280,14 +289,14 @@
       slot.viaPeer === true ? { attemptsLeft: 1, repeated, service, fingerprint } : undefined;
     this.sentAttempts += 1;
     const hedgeDelayAbort = new AbortController();
-    if (slot.hedgeAfter !== undefined && context.route.idempotent) {
-      delay(slot.hedgeAfter, undefined, { signal: hedgeDelayAbort.signal }).then(
-        onHedgeDelay,
-        () => {
-          // The attempt ended before the hedge delay.
-        },
-      );
+    const hedgeDelay = hedging.getDelay(context.route, slot.hedgeAfter);
+    if (hedgeDelay !== undefined) {
+      this.hedgeDelay = hedgeDelay;
+      delay(hedgeDelay, undefined, { signal: hedgeDelayAbort.signal }).then(onHedgeDelay, () => {
+        // The attempt ended before the hedge delay.
+      });
     }
+    hedge?.start();
     const attemptResult = await sendAttempt({
       ...this.options.attemptOptions,
       address: slot.address,
@@ -310,10 +319,15 @@
       this.options.onDescriptorShortage();
       this.excluded.splice(this.excluded.indexOf(slot.endpoint), 1);
     }
-    if (!hasArrived(attemptResult.outcome)) {
+    const arrived = hasArrived(attemptResult.outcome);
+    if (!arrived) {
       this.sentAttempts -= 1;
       giveBack?.();
     }
+    hedge?.end(classifyHedge(attemptResult.outcome), arrived);
+    if (!repeated && hedgeDelay !== undefined && isMeasured(attemptResult, hedgeDelay)) {
+      hedging.recordTime(context.route, attemptResult.elapsed);
+    }
     const superseded = kind === 'abandoned' && !this.options.signal.aborted;
     const { connection, ...measuredAttempt } = attemptResult;
     const report = { ...createSlotReport(measuredAttempt), superseded };
@@ -324,6 +338,7 @@
       milliseconds: Math.round(report.elapsed),
       reason: 'reason' in attemptResult.outcome ? attemptResult.outcome.reason : undefined,
       connection,
+      hedge: hedge !== undefined,
     });
     return { kind: 'ended', attemptResult };
   }
--- a/packages/routing/gateway/src/slots.ts
+++ b/packages/routing/gateway/src/slots.ts
@@ -19,6 +19,11 @@
   readonly excluded: readonly string[];
   /** Whether another daemon relayed the request, so that it must not be relayed again. */
   readonly relayed: boolean;
+  /**
+   * Load of a cell, as a share of its slots, above which it refuses the slot. The slot is also refused if none is free at
+   * once. Undefined if the request may wait for a slot.
+   */
+  readonly maximumLoad?: number | undefined;
 }
 
 /** A slot at an endpoint. Its holder calls `report` exactly once. */
@@ -79,6 +84,8 @@
   readonly countRequest: (service: string) => void;
   /** Whether requests may probe endpoints, whose failures need retries. */
   readonly mayProbe: (service: string) => boolean;
+  /** Whether a hedge would leave the given share of the budget for retries after failures. */
+  readonly hasReserve: (service: string, share: number) => boolean;
   /** Whether a retry is left. */
   readonly canRetry: (service: string) => boolean;
   /**
--- a/packages/routing/gateway/test/fixed-retry-budget.ts
+++ b/packages/routing/gateway/test/fixed-retry-budget.ts
@@ -26,6 +26,10 @@
     return this.canRetry();
   }
 
+  hasReserve(): boolean {
+    return this.canRetry();
+  }
+
   canRetry(): boolean {
     return this.taken < this.allowed;
   }
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -92,6 +92,10 @@
 
   readonly retryBudgets = new FixedRetryBudgets();
 
+  readonly hedgeEvents: gateway.HedgeEvent[] = [];
+
+  private hedgingSettings: gateway.HedgingSettings | undefined;
+
   readonly server: gateway.GatewayServer;
 
   readonly agent = new http.Agent({ keepAlive: true });
@@ -125,6 +129,11 @@
       protocol: testProtocol,
       slots,
       retryBudgets: this.retryBudgets,
+      hedging: new gateway.Hedging({
+        settings: () => this.hedgingSettings,
+        onDecision: ({ event }) => this.hedgeEvents.push(event),
+        now: () => performance.now(),
+      }),
       isDaemon: (host) => this.acceptsRelays && host === '127.0.0.1',
       findRoutes: () => (this.routesKnown ? routes : undefined),
       waitForRoutes: async (milliseconds) => {
@@ -158,6 +167,11 @@
     return this;
   }
 
+  /** Sets the limits of hedging, which has none at first. */
+  limitHedging(settings: gateway.HedgingSettings): void {
+    this.hedgingSettings = settings;
+  }
+
   /** Opens a connection whose caller side stays open after the gateway has closed its own. */
   connect(): net.Socket {
     return net.connect({ host: '127.0.0.1', port: this.port, allowHalfOpen: true });
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -149,6 +149,10 @@
       this.refuse(request, 'no-endpoint', NO_ENDPOINT_RETRY_MILLISECONDS);
       return false;
     }
+    if (request.maximumLoad !== undefined) {
+      this.grantAtOnce(request, request.maximumLoad, now);
+      return false;
+    }
     if (!this.admission.canServe(request, now)) {
       this.refuse(request, 'overload', this.admission.scheduleReturn(request, now));
       return false;
@@ -287,6 +291,15 @@
     this.failedShare.finish(grantId, failed);
   }
 
+  /** Grants a slot that is free while no request waits, or refuses; neither delays the return of refused callers. */
+  private grantAtOnce(request: SlotRequest, maximumLoad: number, now: number): void {
+    const hasRoom =
+      this.queue.size === 0 && this.load <= maximumLoad && this.admission.canServe(request, now);
+    if (!hasRoom || !this.tryGrant({ request, arrivedAt: now }, now)) {
+      this.refuse(request, 'overload', 0);
+    }
+  }
+
   private hasNoUsableEndpoint(): boolean {
     for (const { isDraining } of this.states.values()) {
       if (!isDraining) {
--- a/packages/routing/grants/src/entry-retry-budget.ts
+++ b/packages/routing/grants/src/entry-retry-budget.ts
@@ -114,6 +114,13 @@
     return retries <= PROBE_SHARE * (ratio * requests + slack);
   }
 
+  /** Whether the given share of the budget of the last window is left after one more retry. */
+  hasReserve(now: number, share: number): boolean {
+    const { ratio, slack } = this.share();
+    const { requests, retries } = this.countWindow(now);
+    return retries + 1 <= (1 - share) * (ratio * requests + slack) && this.countRemaining(now) >= 1;
+  }
+
   /** Returns the state of the budget. */
   readState(now: number): RetryBudgetState {
     const remaining = this.countRemaining(now);
--- a/packages/routing/grants/src/slot-request.ts
+++ b/packages/routing/grants/src/slot-request.ts
@@ -23,4 +23,6 @@
   readonly kilobytes: number;
   readonly fingerprint: string;
   readonly excluded: ReadonlySet<string>;
+  /** Load above which the slot is refused, as it is if none is free at once; undefined if the request may wait. */
+  readonly maximumLoad?: number | undefined;
 }
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -192,3 +192,20 @@
   const moved = service.ask({ waitedElsewhere: 200, idempotent: true });
   assert.equal(service.grantOf(moved).endpoint.id, 'one');
 });
+
+// Guards against hedges that delay requests without an attempt.
+test('crest: a request with a maximum load is granted a free slot, and refused at once above it or beside waiting ones', () => {
+  const service = new VirtualService([createEndpoint('i-1'), createEndpoint('i-2')]);
+  const hedge = { idempotent: true, repeated: true, maximumLoad: 0.5 };
+  assert.equal(service.decisions.get(service.ask(hedge))?.kind, 'grant');
+  assert.equal(service.decisions.get(service.ask())?.kind, 'grant');
+  assert.equal(service.decisions.get(service.ask(hedge))?.kind, 'grant', 'at the maximum');
+  const above = service.decisions.get(service.ask(hedge));
+  assert.deepEqual(above, { kind: 'refuse', reason: 'overload', retryAfter: 0 });
+  service.ask();
+  const waiting = service.ask();
+  assert.equal(service.decisions.get(waiting), undefined);
+  const beside = service.ask({ ...hedge, maximumLoad: 1 });
+  assert.equal(service.decisions.get(beside)?.kind, 'refuse');
+  assert.equal(service.decisions.get(waiting), undefined, 'still waits');
+});
--- a/packages/routing/grants/test/entry-retry-budget.test.ts
+++ b/packages/routing/grants/test/entry-retry-budget.test.ts
@@ -104,3 +104,16 @@
     assert.ok(Math.max(...sizes) - Math.min(...sizes) <= 1);
   }
 });
+
+// Guards against hedges that leave no retries for requests that fail.
+test('attempts that keep a reserve end before the budget does, and retries can still use the rest', () => {
+  const budget = new grants.EntryRetryBudget(() => share, 0);
+  countRequests(budget, 100, START);
+  let taken = 0;
+  while (budget.hasReserve(START, 0.5) && budget.tryTake(START)) {
+    taken += 1;
+  }
+  assert.equal(taken, (share.ratio * 100 + share.slack) / 2);
+  assert.ok(takeAll(budget, START) > 0);
+  assert.equal(budget.hasReserve(START, 0), false, 'not without a retry left');
+});
