--- a/packages/routing/gateway/test/virtual-hedging.ts
+++ b/packages/routing/gateway/test/virtual-hedging.ts
@@ -214,6 +214,7 @@
       route: this.route.name,
       idempotent: this.route.idempotent,
       priority: this.route.priority,
+      organisation: '',
       remaining: request.startedAt + this.route.timeoutMilliseconds - this.clock.now,
       target: this.route.targetMilliseconds,
       repeated: hedge !== undefined,
--- a/packages/routing/grants/src/index.ts
+++ b/packages/routing/grants/src/index.ts
@@ -2,12 +2,8 @@
  * Dispatching of requests to endpoint slots: partitions a service into cells and grants the slots of each cell.
  */
 export { type FleetAnnouncement } from './announced-state.js';
-export {
-  type Decision,
-  type CellDispatcherOptions,
-  type UnusedEndpoint,
-  CellDispatcher,
-} from './cell-dispatcher.js';
+export { type Decision, type CellDispatcherOptions, CellDispatcher } from './cell-dispatcher.js';
+export type { UnusedEndpoint } from './endpoint-reports.js';
 export {
   type Cell,
   findServiceOfCell,
@@ -31,3 +27,16 @@
 } from './entry-retry-budget.js';
 export { type RetryBudget, computeRetryBudgetShare } from './retry-budget-shares.js';
 export type { AnnouncementChange, RelayedAnnouncement } from './cell-announcements.js';
+export {
+  type UsageAdmission,
+  type UsageAgentOptions,
+  USAGE_TICK_MILLISECONDS,
+  UsageAgent,
+} from './usage-agent.js';
+export {
+  type UsageLimit,
+  type UsageTolerance,
+  computeLendingLimit,
+  computeOwnAllowance,
+} from './usage-limit.js';
+export type { PledgeContent, PledgePurpose, UsageMessage } from './usage-messages.js';
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -201,7 +201,7 @@
   assert.equal(service.decisions.get(service.ask())?.kind, 'grant');
   assert.equal(service.decisions.get(service.ask(hedge))?.kind, 'grant', 'at the maximum');
   const above = service.decisions.get(service.ask(hedge));
-  assert.deepEqual(above, { kind: 'refuse', reason: 'overload', retryAfter: 0 });
+  assert.deepEqual(above, { kind: 'refuse', reason: 'overload', retryAfter: 0, inExcess: false });
   service.ask();
   const waiting = service.ask();
   assert.equal(service.decisions.get(waiting), undefined);
--- a/packages/routing/grants/test/fixture.ts
+++ b/packages/routing/grants/test/fixture.ts
@@ -65,6 +65,7 @@
       zone: 'a',
       route: 'offers',
       idempotent: false,
+      organisation: '',
       priority: 1,
       remaining: 1500,
       target: 400,
