--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -40,6 +40,11 @@
     mayProbe: z.boolean().default(false),
     /** Name of the caller's organisation, empty if it has none. Older daemons send none. */
     organisation: z.string().default(''),
+    /**
+     * Load of the cell in percent above which the slot is refused, as it is if none is free at once; null if the request
+     * may wait. Older daemons send none.
+     */
+    maximumLoad: load.nullable().default(null),
   }),
 ]);
 
--- a/packages/routing/grants/src/cell-dispatcher.ts
+++ b/packages/routing/grants/src/cell-dispatcher.ts
@@ -135,6 +135,10 @@
       this.refuse(request, 'no-endpoint', NO_ENDPOINT_RETRY_MILLISECONDS);
       return false;
     }
+    if (request.maximumLoad !== undefined) {
+      this.grantAtOnce(request, request.maximumLoad, now);
+      return false;
+    }
     return this.room.ask(request, now);
   }
 
@@ -246,6 +250,16 @@
     this.failedShare.finish(grantId, failed);
   }
 
+  /** Grants a slot that is free while no request waits, or refuses; neither delays the return of refused callers. */
+  private grantAtOnce(request: SlotRequest, maximumLoad: number, now: number): void {
+    const expected = this.serviceTimes.expect(request.route, request.target);
+    const isInTime = request.remaining >= expected;
+    const hasRoom = this.room.size === 0 && this.load <= maximumLoad && isInTime;
+    if (!hasRoom || !this.tryGrant({ request, arrivedAt: now }, now)) {
+      this.refuse(request, 'overload', 0);
+    }
+  }
+
   private hasNoUsableEndpoint(): boolean {
     for (const { isDraining } of this.states.values()) {
       if (!isDraining) {
