--- a/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
+++ b/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
@@ -7,7 +7,7 @@
 import type * as gateway from '@dogwoodstall/gateway';
 import * as grants from '@dogwoodstall/grants';
 import * as hashing from '@dogwoodstall/hashing';
-import type { Organisation } from '@dogwoodstall/traffic';
+import type { Organisation, RouteIndex } from '@dogwoodstall/traffic';
 import type { Member, MemberTable } from './member.js';
 import { checkProcessEnd } from './process-end.js';
 import type { GatewaySettings } from './settings.js';
@@ -21,6 +21,8 @@
 const CALM_TICK_MILLISECONDS = 100;
 const CHECK_ENDED_MILLISECONDS = 500;
 const REPORT_MILLISECONDS = 1000;
+/** Time after which a daemon is checked again that has not ended as far as is known. */
+const CHECK_AGAIN_MILLISECONDS = 2000;
 /** Checks of ended processes that run at a time. */
 const MAXIMUM_CHECKS = 16;
 /** Time after which members that only other daemons told of count as all, while the store does not respond. */
@@ -32,8 +34,8 @@
   /** Whether the members have been read from the store. */
   readonly hasJoined: () => boolean;
   readonly settings: () => Pick<GatewaySettings, 'seeds' | 'usage'>;
-  readonly listOrganisations: () => readonly Organisation[];
-  readonly findOrganisation: (name: string) => Organisation | undefined;
+  /** Returns the routes of the active configuration; undefined before one is known. */
+  readonly findRoutes: () => RouteIndex | undefined;
   readonly send: (message: datagrams.Message, to: datagrams.PeerAddress) => void;
   /** Called each second while there are limits. */
   readonly onReport: (report: UsageReport) => void;
@@ -66,6 +68,9 @@
 
   private checks = 0;
 
+  /** Times of the last checks that did not find that the process has ended, by daemon. */
+  private readonly triedAt = new Map<string, number>();
+
   private isStopping = false;
 
   constructor(private readonly options: FleetUsageLimitsOptions) {
@@ -74,7 +79,8 @@
 
   /** Begins to take part as soon as the configuration limits an organisation. */
   update(): void {
-    const isLimited = this.options.listOrganisations().some(FleetUsageLimits.hasLimit);
+    const { organisations = [] } = this.options.findRoutes()?.configuration ?? {};
+    const isLimited = organisations.some(FleetUsageLimits.hasLimit);
     if (!isLimited || this.timers.length > 0 || this.isStopping) {
       return;
     }
@@ -140,13 +146,13 @@
   }
 
   private createAgent(group: number): grants.UsageAgent {
-    const { members, settings, findOrganisation, send, now } = this.options;
+    const { members, settings, findRoutes, send, now } = this.options;
     return new grants.UsageAgent({
       self: members.self.name,
       startedAt: this.startedAt,
       rank: () => this.rank(group),
       findLimit: (name) => {
-        const organisation = findOrganisation(name);
+        const organisation = findRoutes()?.organisations?.findByName(name);
         return organisation !== undefined && FleetUsageLimits.hasLimit(organisation)
           ? organisation
           : undefined;
@@ -195,11 +201,21 @@
 
   private checkEnded(name: string, onEnded: () => void): void {
     const member = this.options.members.find(name);
-    if (member === undefined || this.checks >= MAXIMUM_CHECKS) {
+    const now = this.options.now();
+    const triedAt = this.triedAt.get(name) ?? -Infinity;
+    if (
+      member === undefined ||
+      this.checks >= MAXIMUM_CHECKS ||
+      now - triedAt < CHECK_AGAIN_MILLISECONDS
+    ) {
       return;
     }
     this.checks += 1;
-    const socket = checkProcessEnd(member.peerAddress, onEnded);
+    this.triedAt.set(name, now);
+    const socket = checkProcessEnd(member.peerAddress, () => {
+      this.triedAt.delete(name);
+      onEnded();
+    });
     socket.once('close', () => {
       this.checks -= 1;
     });
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -6,7 +6,6 @@
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
-import type { OrganisationIndex } from '@dogwoodstall/traffic';
 import { Candidates, type DispatcherTarget } from './candidates.js';
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
@@ -516,14 +515,11 @@
   }
 
   private createUsageLimits(): FleetUsageLimits {
-    const findOrganisations = (): OrganisationIndex | undefined =>
-      this.directory.routes?.organisations;
     return new FleetUsageLimits({
       members: this.members,
       hasJoined: () => this.peerState.joinedAt !== undefined,
       settings: () => this.settings,
-      listOrganisations: () => this.directory.routes?.configuration.organisations ?? [],
-      findOrganisation: (name) => findOrganisations()?.findByName(name),
+      findRoutes: () => this.directory.routes,
       send: (message, to) => this.datagramSocket.send(message, to),
       onReport: (report) => this.reporter.recordUsage(report),
       onKeeper: (group, keeper) => this.reporter.recordUsageKeeper(group, keeper),
--- a/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
@@ -3,11 +3,12 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type * as datagrams from '@dogwoodstall/datagrams';
 import type { UsageMessage } from '@dogwoodstall/grants';
-import type { Organisation } from '@dogwoodstall/traffic';
+import { type Organisation, RouteIndex, type TrafficConfiguration } from '@dogwoodstall/traffic';
 import { FleetUsageLimits } from '../src/fleet-usage-limits.js';
 import { type Member, MemberTable } from '../src/member.js';
 import type { UsageReport } from '../src/usage-counts.js';
 import { decodeUsageMessage, encodeUsageMessage } from '../src/usage-datagrams.js';
+import { MemoryStore } from './memory-store.js';
 
 /** Longer than the time for which requests wait at a new keeper. */
 const SETTLE_MILLISECONDS = 3000;
@@ -35,14 +36,16 @@
 } {
   const members = new MemberTable(describeMember('self', '127.0.0.1'));
   others.forEach((member) => members.add(member));
+  const store = new MemoryStore();
+  store.configure(1, 'valuation', [...organisations]);
+  const routes = new RouteIndex(store.configuration as TrafficConfiguration);
   const sent: datagrams.Message[] = [];
   const reports: UsageReport[] = [];
   const limits = new FleetUsageLimits({
     members,
     hasJoined: () => true,
     settings: () => ({ seeds: [], usage: { windowSeconds: 5, overage: 0.1, slack: 20 } }),
-    listOrganisations: () => organisations,
-    findOrganisation: (name) => organisations.find((organisation) => organisation.name === name),
+    findRoutes: () => routes,
     send: (message) => sent.push(message),
     onReport: (report) => reports.push(report),
     onKeeper: () => {},
