Compute retry budgets only where they are of use

Each second a daemon computed the state of the budget of every service that it had a request for, also when it serves no metrics and no retry was refused. The share of a budget ranked all daemons for each service, and searched the ranking at each request for this daemon's position.

States are computed now if metrics are served or a retry was refused, and the position is counted once for each change of the members.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -191,6 +191,7 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
       now: () => performance.now(),
     });
     this.peerState = new PeerState({
--- a/packages/daemon/gateway-daemon/src/member.ts
+++ b/packages/daemon/gateway-daemon/src/member.ts
@@ -82,6 +82,9 @@
   /** Results of `isSelfAmongFirst`. */
   private readonly amongFirst = new Map<string, boolean>();
 
+  /** Results of `findSelfPosition`. */
+  private readonly positions = new Map<string, number>();
+
   private strongest: readonly Member[] | undefined;
 
   private cachedDigest: string | undefined;
@@ -106,6 +109,11 @@
     return this.cachedDigest;
   }
 
+  /** Number of known daemons, this one included. */
+  get count(): number {
+    return this.byName.size;
+  }
+
   list(): Member[] {
     return [...this.byName.values()];
   }
@@ -135,6 +143,7 @@
     this.rankings.clear();
     this.heads.clear();
     this.amongFirst.clear();
+    this.positions.clear();
     this.strongest = undefined;
     this.changes += 1;
     this.cachedDigest = undefined;
@@ -193,6 +202,19 @@
     return isAmongFirst;
   }
 
+  /** Returns the index of this daemon in the ranking for a role, without ranking the others. */
+  findSelfPosition(role: Role): number {
+    let position = this.positions.get(role.name);
+    if (position === undefined) {
+      position = 0;
+      for (const member of this.byName.values()) {
+        position += member !== this.self && this.isRankedBeforeSelf(member, role) ? 1 : 0;
+      }
+      this.positions.set(role.name, position);
+    }
+    return position;
+  }
+
   /** Whether less than `count` daemons rank before this one. */
   private ranksBehindLessThan(role: Role, count: number): boolean {
     let before = 0;
--- a/packages/daemon/gateway-daemon/src/retry-budgets.ts
+++ b/packages/daemon/gateway-daemon/src/retry-budgets.ts
@@ -11,8 +11,10 @@
 export interface RetryBudgetsOptions {
   /** Returns this daemon's share of the budget of a service. */
   readonly share: (service: string) => grants.RetryBudgetShare;
-  /** Called each second with the budget of a service and the retries that were refused for it since. */
+  /** Called each second, for each service that is observed or had a retry refused, with the budget of a service and the retries that were refused for it since. */
   readonly onState: (service: string, state: grants.RetryBudgetState, refused: number) => void;
+  /** Whether states are of use for which no retry was refused; by default they are. */
+  readonly isObserved?: () => boolean;
   /** Returns monotonic milliseconds. */
   readonly now: () => number;
 }
@@ -70,7 +72,11 @@
   }
 
   private report(): void {
+    const isObserved = this.options.isObserved?.() ?? true;
     for (const [service, entry] of this.services) {
+      if (!isObserved && entry.refused === 0) {
+        continue;
+      }
       this.options.onState(service, entry.budget.readState(this.options.now()), entry.refused);
       entry.refused = 0;
     }
--- a/packages/daemon/gateway-daemon/src/role-assignment.ts
+++ b/packages/daemon/gateway-daemon/src/role-assignment.ts
@@ -113,11 +113,11 @@
   computeRetryBudget(service: string): grants.RetryBudgetShare {
     const { members, retries } = this.options;
     const { ratio, slack, windowSeconds } = retries();
-    const ranking = members.rank({ name: `${RETRY_ROLE_PREFIX}${service}`, zone: undefined });
+    const role = { name: `${RETRY_ROLE_PREFIX}${service}`, zone: undefined };
     return grants.computeRetryBudgetShare(
       { ratio, slack, windowMilliseconds: windowSeconds * 1000 },
-      ranking.indexOf(members.self),
-      ranking.length,
+      members.findSelfPosition(role),
+      members.count,
     );
   }
 
@@ -145,8 +145,7 @@
     if (this.options.candidates().isSelfLeading(STORE_WATCHER_ROLE)) {
       return true;
     }
-    const ranking = this.options.members.rank(STORE_WATCHER_ROLE);
-    const position = ranking.findIndex(({ name }) => name === this.options.members.self.name);
+    const position = this.options.members.findSelfPosition(STORE_WATCHER_ROLE);
     // This daemon's own contact does not count, because it would end the watch that produces it.
     const contactAge = performance.now() - this.othersContactAt;
     return contactAge > LOST_AGE_MILLISECONDS
--- a/packages/daemon/gateway-daemon/test/member.test.ts
+++ b/packages/daemon/gateway-daemon/test/member.test.ts
@@ -64,6 +64,7 @@
       const first = table.rank(role).slice(0, 4);
       assert.deepEqual([...table.iterateRanking(role)], table.rank(role));
       assert.equal(table.isSelfAmongFirst(role, 4), first.includes(self), self.name);
+      assert.equal(table.findSelfPosition(role), table.rank(role).indexOf(self), self.name);
     }
   }
 });
--- a/packages/daemon/gateway-daemon/test/retry-budgets.test.ts
+++ b/packages/daemon/gateway-daemon/test/retry-budgets.test.ts
@@ -84,6 +84,34 @@
   budgets.stop();
 });
 
+// Guards against a daemon without metrics that computes the state of hundreds of services each second.
+test('without an observer only the services are reported whose retries were refused', (context) => {
+  let now = 0;
+  context.mock.timers.enable({ apis: ['setInterval'] });
+  const reports: [string, number][] = [];
+  let isObserved = false;
+  const budgets = new RetryBudgets({
+    share: () => ({ ratio: 0, slack: 1, windowMilliseconds: WINDOW_MILLISECONDS }),
+    onState: (service, _state, refused) => reports.push([service, refused]),
+    isObserved: () => isObserved,
+    now: () => now,
+  });
+  budgets.start();
+  now = 2 * WINDOW_MILLISECONDS;
+  budgets.countRequest('archive');
+  budgets.take('valuation');
+  budgets.take('valuation');
+  context.mock.timers.tick(REPORT_MILLISECONDS);
+  assert.deepEqual(reports, [['valuation', 1]]);
+  isObserved = true;
+  context.mock.timers.tick(REPORT_MILLISECONDS);
+  assert.deepEqual(reports.slice(1), [
+    ['archive', 0],
+    ['valuation', 0],
+  ]);
+  budgets.stop();
+});
+
 // Guards against counts whose slices belong to another window.
 test('a changed window begins like a start', () => {
   let now = 0;
