--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -196,6 +196,7 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
       now: () => performance.now(),
     });
     this.usageLimits = this.createUsageLimits();
