--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -6,7 +6,6 @@
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
-import type { OrganisationIndex } from '@dogwoodstall/traffic';
 import { Candidates, type DispatcherTarget } from './candidates.js';
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
@@ -83,6 +82,8 @@
 
   private readonly usageLimits: FleetUsageLimits;
 
+  private readonly hedging: gateway.Hedging;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -195,9 +196,15 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
       now: () => performance.now(),
     });
     this.usageLimits = this.createUsageLimits();
+    this.hedging = new gateway.Hedging({
+      settings: () => this.settings.hedging,
+      onDecision: (decision) => this.reporter.recordHedge(decision),
+      now: () => performance.now(),
+    });
     this.peerState = new PeerState({
       members: this.members,
       directory: this.directory,
@@ -304,13 +311,14 @@
     });
   }
 
-  /** Applies changed seeds, retry budget, tolerance of usage limits and grace time. All other settings need a restart. */
+  /** Applies changed seeds, retry budget, limits of hedging and usage, and grace time. All others need a restart. */
   applySettings(settings: GatewaySettings): void {
-    const { seeds, retries, usage, stop } = settings;
-    this.settings = { ...this.settings, seeds, retries, usage, stop };
+    const { seeds, retries, hedging, usage, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, hedging, usage, stop };
     this.logger.info('settings are in force', {
       seeds,
       retries,
+      hedging,
       usage,
       stop,
       needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
@@ -402,6 +410,7 @@
     return new Directory({
       toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
+        this.hedging.retainRoutes(new Set(routes.map(({ name }) => name)));
         logger.info('configuration is in force', { version, routes: routes.length, source });
         this.usageLimits.update();
         this.pingExchange.announceToAll();
@@ -516,14 +525,11 @@
   }
 
   private createUsageLimits(): FleetUsageLimits {
-    const findOrganisations = (): OrganisationIndex | undefined =>
-      this.directory.routes?.organisations;
     return new FleetUsageLimits({
       members: this.members,
       hasJoined: () => this.peerState.joinedAt !== undefined,
       settings: () => this.settings,
-      listOrganisations: () => this.directory.routes?.configuration.organisations ?? [],
-      findOrganisation: (name) => findOrganisations()?.findByName(name),
+      findRoutes: () => this.directory.routes,
       send: (message, to) => this.datagramSocket.send(message, to),
       onReport: (report) => this.reporter.recordUsage(report),
       onKeeper: (group, keeper) => this.reporter.recordUsageKeeper(group, keeper),
@@ -551,6 +557,7 @@
       }),
       retryBudgets: this.retryBudgets,
       usageLimits: this.usageLimits,
+      hedging: this.hedging,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
--- a/packages/daemon/gateway-daemon/test/peer-state.test.ts
+++ b/packages/daemon/gateway-daemon/test/peer-state.test.ts
@@ -25,6 +25,19 @@
   return new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
 }
 
+function createEndpoint(id: string): Endpoint {
+  return {
+    id,
+    service: 'offers',
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 2,
+    draining: false,
+    warmUpMilliseconds: 0,
+    lifetime: 1,
+  };
+}
+
 function createPeerState(
   members: MemberTable,
   directory = createDirectory(),
@@ -132,3 +145,30 @@
   await createPeerState(members, createDirectory(), store).registerAgain();
   assert.deepEqual([...store.members.keys()], ['front-1']);
 });
+
+test('a daemon gets the changes of endpoints only, and an older one gets all endpoints', () => {
+  const directory = new Directory({ onConfiguration: () => {}, onEndpoints: () => {} });
+  const peerState = createPeerState(new MemberTable(createMember(1)), directory);
+  const endpoints = ['one', 'two', 'three'].map((id) => createEndpoint(id));
+  directory.replaceEndpoints(endpoints, { era: 0, revision: 7 }, 'store');
+  directory.changeEndpoints(
+    [{ ...createEndpoint('two'), draining: true }],
+    ['one'],
+    { era: 0, revision: 9 },
+    'store',
+  );
+  const request = { configurationVersion: 0, directoryRevision: 7, members: [createMember(2)] };
+  const older = peerState.handleStateRequest(request);
+  assert.deepEqual(older.endpoints?.map(({ id }) => id).sort(), ['three', 'two']);
+  assert.equal(older.changes, undefined);
+  const { changes, endpoints: all } = peerState.handleStateRequest({
+    ...request,
+    acceptsChanges: true,
+  });
+  assert.equal(all, undefined);
+  assert.deepEqual(changes?.removed, ['one']);
+  assert.deepEqual(
+    changes.puts.map(({ id }) => id),
+    ['two'],
+  );
+});
--- a/packages/routing/gateway/src/request-processor.ts
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -28,6 +28,7 @@
 import type { RetryBudgets, SlotSource } from './slots.js';
 import type { UnreadResponses } from './unread-responses.js';
 import type { UsageLimits } from './usage-limits.js';
+import type { Hedging } from './hedging.js';
 import type { WireProtocol } from './wire-protocol.js';
 
 /** The routing and result of a request, for the log and the metrics. */
@@ -50,6 +51,7 @@
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
   readonly retryBudgets: RetryBudgets;
+  readonly hedging: Hedging;
   readonly usageLimits: UsageLimits;
   /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
   readonly isDaemon: (host: string) => boolean;
@@ -191,7 +193,7 @@
     mayRelay: boolean,
   ): Promise<RequestResult> {
     const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots, retryBudgets } = this.options;
+    const { protocol, slots, retryBudgets, hedging } = this.options;
     const { server } = this;
     const responseShare = new MemoryShare(server.responseMemory);
     response.once('close', () => responseShare.close());
@@ -239,6 +241,7 @@
         context,
         slots,
         retryBudgets,
+        hedging,
         attemptOptions: {
           pool: server.pool,
           protocol,
