--- a/packages/routing/grants/src/usage-agent.ts
+++ b/packages/routing/grants/src/usage-agent.ts
@@ -25,8 +25,10 @@
 const MINIMUM_BLOCK_MILLISECONDS = 100;
 /** Time in which the buckets of a new keeper may be empty because it is new. */
 const SETTLE_MILLISECONDS = 2500;
-/** Requests of an organisation that wait at a time; others are refused at once. */
-const MAXIMUM_WAITERS = 64;
+/** Requests of an organisation that may wait in any case; others are refused at once. */
+const MINIMUM_WAITERS = 8;
+/** More may wait if the limit allows more in this time. */
+const WAITERS_MILLISECONDS = 100;
 /** Time that a caller is told to wait when no keeper responds. */
 const UNKNOWN_RETRY_MILLISECONDS = 1000;
 
@@ -138,7 +140,7 @@
     }
     const waiter = { since: now, respond };
     if (pending !== undefined) {
-      if (pending.waiters.length >= MAXIMUM_WAITERS) {
+      if (pending.waiters.length >= this.computeMaximumWaiters(organisation)) {
         respond({ kind: 'refused', retryAfter: UNKNOWN_RETRY_MILLISECONDS });
       } else {
         pending.waiters.push(waiter);
@@ -306,6 +308,11 @@
     }
   }
 
+  private computeMaximumWaiters(organisation: string): number {
+    const perSecond = this.options.findLimit(organisation)?.requestsPerSecond ?? 0;
+    return Math.max(MINIMUM_WAITERS, (perSecond * WAITERS_MILLISECONDS) / 1000);
+  }
+
   private tryTakeOwn(organisation: string, now: number): boolean {
     const { self, rank, tolerance } = this.options;
     const { slack, windowMilliseconds } = tolerance();
