--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -82,6 +82,8 @@
 
   private readonly usageLimits: FleetUsageLimits;
 
+  private readonly hedging: gateway.Hedging;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -194,9 +196,15 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
       now: () => performance.now(),
     });
     this.usageLimits = this.createUsageLimits();
+    this.hedging = new gateway.Hedging({
+      settings: () => this.settings.hedging,
+      onDecision: (decision) => this.reporter.recordHedge(decision),
+      now: () => performance.now(),
+    });
     this.peerState = new PeerState({
       members: this.members,
       directory: this.directory,
@@ -303,13 +311,14 @@
     });
   }
 
-  /** Applies changed seeds, retry budget, tolerance of usage limits and grace time. All other settings need a restart. */
+  /** Applies changed seeds, retry budget, limits of hedging and usage, and grace time. All others need a restart. */
   applySettings(settings: GatewaySettings): void {
-    const { seeds, retries, usage, stop } = settings;
-    this.settings = { ...this.settings, seeds, retries, usage, stop };
+    const { seeds, retries, hedging, usage, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, hedging, usage, stop };
     this.logger.info('settings are in force', {
       seeds,
       retries,
+      hedging,
       usage,
       stop,
       needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
@@ -401,6 +410,7 @@
     return new Directory({
       toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
+        this.hedging.retainRoutes(new Set(routes.map(({ name }) => name)));
         logger.info('configuration is in force', { version, routes: routes.length, source });
         this.usageLimits.update();
         this.pingExchange.announceToAll();
@@ -547,6 +557,7 @@
       }),
       retryBudgets: this.retryBudgets,
       usageLimits: this.usageLimits,
+      hedging: this.hedging,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
--- a/packages/daemon/gateway-daemon/src/store-position.ts
+++ b/packages/daemon/gateway-daemon/src/store-position.ts
@@ -18,7 +18,7 @@
 export interface ReportedPosition {
   readonly directoryRevision: number;
   /** Undefined from older daemons, which don't know eras. */
-  readonly directoryEra?: number | undefined;
+  readonly directoryEra?: number | null | undefined;
 }
 
 /** Returns the position that another daemon reports; one without an era is taken for one of the own era. */
--- a/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
+++ b/packages/daemon/gateway-daemon/test/dispatcher-role.test.ts
@@ -70,6 +70,7 @@
     kilobytes: 0,
     fingerprint: String(askId),
     excluded: [],
+    maximumLoad: null,
   };
 }
 
--- a/packages/peers/datagrams/src/messages.ts
+++ b/packages/peers/datagrams/src/messages.ts
@@ -40,6 +40,11 @@
     mayProbe: z.boolean().default(false),
     /** Name of the caller's organisation, empty if it has none. Older daemons send none. */
     organisation: z.string().default(''),
+    /**
+     * Load of the cell in percent above which the slot is refused, as it is if none is free at once; null if the request
+     * may wait. Older daemons send none.
+     */
+    maximumLoad: load.nullable().default(null),
   }),
 ]);
 
@@ -163,7 +168,9 @@
       }),
     ),
     /** Era of the store to which the revision belongs; absent from older daemons. */
-    directoryEra: z.number().int().optional(),
+    directoryEra: z.number().int().nullish(),
+    /** Revision at which an endpoint last began to drain, if one did. Older daemons send none. */
+    drains: z.array(z.number()).max(1).default([]),
   }),
 ]);
 
