--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -19,6 +19,7 @@
 import { DispatcherRole } from './dispatcher-role.js';
 import { drainRequests } from './graceful-shutdown.js';
 import { MemberTable, createMemberEntry } from './member.js';
+import { FleetUsageLimits } from './fleet-usage-limits.js';
 import { EndpointPaths } from './endpoint-paths.js';
 import { PathAwareSlots } from './path-aware-slots.js';
 import { MetricsServer, type MetricsSnapshot } from './metrics-server.js';
@@ -79,6 +80,10 @@
 
   private readonly retryBudgets: RetryBudgets;
 
+  private readonly usageLimits: FleetUsageLimits;
+
+  private readonly hedging: gateway.Hedging;
+
   private readonly dispatcherClient: DispatcherClient;
 
   private readonly datagramSocket: datagrams.DatagramSocket;
@@ -180,7 +185,7 @@
       self: settings.name,
       directory: this.directory,
       crashRecords: this.crashRecords.records,
-      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
+      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.cells.get(cell)),
       isVerifying: () => this.roleAssignment.isVerifying,
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
@@ -191,6 +196,13 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
+      now: () => performance.now(),
+    });
+    this.usageLimits = this.createUsageLimits();
+    this.hedging = new gateway.Hedging({
+      settings: () => this.settings.hedging,
+      onDecision: (decision) => this.reporter.recordHedge(decision),
       now: () => performance.now(),
     });
     this.peerState = new PeerState({
@@ -237,7 +249,7 @@
       logger: this.logger,
     });
     this.stateServer = new StateServer(
-      (request) => this.peerState.handleStateRequest(request),
+      (request) => this.peerState.provideState(request),
       this.errors,
       this.burstConnections,
     );
@@ -299,13 +311,15 @@
     });
   }
 
-  /** Applies changed seeds, retry budget and grace time. All other settings need a restart. */
+  /** Applies changed seeds, retry budget, limits of hedging and usage, and grace time. All others need a restart. */
   applySettings(settings: GatewaySettings): void {
-    const { seeds, retries, stop } = settings;
-    this.settings = { ...this.settings, seeds, retries, stop };
+    const { seeds, retries, hedging, usage, stop } = settings;
+    this.settings = { ...this.settings, seeds, retries, hedging, usage, stop };
     this.logger.info('settings are in force', {
       seeds,
       retries,
+      hedging,
+      usage,
       stop,
       needsRestart: JSON.stringify(settings) !== JSON.stringify(this.settings),
     });
@@ -341,6 +355,7 @@
     this.candidates.stop();
     this.dispatcherRole.stop();
     this.retryBudgets.stop();
+    this.usageLimits.close();
     this.dispatcherClient.close();
     this.endpointPaths.close();
     this.datagramSocket.close();
@@ -395,16 +410,24 @@
     return new Directory({
       toleranceEndsAt: () => this.storeContact.toleranceEndsAt,
       onConfiguration: ({ version, routes }, source) => {
+        this.hedging.retainRoutes(new Set(routes.map(({ name }) => name)));
         logger.info('configuration is in force', { version, routes: routes.length, source });
+        this.usageLimits.update();
         this.pingExchange.announceToAll();
         this.candidates.pingAll();
       },
+      onNewEra: (era) => {
+        logger.warn('store has lost its latest changes', { era });
+        this.candidates.pingAll();
+        this.peerState.registerAgain().catch(this.createErrorHandler('registration'));
+        this.crashRecordStore.saveAgain();
+      },
       onEndpoints: (source) => {
         this.dispatcherRole.updateEndpoints();
         this.pingExchange.announceEndpoints();
         this.silentAttempts.check();
         logger.info('endpoints changed', {
-          revision: this.directory.endpointRevision,
+          ...this.directory.position,
           endpoints: this.directory.listAll().length,
           source,
         });
@@ -432,11 +455,12 @@
     const logger = this.options.log.getLogger('membership');
     return new Candidates({
       members: this.members,
-      listCells: () => this.directory.listCells(),
+      listCells: () => this.directory.cells.list(),
       isSelfUsable: () => this.roleAssignment.isSettled() && !this.dispatcherRole.stopping,
       getVersions: () => ({
         configurationVersion: this.directory.configurationVersion,
-        directoryRevision: this.directory.endpointRevision,
+        directoryRevision: this.directory.position.revision,
+        directoryEra: this.directory.position.era,
       }),
       send: (message, target) => this.datagramSocket.send(message, target),
       onChange: (name, responsive) =>
@@ -457,7 +481,7 @@
       cells: new CellSelector({
         name: self,
         zone,
-        listCells: (service) => this.directory.listCellsOf(service),
+        listCells: (service) => this.directory.cells.listOf(service),
         now: () => performance.now(),
         random: Math.random,
       }),
@@ -481,8 +505,8 @@
 
   private createEndpointPaths(): EndpointPaths {
     const listAddresses = (service: string): string[] =>
-      this.directory
-        .listCellsOf(service)
+      this.directory.cells
+        .listOf(service)
         .flatMap(({ endpoints }) => endpoints.map(({ address }) => address));
     return new EndpointPaths({
       listAddresses,
@@ -500,6 +524,19 @@
     });
   }
 
+  private createUsageLimits(): FleetUsageLimits {
+    return new FleetUsageLimits({
+      members: this.members,
+      hasJoined: () => this.peerState.joinedAt !== undefined,
+      settings: () => this.settings,
+      findRoutes: () => this.directory.routes,
+      send: (message, to) => this.datagramSocket.send(message, to),
+      onReport: (report) => this.reporter.recordUsage(report),
+      onKeeper: (group, keeper) => this.reporter.recordUsageKeeper(group, keeper),
+      now: () => performance.now(),
+    });
+  }
+
   private createErrorHandler(task: SideTask): (error: unknown) => void {
     return (error) => this.errors.record(task, error);
   }
@@ -519,7 +556,8 @@
         random: Math.random,
       }),
       retryBudgets: this.retryBudgets,
-      usageLimits: gateway.noUsageLimits,
+      usageLimits: this.usageLimits,
+      hedging: this.hedging,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
       waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
@@ -594,6 +632,12 @@
       case 'crashes':
         this.crashRecords.receive(message[1], from);
         return;
+      case 'borrow':
+      case 'lend':
+      case 'pledge':
+      case 'pledged':
+        this.usageLimits.receive(message, from);
+        return;
       default:
         this.dispatcherClient.receive(message, target);
     }
@@ -610,6 +654,7 @@
     }
     this.logger.info('daemon stops', { inFlight: this.server.inFlight });
     this.dispatcherRole.beginStop();
+    this.usageLimits.beginStop();
     const elapsed = await drainRequests(this.server, this.settings.stop.graceSeconds * 1000);
     this.logger.info('daemon has stopped', {
       inFlight: this.server.inFlight,
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -2,13 +2,14 @@
  * HTTP server for the metrics of a daemon in the Prometheus text format.
  */
 import * as http from 'node:http';
-import type { DescriptorEvent, RequestDecision } from '@dogwoodstall/gateway';
+import type { DescriptorEvent, HedgeDecision, RequestDecision } from '@dogwoodstall/gateway';
 import type { RetryBudgetState } from '@dogwoodstall/grants';
 import type * as promClient from 'prom-client';
 import { countOpenDescriptors } from './descriptor-limit.js';
 import { limitConnections } from './limit-connections.js';
 import { listenHttp } from './listen-http.js';
 import type { SideTaskErrors } from './side-task-errors.js';
+import type { UsageReport } from './usage-counts.js';
 
 /** Upper bounds of the latency buckets, from below the shortest processing time to above the longest deadline in use. */
 const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
@@ -41,6 +42,8 @@
 
   private readonly failedAttempts: promClient.Counter<'reason'>;
 
+  private readonly hedges: promClient.Counter<'service' | 'event'>;
+
   private readonly repeatedResponses: promClient.Counter;
 
   private readonly slots: promClient.Counter<'cell' | 'decision'>;
@@ -53,6 +56,10 @@
 
   private readonly retryBudget: promClient.Gauge<'service' | 'kind'>;
 
+  private readonly usage: promClient.Counter<'event'>;
+
+  private readonly usageShare: promClient.Gauge<'group'>;
+
   private readonly descriptorEvents: promClient.Counter<'event'>;
 
   private readonly server: http.Server;
@@ -84,6 +91,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.hedges = new library.Counter({
+      name: 'dogwoodstall_hedges_total',
+      help: 'Second attempts of late requests that were started, won, cancelled, failed or refused, by event',
+      labelNames: ['service', 'event'],
+      registers,
+    });
     this.repeatedResponses = new library.Counter({
       name: 'dogwoodstall_repeated_responses_total',
       help: 'Copies of earlier responses that endpoints sent where the next one was due',
@@ -119,6 +132,18 @@
       labelNames: ['service', 'kind'],
       registers,
     });
+    this.usage = new library.Counter({
+      name: 'dogwoodstall_usage_total',
+      help: 'Requests admitted or refused by usage limits, tokens given back, and messages sent for them, by event',
+      labelNames: ['event'],
+      registers,
+    });
+    this.usageShare = new library.Gauge({
+      name: 'dogwoodstall_usage_share',
+      help: 'Fraction of the usage limits that this daemon may lend, by group of organisations',
+      labelNames: ['group'],
+      registers,
+    });
     this.descriptorEvents = new library.Counter({
       name: 'dogwoodstall_descriptor_shortage_total',
       help: 'Connections and requests that were closed, refused or failed for lack of descriptors, by event',
@@ -263,6 +288,11 @@
     }
   }
 
+  /** Counts an event of a hedge. */
+  countHedge({ service, event }: HedgeDecision): void {
+    this.hedges.inc({ service, event });
+  }
+
   /** Counts a copy of an earlier response. */
   countRepeatedResponse(): void {
     this.repeatedResponses.inc();
@@ -295,6 +325,16 @@
     }
   }
 
+  /** Counts what was decided about usage limits. */
+  countUsage({ shares, refusedMost, ...counts }: UsageReport): void {
+    for (const [event, count] of Object.entries(counts)) {
+      this.usage.inc({ event }, count);
+    }
+    for (const [group, share] of shares.entries()) {
+      this.usageShare.set({ group }, share);
+    }
+  }
+
   /** Counts connections and requests that were closed, refused or failed for lack of descriptors. */
   countDescriptorEvents(event: DescriptorEvent, count: number): void {
     this.descriptorEvents.inc({ event }, count);
--- a/packages/daemon/gateway-daemon/src/store-watcher.ts
+++ b/packages/daemon/gateway-daemon/src/store-watcher.ts
@@ -50,6 +50,8 @@
 
   private lost = false;
 
+  private waiting: Promise<void> | undefined;
+
   constructor(private readonly options: StoreWatcherOptions) {}
 
   /** Monotonic milliseconds of the last response of the store. */
@@ -85,12 +87,7 @@
     let retry = FIRST_RETRY_MILLISECONDS;
     while (!this.closing.signal.aborted) {
       try {
-        while (!this.options.isResponsible()) {
-          const pause = this.options.directory.isComplete
-            ? IDLE_CHECK_MILLISECONDS
-            : START_CHECK_MILLISECONDS;
-          await delay(pause, undefined, { signal: this.closing.signal });
-        }
+        await this.waitUntilResponsible();
         await watch();
         retry = FIRST_RETRY_MILLISECONDS;
       } catch (error) {
@@ -106,6 +103,25 @@
     }
   }
 
+  /** Both watches wait for the same checks. */
+  private async waitUntilResponsible(): Promise<void> {
+    this.waiting ??= this.checkUntilResponsible();
+    try {
+      await this.waiting;
+    } finally {
+      this.waiting = undefined;
+    }
+  }
+
+  private async checkUntilResponsible(): Promise<void> {
+    while (!this.options.isResponsible()) {
+      const pause = this.options.directory.isComplete
+        ? IDLE_CHECK_MILLISECONDS
+        : START_CHECK_MILLISECONDS;
+      await delay(pause, undefined, { signal: this.closing.signal });
+    }
+  }
+
   private readonly watchEndpoints = async (): Promise<void> => {
     const { source, directory, suspension, onCurrent } = this.options;
     const readAt = performance.now();
@@ -113,7 +129,7 @@
       source.readEndpoints(signal),
     );
     this.recordContact();
-    directory.replaceEndpoints(snapshot.endpoints, snapshot.revision, 'store');
+    directory.replaceEndpoints(snapshot.endpoints, snapshot, 'store');
     if (readAt > suspension.resumedAt) {
       onCurrent();
     }
@@ -141,10 +157,10 @@
         }
       }
       if (
-        !directory.changeEndpoints(puts, removed, revision, 'store') &&
-        changes.changes.length > 0
+        changes.era !== snapshot.era ||
+        (!directory.changeEndpoints(puts, removed, changes, 'store') && changes.changes.length > 0)
       ) {
-        // Another daemon knew later changes already. Reads all endpoints, in case its list lacks one of these.
+        // The store has lost changes, or another daemon knew later ones already, whose list may lack one of these.
         return;
       }
       if (watchedAt > suspension.resumedAt) {
@@ -164,10 +180,14 @@
         directory.activateConfiguration(stored.configuration, 'store');
       }
       const wait = CONFIGURATION_WAIT_MILLISECONDS;
-      const { revision } = stored;
+      const { era, revision } = stored;
       stored = await this.callWithTimeout(wait + CALL_TIMEOUT_MILLISECONDS, (signal) =>
         source.watchConfiguration(revision, wait, signal),
       );
+      if (stored.era !== era) {
+        // Changes up to the revision that were made again are not reported.
+        return;
+      }
     }
   };
 
--- a/packages/peers/datagrams/test/datagrams.test.ts
+++ b/packages/peers/datagrams/test/datagrams.test.ts
@@ -25,10 +25,28 @@
     excluded: ['i-1'],
     mayProbe: false,
     organisation: '',
+    maximumLoad: 80,
   },
 ];
 
 const messages: datagrams.Message[] = [
+  ['borrow', { sequence: 3, organisation: 'shop', wanted: 2, pledge: 5 }],
+  [
+    'lend',
+    {
+      sequence: 3,
+      organisation: 'shop',
+      tokens: 2,
+      retryAfter: 0,
+      settling: false,
+      share: 0.5,
+    },
+  ],
+  ['pledge', { group: 1, sequence: 4, purpose: 'renew', pledge: 15 }],
+  [
+    'pledged',
+    { group: 1, sequence: 4, purpose: 'renew', declined: false, keeping: true, share: 1 },
+  ],
   ask,
   [
     'grant',
@@ -146,11 +164,11 @@
   }
 });
 
-test('a slot request of an older daemon, which tells neither the time waited elsewhere nor whether it may probe, is decoded', () => {
+test('a slot request of an older daemon, which tells neither the time waited elsewhere nor whether it may probe nor a maximum load, is decoded', () => {
   const values = msgpack.decode(datagrams.encodeMessage(ask)) as unknown[];
-  for (const missing of [1, 2]) {
+  for (const missing of [1, 2, 3, 4]) {
     const decoded = datagrams.decodeMessage(msgpack.encode(values.slice(0, -missing)));
-    assert.deepEqual(decoded, ask);
+    assert.deepEqual(decoded, ['ask', { ...ask[1], maximumLoad: null }]);
   }
 });
 
@@ -167,16 +185,42 @@
       storeAge: 0,
       memberDigest: 'x',
       cells: [{ name: 'valuation', suspects: [] }],
+      drains: [],
     },
   ];
   const values = msgpack.decode(datagrams.encodeMessage(pong)) as unknown[];
-  const older = values.with(-1, [
-    { name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] },
-  ]);
+  // An older daemon has no field after the cells, or fields that this one does not know.
+  assert.deepEqual(datagrams.decodeMessage(msgpack.encode(values.slice(0, 9))), pong);
+  const older = values
+    .slice(0, 9)
+    .with(-1, [{ name: 'valuation', suspects: [], retries: [['daemon-1 1', 10, 2, 100]] }]);
   older.push(20_000, [['archive', 'daemon-1 1', 10, 2, 100]]);
   assert.deepEqual(datagrams.decodeMessage(msgpack.encode(older)), pong);
 });
 
+// Guards against an era that an older daemon takes for something else, or that is taken from what it sends.
+test('the era of a pong is behind what older daemons expect there', () => {
+  const pong: datagrams.Message = [
+    'pong',
+    {
+      sequence: 1,
+      stopping: false,
+      settled: true,
+      configurationVersion: 1,
+      directoryRevision: 1,
+      storeAge: 0,
+      memberDigest: 'x',
+      cells: [],
+      directoryEra: 7,
+      drains: [6],
+    },
+  ];
+  const encoded = datagrams.encodeMessage(pong);
+  assert.deepEqual(datagrams.decodeMessage(encoded), pong);
+  const values = msgpack.decode(encoded) as unknown[];
+  assert.deepEqual(values.slice(8), [[], 0, [], 7, [6]]);
+});
+
 // Guards against an odd entry of a daemon whose port ends each process that pings it.
 test('an address that can not be sent to is reported like an error of the network', async () => {
   const failed: string[] = [];
--- a/packages/routing/gateway/src/request-processor.ts
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -28,6 +28,7 @@
 import type { RetryBudgets, SlotSource } from './slots.js';
 import type { UnreadResponses } from './unread-responses.js';
 import type { UsageLimits } from './usage-limits.js';
+import type { Hedging } from './hedging.js';
 import type { WireProtocol } from './wire-protocol.js';
 
 /** The routing and result of a request, for the log and the metrics. */
@@ -50,6 +51,7 @@
   readonly protocol: WireProtocol;
   readonly slots: SlotSource;
   readonly retryBudgets: RetryBudgets;
+  readonly hedging: Hedging;
   readonly usageLimits: UsageLimits;
   /** Whether a daemon of the fleet has the given IP address; only daemons relay requests. */
   readonly isDaemon: (host: string) => boolean;
@@ -89,8 +91,11 @@
   readonly caller: CallerIdentity;
 }
 
-/** Subtracted from the deadline, so that the response still reaches the caller in time. */
-const RESPONSE_MARGIN_MILLISECONDS = 4;
+/** Share of the time allowed that is kept for the way of the response to the caller. */
+const RESPONSE_MARGIN_SHARE = 0.01;
+/** Bounds of that time: the ways within a region, and between distant callers and the fleet. */
+const MINIMUM_RESPONSE_MARGIN_MILLISECONDS = 4;
+const MAXIMUM_RESPONSE_MARGIN_MILLISECONDS = 50;
 /** A newly started daemon receives the routes within this time, so that waiting saves the caller a retry. */
 const ROUTES_WAIT_MILLISECONDS = 500;
 /** Maximum fraction of the caller's deadline spent waiting for the routes. */
@@ -106,6 +111,14 @@
   return chooseDestination(route, Math.random());
 }
 
+function computeResponseMargin(allowedMilliseconds: number): number {
+  const margin = Math.max(
+    MINIMUM_RESPONSE_MARGIN_MILLISECONDS,
+    allowedMilliseconds * RESPONSE_MARGIN_SHARE,
+  );
+  return Math.min(MAXIMUM_RESPONSE_MARGIN_MILLISECONDS, margin);
+}
+
 /** Processes the requests of one server. */
 export class RequestProcessor {
   constructor(
@@ -180,7 +193,7 @@
     mayRelay: boolean,
   ): Promise<RequestResult> {
     const { request, response, requestId, arrivedAt } = incoming;
-    const { protocol, slots, retryBudgets } = this.options;
+    const { protocol, slots, retryBudgets, hedging } = this.options;
     const { server } = this;
     const responseShare = new MemoryShare(server.responseMemory);
     response.once('close', () => responseShare.close());
@@ -188,7 +201,7 @@
       protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
     const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
     const deadlineAt = Math.min(
-      arrivedAt + allowedMilliseconds - RESPONSE_MARGIN_MILLISECONDS,
+      arrivedAt + allowedMilliseconds - computeResponseMargin(allowedMilliseconds),
       server.stopEndsAt(),
     );
     const abortController = new AbortController();
@@ -228,6 +241,7 @@
         context,
         slots,
         retryBudgets,
+        hedging,
         attemptOptions: {
           pool: server.pool,
           protocol,
