Give each process some hedges from its start, and bound lateness by three medians

Daemons with a request a second get too few tokens for a failure.

A request was late at the latest one median before its target.

--- a/packages/routing/gateway/src/hedge-limit.ts
+++ b/packages/routing/gateway/src/hedge-limit.ts
@@ -6,11 +6,12 @@
 export const MAXIMUM_SAVED_HEDGES = 4;
 
 /**
- * In any period, at most the share of its requests and `MAXIMUM_SAVED_HEDGES` more are hedged. The bucket is empty at
- * first, so that restarts add nothing.
+ * In any period, at most the share of its requests and `MAXIMUM_SAVED_HEDGES` more are hedged. The bucket is full at
+ * first, since a daemon with few callers would need many seconds for its first hedge; after restarts the retry budget
+ * is the limit.
  */
 export class HedgeLimit {
-  private tokens = 0;
+  private tokens = MAXIMUM_SAVED_HEDGES;
 
   /** Counts a request that may be hedged; `share` is the number of hedges per request. */
   countRequest(share: number): void {
--- a/packages/routing/gateway/src/hedging.ts
+++ b/packages/routing/gateway/src/hedging.ts
@@ -117,7 +117,7 @@
       return undefined;
     }
     const limit = this.getLimit(service);
-    if (!limit.tryTake()) {
+    if (settings.share === 0 || !limit.tryTake()) {
       report('refused-share');
       return undefined;
     }
--- a/packages/routing/gateway/src/response-times.ts
+++ b/packages/routing/gateway/src/response-times.ts
@@ -8,6 +8,8 @@
 const MAXIMUM_AGE_MILLISECONDS = 60_000;
 /** Number of response times at which the quantile counts as much as the fallback. */
 const FALLBACK_SAMPLES = 40;
+/** Time that is kept of the target for a second attempt, as a multiple of the median. */
+const KEPT_MEDIANS = 3;
 /** Interval at which the quantile is computed anew. */
 const REFRESH_MILLISECONDS = 250;
 
@@ -38,7 +40,7 @@
 
   /**
    * Returns the time after which a request is late: the given quantile, drawn towards the fallback while response times
-   * are few, but early enough that a second attempt of median length still meets the target.
+   * are few. It is no later than the fallback if a second attempt could miss the target then.
    */
   getLateness(
     quantile: number,
@@ -54,7 +56,7 @@
     const measured = sorted[Math.min(length - 1, Math.floor(length * quantile))] as number;
     const median = sorted[Math.floor(length / 2)] as number;
     const lateness = weight * measured + (1 - weight) * fallback;
-    return Math.min(lateness, Math.max(fallback, target - median));
+    return Math.min(lateness, Math.max(fallback, target - KEPT_MEDIANS * median));
   }
 
   private summarise(now: number): Summary {
