--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -6,7 +6,6 @@
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
-import type { OrganisationIndex } from '@dogwoodstall/traffic';
 import { Candidates, type DispatcherTarget } from './candidates.js';
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
@@ -186,7 +185,7 @@
       self: settings.name,
       directory: this.directory,
       crashRecords: this.crashRecords.records,
-      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.getCell(cell)),
+      limitShare: (cell) => this.roleAssignment.computeLimitShare(this.directory.cells.get(cell)),
       isVerifying: () => this.roleAssignment.isVerifying,
       onDecision: (cell, request, decision) =>
         this.reporter.recordSlotDecision(cell, request, decision),
@@ -197,6 +196,7 @@
       share: (service) => this.roleAssignment.computeRetryBudget(service),
       onState: (service, state, refused) =>
         this.reporter.recordRetryBudget(service, state, refused),
+      isObserved: () => this.reporter.metricsServer !== undefined,
       now: () => performance.now(),
     });
     this.usageLimits = this.createUsageLimits();
@@ -416,12 +416,18 @@
         this.pingExchange.announceToAll();
         this.candidates.pingAll();
       },
+      onNewEra: (era) => {
+        logger.warn('store has lost its latest changes', { era });
+        this.candidates.pingAll();
+        this.peerState.registerAgain().catch(this.createErrorHandler('registration'));
+        this.crashRecordStore.saveAgain();
+      },
       onEndpoints: (source) => {
         this.dispatcherRole.updateEndpoints();
         this.pingExchange.announceEndpoints();
         this.silentAttempts.check();
         logger.info('endpoints changed', {
-          revision: this.directory.endpointRevision,
+          ...this.directory.position,
           endpoints: this.directory.listAll().length,
           source,
         });
@@ -449,11 +455,12 @@
     const logger = this.options.log.getLogger('membership');
     return new Candidates({
       members: this.members,
-      listCells: () => this.directory.listCells(),
+      listCells: () => this.directory.cells.list(),
       isSelfUsable: () => this.roleAssignment.isSettled() && !this.dispatcherRole.stopping,
       getVersions: () => ({
         configurationVersion: this.directory.configurationVersion,
-        directoryRevision: this.directory.endpointRevision,
+        directoryRevision: this.directory.position.revision,
+        directoryEra: this.directory.position.era,
       }),
       send: (message, target) => this.datagramSocket.send(message, target),
       onChange: (name, responsive) =>
@@ -474,7 +481,7 @@
       cells: new CellSelector({
         name: self,
         zone,
-        listCells: (service) => this.directory.listCellsOf(service),
+        listCells: (service) => this.directory.cells.listOf(service),
         now: () => performance.now(),
         random: Math.random,
       }),
@@ -498,8 +505,8 @@
 
   private createEndpointPaths(): EndpointPaths {
     const listAddresses = (service: string): string[] =>
-      this.directory
-        .listCellsOf(service)
+      this.directory.cells
+        .listOf(service)
         .flatMap(({ endpoints }) => endpoints.map(({ address }) => address));
     return new EndpointPaths({
       listAddresses,
@@ -518,14 +525,11 @@
   }
 
   private createUsageLimits(): FleetUsageLimits {
-    const findOrganisations = (): OrganisationIndex | undefined =>
-      this.directory.routes?.organisations;
     return new FleetUsageLimits({
       members: this.members,
       hasJoined: () => this.peerState.joinedAt !== undefined,
       settings: () => this.settings,
-      listOrganisations: () => this.directory.routes?.configuration.organisations ?? [],
-      findOrganisation: (name) => findOrganisations()?.findByName(name),
+      findRoutes: () => this.directory.routes,
       send: (message, to) => this.datagramSocket.send(message, to),
       onReport: (report) => this.reporter.recordUsage(report),
       onKeeper: (group, keeper) => this.reporter.recordUsageKeeper(group, keeper),
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -10,18 +10,19 @@
 import { type Member, type MemberTable, STORE_WATCHER_ROLE } from './member.js';
 import { findStartPlace } from './start-tree.js';
 import { type StateRequest, requestState } from './state-server.js';
+import { type ReportedPosition, isLater, readPosition } from './store-position.js';
 
 /** Wait before the members are read again, so that daemons that start together have all registered. */
 const JOIN_PAUSE_MILLISECONDS = 700;
 const JOIN_CALL_MILLISECONDS = 700;
 const JOIN_RETRY_MILLISECONDS = 800;
 /** Number of cached states; `StateServer` caches their encoded form. */
-const MAXIMUM_STATES = 4;
+const MAXIMUM_STATES = 16;
 /** Number of new members that a log line names. */
 const LOGGED_MEMBERS = 3;
 /** Time for which a daemon that starts as well may wait for its own state before it answers. */
 const FIRST_STATE_WAIT_MILLISECONDS = 300;
-/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch. */
+/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch, unless one drains. */
 const LAZY_FETCH_MILLISECONDS = 2000;
 
 /** Options of `PeerState`. */
@@ -64,14 +65,22 @@
 
   /** Fetches the state of a daemon whose ping or pong shows a newer configuration, newer endpoints or other members. */
   fetchIfNewer(
-    known: Pick<datagrams.Pong, 'configurationVersion' | 'directoryRevision'>,
+    known: Pick<datagrams.Pong, 'configurationVersion'> &
+      Partial<Pick<datagrams.Pong, 'drains'>> &
+      ReportedPosition,
     host: string,
     membersDiffer: boolean,
   ): void {
-    const hasNewerEndpoints = known.directoryRevision > this.options.directory.endpointRevision;
+    const { position } = this.options.directory;
+    const reported = readPosition(known, position);
+    const hasNewerEndpoints = isLater(reported, position);
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
     const mustFetchEndpoints = (): boolean =>
-      isDue || !this.options.directory.hasEndpoints || this.options.isDispatching();
+      isDue ||
+      !this.options.directory.hasEndpoints ||
+      reported.era > position.era ||
+      (known.drains?.[0] ?? 0) > position.revision ||
+      this.options.isDispatching();
     const shouldFetch =
       known.configurationVersion > this.options.directory.configurationVersion ||
       (hasNewerEndpoints && mustFetchEndpoints()) ||
@@ -95,10 +104,12 @@
     try {
       const state = await requestState(address, {
         configurationVersion: this.options.directory.configurationVersion,
-        directoryRevision: this.options.directory.endpointRevision,
+        directoryRevision: this.options.directory.position.revision,
+        directoryEra: this.options.directory.position.era,
         memberDigest: this.options.members.digest,
         members: [this.options.members.self],
         waitMilliseconds,
+        acceptsChanges: true,
       });
       this.importState(state, address);
     } finally {
@@ -111,8 +122,17 @@
     if (state.configuration !== undefined) {
       this.options.directory.activateConfiguration(state.configuration, source);
     }
-    if (state.endpoints !== undefined) {
-      this.options.directory.replaceEndpoints(state.endpoints, state.directoryRevision, source);
+    const { directory } = this.options;
+    const { endpoints, changes, unconfirmed } = state;
+    const position = readPosition(state, directory.position);
+    if (endpoints !== undefined) {
+      directory.replaceEndpoints(endpoints, position, source, unconfirmed);
+      directory.adoptPosition(position);
+    } else if (
+      changes !== undefined &&
+      directory.changeEndpoints(changes.puts, changes.removed, position, source)
+    ) {
+      directory.adoptPosition(position);
     }
   }
 
@@ -142,18 +162,35 @@
   handleStateRequest(request: StateRequest): State {
     this.addMembers(request.members, 'peer');
     const hasOtherMembers = request.memberDigest !== this.options.members.digest;
-    const { endpointRevision, configurationVersion } = this.options.directory;
+    const { directory } = this.options;
+    const { routes, position, configurationVersion } = directory;
+    const requested = readPosition(request, position);
     const hasNewerConfiguration = configurationVersion > request.configurationVersion;
-    const hasNewerEndpoints = endpointRevision > request.directoryRevision;
+    const hasNewerEndpoints = isLater(position, requested);
+    const unconfirmed = directory.listUnconfirmed();
+    const changes =
+      hasNewerEndpoints && request.acceptsChanges === true && unconfirmed.length === 0
+        ? directory.listChangesSince(requested)
+        : undefined;
     const content = [
       hasNewerConfiguration && configurationVersion,
-      hasNewerEndpoints && endpointRevision,
+      hasNewerEndpoints && [position.era, position.revision, ...unconfirmed],
+      changes !== undefined && requested.revision,
       hasOtherMembers && this.options.members.digest,
     ];
     const key = content.join(' ');
     let state = this.states.get(key);
     if (state === undefined) {
-      state = this.createState(hasNewerConfiguration, hasNewerEndpoints, hasOtherMembers);
+      const endpoints = changes === undefined ? { endpoints: directory.listStored() } : { changes };
+      const held = unconfirmed.length > 0 ? { unconfirmed } : {};
+      state = {
+        ...(hasNewerConfiguration &&
+          routes !== undefined && { configuration: routes.configuration }),
+        ...(hasNewerEndpoints && { ...endpoints, ...held }),
+        ...(hasOtherMembers && { members: this.options.members.list() }),
+        directoryRevision: position.revision,
+        directoryEra: position.era,
+      };
       this.states.set(key, state);
       if (this.states.size > MAXIMUM_STATES) {
         this.states.delete(this.states.keys().next().value as string);
@@ -162,26 +199,11 @@
     return state;
   }
 
-  private createState(
-    withConfiguration: boolean,
-    withEndpoints: boolean,
-    withMembers: boolean,
-  ): State {
-    const { routes, endpointRevision } = this.options.directory;
-    return {
-      ...(withConfiguration && routes !== undefined && { configuration: routes.configuration }),
-      ...(withEndpoints && { endpoints: this.options.directory.listStored() }),
-      ...(withMembers && { members: this.options.members.list() }),
-      directoryRevision: endpointRevision,
-    };
-  }
-
   /**
    * Registers this daemon in the store and reads the others from it. While the store does not respond, queries the seeds
    * and retries. Then requests the first state from other daemons.
    */
   async join(): Promise<void> {
-    const { source } = this.options;
     const { signal } = this.closing;
     const readMembers = (allowStale: boolean): Promise<boolean> =>
       results.callWithTimeout(JOIN_CALL_MILLISECONDS, signal, (limited) =>
@@ -191,9 +213,7 @@
       try {
         // After a restart the entry of this daemon is still in the store and need not be written again.
         if (!(await readMembers(true))) {
-          await results.callWithTimeout(JOIN_CALL_MILLISECONDS, signal, (limited) =>
-            source.writeMember(this.options.members.self, limited),
-          );
+          await this.register();
           await delay(JOIN_PAUSE_MILLISECONDS);
           await readMembers(false);
         }
@@ -229,6 +249,27 @@
     }
   }
 
+  /** Writes the entry of this daemon again, because the store may have lost it. Retries until the store has it. */
+  async registerAgain(): Promise<void> {
+    while (!this.options.isStopping()) {
+      try {
+        await this.register();
+        return;
+      } catch (error) {
+        const { kind, message } = results.toFailure(error);
+        this.options.logger.warn('registering again failed', { result: kind, reason: message });
+        await delay(JOIN_RETRY_MILLISECONDS);
+      }
+    }
+  }
+
+  private register(): Promise<void> {
+    const { source, members } = this.options;
+    return results.callWithTimeout(JOIN_CALL_MILLISECONDS, this.closing.signal, (limited) =>
+      source.writeMember(members.self, limited),
+    );
+  }
+
   /** Reads the daemons from the store; returns whether this one is registered with its current host. */
   private async readMembers(allowStale: boolean, signal: AbortSignal): Promise<boolean> {
     const { self } = this.options.members;
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -26,12 +26,16 @@
 export const stateRequestSchema = z.object({
   configurationVersion: z.number(),
   directoryRevision: z.number(),
+  /** Absent from older daemons. */
+  directoryEra: z.number().int().optional(),
   /** Members that the other daemon may lack; the requesting daemon itself at least. */
   members: z.array(memberSchema),
   /** Digest of the known members; older daemons lack it and get the members in any case. */
   memberDigest: z.string().optional(),
   /** Time for which the other daemon may wait for its own first state. Older daemons send none and ignore it. */
   waitMilliseconds: z.number().nonnegative().optional(),
+  /** Whether the other daemon may respond with changes only. Older daemons send none. */
+  acceptsChanges: z.boolean().optional(),
 });
 
 export type StateRequest = z.infer<typeof stateRequestSchema>;
--- a/packages/daemon/gateway-daemon/test/memory-store.ts
+++ b/packages/daemon/gateway-daemon/test/memory-store.ts
@@ -1,7 +1,7 @@
 /**
  * Content of the in-memory store, with the history of endpoint changes.
  */
-import type { Endpoint, TrafficConfiguration } from '@dogwoodstall/traffic';
+import type { Endpoint, Organisation, TrafficConfiguration } from '@dogwoodstall/traffic';
 import type * as gatewayDaemon from '../src/index.js';
 
 interface Change {
@@ -11,6 +11,8 @@
 
 /** The content of the store, shared by the connections of all daemons. */
 export class MemoryStore {
+  era = 0;
+
   revision = 1;
 
   configuration: TrafficConfiguration | undefined;
@@ -19,11 +21,31 @@
 
   readonly endpoints = new Map<string, Endpoint>();
 
-  readonly changes: Change[] = [];
+  changes: Change[] = [];
 
   readonly members = new Map<string, gatewayDaemon.Member>();
 
-  crashRecords: gatewayDaemon.VersionedCrashRecords = { records: [], revision: 0 };
+  crashRecords: gatewayDaemon.VersionedCrashRecords = { records: [], revision: 0, era: 0 };
+
+  /** Returns a function that puts the store back to its present content, in a new era. */
+  copy(): () => void {
+    const { revision, configuration, configurationRevision, changes, crashRecords } = this;
+    const endpoints = [...this.endpoints];
+    const members = [...this.members];
+    return () => {
+      this.era += 1;
+      Object.assign(this, { revision, configuration, configurationRevision, crashRecords });
+      this.changes = changes.filter((change) => change.revision <= revision);
+      this.endpoints.clear();
+      for (const [id, endpoint] of endpoints) {
+        this.endpoints.set(id, endpoint);
+      }
+      this.members.clear();
+      for (const [name, member] of members) {
+        this.members.set(name, member);
+      }
+    };
+  }
 
   put(endpoint: Endpoint): void {
     this.revision += 1;
@@ -37,7 +59,7 @@
     this.changes.push({ revision: this.revision, change: { kind: 'removed', id } });
   }
 
-  configure(version: number, service: string): void {
+  configure(version: number, service: string, organisations?: Organisation[]): void {
     this.revision += 1;
     this.configurationRevision = this.revision;
     this.configuration = {
@@ -56,6 +78,7 @@
         },
       ],
       services: [],
+      ...(organisations !== undefined && { organisations }),
       limits: {
         headerBytes: 16_384,
         bodyBytes: 1_000_000,
