Check a configuration of gateway daemons before it is sent

The command check-configuration prints numbered findings of a whole configuration: routes that can never match, destinations without service or weight, times and usage caps that contradict each other, tokens that are shared or absent, unknown fields; and what differs from the version in force. The schema finds none of these, and the daemons take such a configuration.

The version in force is read from a file. Reading it from a daemon's state port was left out: the command line precedes the gateway daemon in the order of packages.

--- a/packages/configuration/traffic/src/index.ts
+++ b/packages/configuration/traffic/src/index.ts
@@ -14,6 +14,14 @@
   type TrafficConfiguration,
   trafficConfigurationSchema,
 } from './configuration.js';
+export { checkConfiguration } from './configuration-check.js';
+export {
+  type EntryChange,
+  type FieldChange,
+  checkVersion,
+  compareConfigurations,
+} from './configuration-difference.js';
+export { type Finding, type FindingKind, findingKinds } from './finding.js';
 export { type Endpoint, endpointSchema, isSameLifetime } from './endpoint.js';
 export {
   type Organisation,
@@ -21,4 +29,5 @@
   digestToken,
   organisationSchema,
 } from './organisation.js';
+export { findUnknownFields } from './unknown-fields.js';
 export { RouteIndex, chooseDestination } from './route-index.js';
--- a/packages/daemon/command-line/src/program.ts
+++ b/packages/daemon/command-line/src/program.ts
@@ -4,6 +4,7 @@
 import * as cmd from 'cmd-ts';
 import * as results from '@dogwoodstall/results';
 import { AdministrationError } from './administration-error.js';
+import { checkConfigurationCommand } from './commands/check-configuration.js';
 import { configurationCommands } from './commands/configuration.js';
 import { checkSettingsCommand, daemonCommand } from './commands/daemon.js';
 import { explainCommand } from './commands/explain.js';
@@ -25,6 +26,7 @@
   cmds: {
     daemon: daemonCommand,
     'check-settings': checkSettingsCommand,
+    'check-configuration': checkConfigurationCommand,
     plan: planCommand,
     configuration: configurationCommands,
     service: serviceCommands,
