--- a/packages/daemon/gateway-daemon/src/start-tree.ts
+++ b/packages/daemon/gateway-daemon/src/start-tree.ts
@@ -10,7 +10,7 @@
 /** Number of daemons that request the state from the same one. */
 const REQUESTERS = 6;
 /** Time for which a daemon waits for the state: some round trips and the first read of the store. */
-const FIRST_LEVEL_MILLISECONDS = 600;
+const FIRST_LEVEL_MILLISECONDS = 900;
 /** Additional time for each further level. */
 const LEVEL_MILLISECONDS = 400;
 
