Choose this daemon at once while no other one can dispatch

Since rankings are completed on demand, the first choice of each cell completed one while no other daemon is usable, although the choice is this daemon anyway.

--- a/packages/daemon/gateway-daemon/src/candidates.ts
+++ b/packages/daemon/gateway-daemon/src/candidates.ts
@@ -88,6 +88,9 @@
 
   /** Returns the first usable daemon that was not tried yet, or this daemon if there is none. */
   choose(role: Role, tried: ReadonlySet<string>): DispatcherTarget {
+    if (this.hasNoPeerFor(role)) {
+      return this.getSelf();
+    }
     for (const member of this.options.members.iterateRanking(role)) {
       if (!tried.has(member.name) && this.isUsable(member, role)) {
         return this.toTarget(member);
@@ -104,7 +107,7 @@
   /** Returns the names of the first responsive candidates of a role; this daemon always counts as responsive. */
   listLeading(role: Role): string[] {
     const { self } = this.options.members;
-    if (role !== STORE_WATCHER_ROLE && !this.hasUsablePeer()) {
+    if (this.hasNoPeerFor(role)) {
       return [self.name];
     }
     const leading: string[] = [];
@@ -154,6 +157,11 @@
     return false;
   }
 
+  /** Whether no other daemon can be used for a role, so that its ranking is not needed. */
+  private hasNoPeerFor(role: Role): boolean {
+    return role !== STORE_WATCHER_ROLE && !this.hasUsablePeer();
+  }
+
   /** Pings all monitored daemons immediately, to announce new local versions. */
   pingAll(): void {
     for (const contact of this.contacts.values()) {
