--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -5,10 +5,10 @@
 import * as datagrams from '@dogwoodstall/datagrams';
 import * as gateway from '@dogwoodstall/gateway';
 import type * as observability from '@dogwoodstall/observability';
-import * as results from '@dogwoodstall/results';
 import { Candidates, type DispatcherTarget } from './candidates.js';
 import { CellSelector } from './cell-selector.js';
 import { DecisionReporter } from './decision-reporter.js';
+import { DaemonPorts } from './daemon-ports.js';
 import type { DirectorySource } from './directory-source.js';
 import { connectOnce } from './connect-once.js';
 import { CrashRecordExchange } from './crash-record-exchange.js';
@@ -22,17 +22,14 @@
 import { FleetUsageLimits } from './fleet-usage-limits.js';
 import { EndpointPaths } from './endpoint-paths.js';
 import { PathAwareSlots } from './path-aware-slots.js';
-import { MetricsServer, type MetricsSnapshot } from './metrics-server.js';
+import type { MetricsSnapshot } from './metrics-server.js';
 import { PeerState } from './peer-state.js';
 import { PingExchange } from './ping-exchange.js';
-import { PortBinder } from './port-binder.js';
-import { ReadinessServer } from './readiness-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { RoleAssignment } from './role-assignment.js';
-import { type GatewaySettings, splitAddress } from './settings.js';
+import type { GatewaySettings } from './settings.js';
 import { SilentAttempts } from './silent-attempts.js';
 import { type SideTask, SideTaskErrors } from './side-task-errors.js';
-import { StateServer } from './state-server.js';
 import { StoreContactTracker } from './store-contact-tracker.js';
 import { StoreWatcher } from './store-watcher.js';
 import { type Suspension, SuspensionDetector } from './suspension-detector.js';
@@ -90,10 +87,6 @@
 
   private readonly watcher: StoreWatcher;
 
-  private readonly stateServer: StateServer;
-
-  private readonly readinessServer: ReadinessServer;
-
   private readonly logger: observability.ComponentLogger;
 
   private readonly reporter: DecisionReporter;
@@ -110,18 +103,11 @@
 
   private readonly endpointPaths: EndpointPaths;
 
-  /** Aborted when the daemon is stopped, which also ends a start that is under way. */
-  private readonly startAbort = new AbortController();
-
-  private readonly ports: PortBinder;
+  private readonly ports: DaemonPorts;
 
   /** Number of signals by signal and phase. */
   private readonly signals = new Map<string, number>();
 
-  private starting: Promise<void> | undefined;
-
-  private started = false;
-
   private malformedCount = 0;
 
   private stopping: Promise<void> | undefined;
@@ -243,27 +229,21 @@
       onLost: () => this.pingExchange.announceToAll(),
       logger: log.getLogger('store'),
     });
-    this.ports = new PortBinder({
-      graceMilliseconds: settings.stop.graceSeconds * 1000,
-      signal: this.startAbort.signal,
+    this.ports = new DaemonPorts({
+      settings,
+      readinessPath: options.protocol.readinessPath,
+      burstConnections: Math.floor(this.connectionLimits.maximum * BURST_SHARE),
+      errors: this.errors,
+      bindDatagrams: (address) => this.datagramSocket.bind(address),
+      listenForCallers: (host, port) => this.server.listen(host, port),
+      provideState: (request) => this.peerState.provideState(request),
+      isReady: () => this.isReady,
+      readMetrics: () => this.readMetrics(),
+      onMetricsServer: (server) => {
+        this.reporter.metricsServer = server;
+      },
       logger: this.logger,
     });
-    this.stateServer = new StateServer(
-      (request) => this.peerState.provideState(request),
-      this.errors,
-      this.burstConnections,
-    );
-    this.readinessServer = new ReadinessServer(
-      options.protocol.readinessPath,
-      () => this.isReady,
-      this.errors,
-      this.burstConnections,
-    );
-  }
-
-  /** Connections that may arrive at once at each port that is not for callers. */
-  private get burstConnections(): number {
-    return Math.floor(this.connectionLimits.maximum * BURST_SHARE);
   }
 
   /** Whether the daemon accepts requests of callers. */
@@ -276,16 +256,8 @@
    * `stop` is called meanwhile.
    */
   async start(): Promise<void> {
-    this.starting = this.bindPorts();
-    try {
-      await this.starting;
-    } catch (error) {
-      if (this.startAbort.signal.aborted) {
-        return;
-      }
-      throw error;
-    }
-    if (!this.started) {
+    await this.ports.bind();
+    if (!this.ports.isBound) {
       return;
     }
     const { name, zone } = this.options.settings;
@@ -327,7 +299,7 @@
 
   /** Records a signal that the process received; `milliseconds` is the age of the process at that time. */
   recordSignal(signal: string, milliseconds: number): void {
-    const running = this.started ? 'running' : 'start';
+    const running = this.ports.isBound ? 'running' : 'start';
     const phase = this.stopping === undefined ? running : 'stop';
     const key = JSON.stringify({ signal, phase });
     this.signals.set(key, (this.signals.get(key) ?? 0) + 1);
@@ -359,52 +331,11 @@
     this.dispatcherClient.close();
     this.endpointPaths.close();
     this.datagramSocket.close();
-    this.stateServer.close();
-    this.readinessServer.close();
+    this.ports.close();
     this.server.close();
     this.reporter.close();
   }
 
-  private async bindPorts(): Promise<void> {
-    const { listen } = this.options.settings;
-    const caller = splitAddress(listen.caller);
-    const readiness = splitAddress(listen.readiness);
-    const peer = splitAddress(listen.peer);
-    if (listen.metricsPort !== undefined) {
-      this.serveMetrics(peer.host, listen.metricsPort).catch((error: unknown) => {
-        const { kind, message } = results.toFailure(error);
-        this.logger.error('metrics are not served', { result: kind, reason: message });
-      });
-    }
-    const steps = [
-      ['datagrams', () => this.datagramSocket.bind({ host: peer.host, port: listen.datagramPort })],
-      ['peer', () => this.stateServer.listen(peer.host, peer.port)],
-      ['readiness', () => this.readinessServer.listen(readiness.host, readiness.port)],
-      ['caller', () => this.server.listen(caller.host, caller.port)],
-    ] as const;
-    for (const [port, bind] of steps) {
-      if (this.startAbort.signal.aborted) {
-        return;
-      }
-      await this.ports.bind(port, bind);
-    }
-    this.started = true;
-  }
-
-  /** Serves metrics as soon as the port is free; callers are served meanwhile, and also without metrics. */
-  private async serveMetrics(host: string, port: number): Promise<void> {
-    const server = await MetricsServer.create(
-      () => this.readMetrics(),
-      this.errors,
-      this.burstConnections,
-    );
-    this.reporter.metricsServer = server;
-    await this.ports.bind('metrics', () => server.listen(host, port));
-    if (this.closed) {
-      server.close();
-    }
-  }
-
   private createDirectory(): Directory {
     const logger = this.options.log.getLogger('directory');
     return new Directory({
@@ -644,11 +575,11 @@
   }
 
   private async stopGracefully(): Promise<void> {
-    this.startAbort.abort();
-    if (!this.started) {
+    const aborted = this.ports.abort();
+    if (!this.ports.isBound) {
       // No caller has been accepted, so that there is nothing to wait for.
       this.logger.info('daemon stops before it has started');
-      await this.starting?.catch(() => undefined);
+      await aborted;
       this.close();
       return;
     }
