End requests without an error for each abort

Each request aborted two controllers without a reason, which creates an error with its stack, and the delay of a hedge a third one; profiles showed 5.9% of the processor time in it. The aborts share a reason now, and the delay is a timer. More than ten requests in flight also printed a warning about listeners of the stop signal, once a process.

--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -2,6 +2,7 @@
  * The HTTP server that accepts connections and requests of callers, within the limits of descriptors and memory, and
  * shuts down gracefully.
  */
+import { setMaxListeners } from 'node:events';
 import * as http from 'node:http';
 import * as net from 'node:net';
 import type { Duplex } from 'node:stream';
@@ -105,6 +106,8 @@
       stopEndsAt: () => this.stopEndsAt,
       stopSignal: this.stopAbort.signal,
     });
+    // Each request in flight listens.
+    setMaxListeners(0, this.stopAbort.signal);
     this.server = this.createServer();
   }
 
--- a/packages/routing/gateway/src/request-execution.ts
+++ b/packages/routing/gateway/src/request-execution.ts
@@ -90,6 +90,9 @@
 /** Attempts allowed beyond the maximum of the route when earlier ones could not connect to their endpoint. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
+/** Reason of all aborts at the end of a request; an abort without a reason creates an error with its stack. */
+const requestEnded = new Error('request has ended');
+
 type RunningAttemptResult =
   | { readonly kind: 'refused'; readonly decision: Extract<SlotDecision, { kind: 'refused' }> }
   /** The slot was granted too late to use it. */
@@ -156,7 +159,7 @@
     try {
       return await this.runAttempts();
     } finally {
-      this.endAbort.abort();
+      this.endAbort.abort(requestEnded);
     }
   }
 
@@ -182,7 +185,7 @@
         const response = this.evaluate(event.result);
         if (response !== undefined) {
           for (const { abortController } of running.values()) {
-            abortController.abort();
+            abortController.abort(requestEnded);
           }
           return { kind: 'answer', response };
         }
@@ -296,13 +299,11 @@
         ? { attemptsLeft: 1, repeated, service, organisation, fingerprint }
         : undefined;
     this.sentAttempts += 1;
-    const hedgeDelayAbort = new AbortController();
     const hedgeDelay = hedging.getDelay(context.route, slot.hedgeAfter);
+    let hedgeTimer: NodeJS.Timeout | undefined;
     if (hedgeDelay !== undefined) {
       this.hedgeDelay = hedgeDelay;
-      delay(hedgeDelay, undefined, { signal: hedgeDelayAbort.signal }).then(onHedgeDelay, () => {
-        // The attempt ended before the hedge delay.
-      });
+      hedgeTimer = setTimeout(onHedgeDelay, hedgeDelay);
     }
     hedge?.start();
     const attemptResult = await sendAttempt({
@@ -322,7 +323,7 @@
       body: context.body,
       signal,
     });
-    hedgeDelayAbort.abort();
+    clearTimeout(hedgeTimer);
     const { kind } = attemptResult.outcome;
     if (kind === 'no-descriptor') {
       this.options.onDescriptorShortage();
