--- a/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
@@ -91,7 +91,7 @@
   assert.deepEqual(sent, []);
 });
 
-// Guards against requests that wait for ever while no keeper responds.
+// Guards against requests that wait without end while no keeper responds.
 test('a request is decided although no other daemon responds', async () => {
   const small = describeOrganisation('small', 10);
   const { limits, sent } = createLimits(
