Keep the order of arrival without organisations

Waiting requests were ordered by arrival and target also where no organisation competes, which changes the order of deployments that did not ask for it whenever targets differ. Their order is that of arrival again, within the priority. Ruled out: a setting, since nobody has asked for the other order there. The new test fails before; 108 tests of the package pass.

--- a/packages/routing/grants/src/waiting-order.ts
+++ b/packages/routing/grants/src/waiting-order.ts
@@ -81,8 +81,8 @@
   private findLatestStart({ request, arrivedAt }: Waiter, target: number): number {
     const { route, remaining, waitedElsewhere, organisation } = request;
     if (organisation === '') {
-      // Requests without an organisation keep their order of arrival if their targets are equal.
-      return arrivedAt + target;
+      // Without organisations nobody competes for shares, and the order of arrival holds.
+      return arrivedAt;
     }
     const service = this.options.serviceTimes.expect(route, request.target);
     return arrivedAt + Math.min(target - waitedElsewhere, remaining) - service;
--- a/packages/routing/grants/test/cell-dispatcher.test.ts
+++ b/packages/routing/grants/test/cell-dispatcher.test.ts
@@ -74,6 +74,18 @@
   assert.equal(service.decisions.get(later), undefined);
 });
 
+// Guards against deployments without organisations that are served in another order than before.
+test('without organisations waiting requests are served in order of arrival, whatever their targets are', () => {
+  const service = new VirtualService([createEndpoint('one', { slots: 1 })]);
+  const first = service.ask();
+  const patient = service.ask({ target: 800, remaining: 3000 });
+  service.now += 5;
+  const urgent = service.ask({ target: 400, remaining: 3000 });
+  service.run('success', 20, first);
+  assert.equal(service.decisions.get(patient)?.kind, 'grant');
+  assert.equal(service.decisions.get(urgent), undefined);
+});
+
 test('a request that crashed three endpoints is refused, other requests are not', () => {
   const endpoints = ['one', 'two', 'three', 'four'].map((id) => createEndpoint(id));
   const service = new VirtualService(endpoints);
