--- a/review/stand-ins-2/endpoint.mjs
+++ b/review/stand-ins-2/endpoint.mjs
@@ -92,6 +92,9 @@
 
   responseBytes = 0;
 
+  /** Whether the bodies of answers are kept, to be compared with what requesters got. */
+  keepsBodies = true;
+
   constructor(options) {
     lastId += 1;
     this.options = { slots: 2, workMilliseconds: 30, zone: 'zone-a', ...options };
@@ -230,8 +233,9 @@
         } else if (work > left) {
           this.send(socket, 504, requestId, this.seal(requestId), '');
         } else {
-          run.body = this.compose(run, fate.responseBytes ?? this.responseBytes);
-          this.send(socket, 200, requestId, this.seal(requestId), run.body);
+          const body = this.compose(run, fate.responseBytes ?? this.responseBytes);
+          run.body = this.keepsBodies ? body : undefined;
+          this.send(socket, 200, requestId, this.seal(requestId), body);
         }
       },
       Math.min(work, left),
