--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -5,10 +5,11 @@
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import { call } from '../stand-ins-2/caller.mjs';
-import { CannotRun, Deployment, runCase } from '../stand-ins-2/deployment.mjs';
+import { CannotRun, Deployment, listRequests, runCase } from '../stand-ins-2/deployment.mjs';
 import { Endpoint } from '../stand-ins-2/endpoint.mjs';
 
-const DAEMONS = 6;
+const RECORD = new URL('record.txt', import.meta.url);
+const DAEMONS = 10;
 const TENANTS = 40;
 const REQUESTERS = 480;
 const LEAVING_SHARE = 0.3;
@@ -61,7 +62,7 @@
   return found;
 }
 
-await runCase('GONE', async ({ record, hasTrouble }) => {
+await runCase('GONE', RECORD, async ({ record, hasTrouble }) => {
   const deployment = new Deployment({ daemons: DAEMONS, bounds: BOUNDS, memoryMegabytes: 250 });
   const keepers = new Map();
   deployment.onLine = (daemon, line) => {
@@ -119,7 +120,7 @@
   for (const { requestId, daemon, sentAt, endedAt, status, error, leaveAfter } of records) {
     statuses[status ?? error] = (statuses[status ?? error] ?? 0) + 1;
     const run = runs.get(requestId);
-    const hasLeft = leaveAfter !== undefined && status === undefined;
+    const hasLeft = leaveAfter !== undefined && status === undefined && sentAt >= frozenAt;
     if (hasLeft && daemon !== keeper && run !== undefined) {
       const after = Math.round(run.startedAt - endedAt);
       if (after > LATE_MILLISECONDS) {
@@ -135,6 +136,7 @@
     `${keeper.name} keeps limits${hasTrouble ? ' and was stopped' : ''}; late: ${late.length}`,
   );
   late.forEach((text) => record(text));
+  listRequests(records, deployment.endpoints).forEach((text) => record(text));
   deployment.close();
   return late.length > A_FEW ? late : [];
 });
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -290,31 +290,54 @@
   }
 }
 
-/** Runs a case within its time and exits as the review asks: 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
-export async function runCase(name, play) {
+/** Lists what was sent, answered and run, a line for each request, in seconds since the start of the first one. */
+export function listRequests(records, endpoints) {
+  const runs = new Map();
+  for (const { id, runs: ownRuns } of endpoints) {
+    for (const { requestId, startedAt } of ownRuns) {
+      runs.set(requestId, [...(runs.get(requestId) ?? []), { id, startedAt }]);
+    }
+  }
+  const sorted = [...records].sort((left, right) => left.sentAt - right.sentAt);
+  const origin = sorted[0]?.sentAt ?? 0;
+  const format = (at) => ((at - origin) / 1000).toFixed(3);
+  return sorted.map(({ requestId, address, sentAt, endedAt, status, error }) => {
+    const run = (runs.get(requestId) ?? [])
+      .map(({ id, startedAt }) => `, run by ${id} at ${format(startedAt)}`)
+      .join('');
+    return `${format(sentAt)} ${requestId} to ${address}, answer ${status ?? error ?? 'none'} at ${format(endedAt ?? NaN)}${run}`;
+  });
+}
+
+/**
+ * Runs a case within its time and exits as the review asks: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+ * What `record` is called with is written to the file.
+ */
+export async function runCase(name, file, play) {
   const lines = [];
   const record = (text) => {
     lines.push(text);
   };
   const hasTrouble = process.env.TROUBLE !== '0';
-  let code = 2;
-  const timer = setTimeout(() => {
+  const finish = (code) => {
+    fs.writeFileSync(file, `${lines.join('\n')}\n`);
+    process.exit(code);
+  };
+  setTimeout(() => {
+    record("the case couldn't run: it took too long");
     process.stdout.write('the case took too long\n');
-    process.exit(2);
+    finish(2);
   }, 115_000);
   try {
     const broken = await play({ record, hasTrouble });
-    code = broken.length > 0 ? 1 : 0;
-    record(broken.length > 0 ? 'the rule was broken' : 'the rule held');
-    broken.slice(0, 20).forEach(record);
-    const verdict = broken.length > 0 ? `broken, ${broken.length} times` : 'held';
+    const verdict = broken.length > 0 ? 'the rule was broken' : 'the rule held';
+    record(verdict);
+    broken.slice(0, 20).forEach((text) => record(text));
     process.stdout.write(`${name}: ${verdict}\n${broken.slice(0, 5).join('\n')}\n`);
+    finish(broken.length > 0 ? 1 : 0);
   } catch (error) {
     record(`the case couldn't run: ${error.stack}`);
     process.stdout.write(`${error.stack}\n`);
+    finish(2);
   }
-  clearTimeout(timer);
-  const file = process.env.RECORD ?? 'record.txt';
-  fs.writeFileSync(file, `${lines.join('\n')}\n`);
-  process.exit(code);
 }
