Log how long a request waited for its usage limit

Cause: the line `request ended` gives the time of a request and of its attempts. What lies between may be the wait for a usage limit or the one for a slot; nothing tells which, so that a request that runs long after its caller has left can't be explained.

Change: the line has `usageWaitMilliseconds`, also for requests that are refused.

--- a/packages/routing/gateway/src/request-processor.ts
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -43,6 +43,8 @@
   readonly result: string;
   readonly status: number;
   readonly milliseconds: number;
+  /** How much of that time the request waited for the usage limit of its organisation. */
+  readonly usageWaitMilliseconds: number;
   readonly remainingMilliseconds: number;
 }
 
@@ -89,6 +91,7 @@
   /** Set if another daemon relayed the request. */
   readonly relayed: RelayState | undefined;
   readonly caller: CallerIdentity;
+  readonly usageWaitMilliseconds: number;
 }
 
 /** Share of the time allowed that is kept for the way of the response to the caller. */
@@ -145,12 +148,15 @@
       relayed === undefined
         ? identifyCaller(request, routes, route, this.options.protocol)
         : readRelayedCaller(relayed, routes);
-    const accepted = { incoming, checked, routes, route, relayed, caller };
+    const known = { incoming, checked, routes, route, relayed, caller };
     if (caller.organisation === undefined || relayed !== undefined) {
-      await this.execute(accepted, relayHeaders === undefined);
+      await this.execute({ ...known, usageWaitMilliseconds: 0 }, relayHeaders === undefined);
       return;
     }
+    const waitsFrom = performance.now();
     const usage = await this.options.usageLimits.admit(caller.organisation);
+    const usageWaitMilliseconds = Math.round(performance.now() - waitsFrom);
+    const accepted = { ...known, usageWaitMilliseconds };
     if (usage.kind === 'refused') {
       this.refuseUsage(accepted, usage.retryAfter);
       return;
@@ -183,13 +189,14 @@
       result,
       status: results.findResult(result).httpStatus,
       milliseconds: Math.round(now - (arrivedAt ?? now)),
+      usageWaitMilliseconds: 0,
       remainingMilliseconds: 0,
       ...known,
     });
   }
 
   private async execute(
-    { incoming, checked, routes, route, relayed, caller }: AcceptedRequest,
+    { incoming, checked, routes, route, relayed, caller, usageWaitMilliseconds }: AcceptedRequest,
     mayRelay: boolean,
   ): Promise<RequestResult> {
     const { request, response, requestId, arrivedAt } = incoming;
@@ -265,6 +272,7 @@
         result,
         status,
         milliseconds: Math.round(performance.now() - arrivedAt),
+        usageWaitMilliseconds,
         remainingMilliseconds: Math.round(deadlineAt - performance.now()),
       });
       return requestResult;
@@ -303,9 +311,13 @@
     this.reportUnsent('NotReady', incoming);
   }
 
-  private refuseUsage({ incoming, route, caller }: AcceptedRequest, retryAfter: number): void {
+  private refuseUsage(
+    { incoming, route, caller, usageWaitMilliseconds }: AcceptedRequest,
+    retryAfter: number,
+  ): void {
     const result = 'OrganisationRateExceeded';
     this.server.responder.sendFailure(incoming, results.createFailure(result), retryAfter, false);
-    this.reportUnsent(result, incoming, { route: route.name, organisation: caller.name ?? '' });
+    const organisation = caller.name ?? '';
+    this.reportUnsent(result, incoming, { route: route.name, organisation, usageWaitMilliseconds });
   }
 }
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -104,11 +104,13 @@
   readonly agent = new http.Agent({ keepAlive: true });
 
   /** The organisation of each request that the usage limits were asked about, and how often usage was given back. */
-  readonly usage = { admitted: [] as string[], givenBack: 0 };
+  readonly usage = { admitted: [] as string[], givenBack: 0, waiting: [] as (() => void)[] };
 
   /** Milliseconds after which a request beyond the usage cap may return; undefined if none is beyond it. */
   private usageRetryAfter: number | undefined;
 
+  private holdsUsage = false;
+
   private routes: RouteIndex;
 
   private readonly createRoutes: (
@@ -157,12 +159,18 @@
           if (this.usageRetryAfter !== undefined) {
             return { kind: 'refused', retryAfter: this.usageRetryAfter };
           }
-          return {
+          const admitted = {
             kind: 'admitted',
             giveBack: () => {
               this.usage.givenBack += 1;
             },
-          };
+          } as const;
+          if (!this.holdsUsage) {
+            return admitted;
+          }
+          return new Promise((resolve) => {
+            this.usage.waiting.push(() => resolve(admitted));
+          });
         },
       },
       hedging: new gateway.Hedging({
@@ -227,6 +235,18 @@
     this.usageRetryAfter = retryAfter;
   }
 
+  /** Makes further requests of organisations wait for their usage limit, as if no keeper responded. */
+  holdUsage(): void {
+    this.holdsUsage = true;
+  }
+
+  /** Admits the requests that wait for their usage limit. */
+  admitWaiting(): void {
+    for (const admit of this.usage.waiting.splice(0)) {
+      admit();
+    }
+  }
+
   /** Puts a version of the configuration in force that has the given organisations. */
   setOrganisations(version: number, organisations: readonly Organisation[]): void {
     this.routes = this.createRoutes(version, organisations);
