End requests that wait when their callers leave

Callers saw: endpoints worked for callers that had left.

Cause: a request was watched for the end of its connection, its deadline and the end of the graceful shutdown only from the moment at which its body was read. The waits before, for the routes (500 ms) and for a usage limit (1.5 s while no keeper responds), missed all three.

Change: RequestLifetime begins when a request arrives; all that waits gets its signal, and it is checked again before a slot is acquired. A waiting request is withdrawn from the usage limit, so that its place and its token serve others. The connection of a body that was held back is read once more before the request is sent, since its end can't be noticed before. Such requests have a line with result, organisation and wait.

Why it works: no wait is left between arrival and attempt that does not end with the lifetime, and memory is only reserved for responses that can still be sent.

All tests of the gateway package pass but were not run beside load.

--- a/packages/daemon/gateway-daemon/src/directory.ts
+++ b/packages/daemon/gateway-daemon/src/directory.ts
@@ -83,8 +83,8 @@
   /** The revisions of the last changes. */
   readonly history = new EndpointHistory();
 
-  /** Resolvers that are called once the configuration and the endpoints are known. */
-  private readonly completionCallbacks: (() => void)[] = [];
+  /** Called once the configuration and the endpoints are known. */
+  private readonly completionCallbacks = new Set<() => void>();
 
   constructor(private readonly options: DirectoryOptions) {}
 
@@ -111,24 +111,32 @@
     return this.routeIndex !== undefined && this.hasEndpoints;
   }
 
-  /** Resolves when the configuration and the endpoints are known, or after the given time at the latest. */
-  async waitUntilComplete(milliseconds: number): Promise<void> {
-    if (this.isComplete) {
+  /**
+   * Resolves when the configuration and the endpoints are known or the signal is aborted, or after the given time at the
+   * latest.
+   */
+  async waitUntilComplete(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    if (this.isComplete || signal?.aborted === true) {
       return;
     }
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, milliseconds);
-      this.completionCallbacks.push(() => {
+      let timer: NodeJS.Timeout | undefined;
+      const settle = (): void => {
         clearTimeout(timer);
+        this.completionCallbacks.delete(settle);
+        signal?.removeEventListener('abort', settle);
         resolve();
-      });
+      };
+      timer = setTimeout(settle, milliseconds);
+      this.completionCallbacks.add(settle);
+      signal?.addEventListener('abort', settle, { once: true });
     });
   }
 
   private notifyCompletion(): void {
     if (this.isComplete) {
-      for (const resolve of this.completionCallbacks.splice(0)) {
-        resolve();
+      for (const settle of this.completionCallbacks) {
+        settle();
       }
     }
   }
--- a/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
+++ b/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
@@ -45,6 +45,9 @@
   readonly now: () => number;
 }
 
+/** The decision about a request that ended while it waited. */
+const withdrawn: gateway.UsageDecision = { kind: 'refused', retryAfter: 0 };
+
 interface NamedRanking {
   readonly members: readonly Member[];
   readonly names: readonly string[];
@@ -93,24 +96,36 @@
     this.scheduleTick();
   }
 
-  admit(organisation: Organisation): Promise<gateway.UsageDecision> | gateway.UsageDecision {
+  admit(
+    organisation: Organisation,
+    signal: AbortSignal,
+  ): Promise<gateway.UsageDecision> | gateway.UsageDecision {
     const agent = this.agents[FleetUsageLimits.findGroup(organisation.name)];
     if (!FleetUsageLimits.hasLimit(organisation) || agent === undefined) {
       return { kind: 'admitted', giveBack: () => {} };
     }
     let decision: gateway.UsageDecision | undefined;
     let settle: ((decided: gateway.UsageDecision) => void) | undefined;
-    agent.admit(organisation.name, (admission) => {
+    const withdraw = agent.admit(organisation.name, (admission) => {
       this.counts.record(organisation.name, admission);
       decision = this.withCount(admission);
       settle?.(decision);
     });
-    return (
-      decision ??
-      new Promise((resolve) => {
-        settle = resolve;
-      })
-    );
+    if (decision !== undefined) {
+      return decision;
+    }
+    return new Promise((resolve) => {
+      const onAbort = (): void => {
+        withdraw();
+        this.counts.countWithdrawn();
+        resolve(withdrawn);
+      };
+      settle = (decided) => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(decided);
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+    });
   }
 
   /** Processes a message of another daemon; those of unknown daemons are ignored. */
--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -491,7 +491,8 @@
       hedging: this.hedging,
       isDaemon: (host) => this.members.findByHost(host) !== undefined,
       findRoutes: () => (this.directory.isComplete ? this.directory.routes : undefined),
-      waitForRoutes: (milliseconds) => this.directory.waitUntilComplete(milliseconds),
+      waitForRoutes: (milliseconds, signal) =>
+        this.directory.waitUntilComplete(milliseconds, signal),
       maximumBufferedBytes: settings.limits.memoryMegabytes * MEGABYTE * BODY_MEMORY_SHARE,
       maximumTotalBytes: settings.limits.memoryMegabytes * MEGABYTE * TOTAL_BODY_MEMORY_SHARE,
       connectionLimits: this.connectionLimits,
--- a/packages/daemon/gateway-daemon/src/usage-counts.ts
+++ b/packages/daemon/gateway-daemon/src/usage-counts.ts
@@ -14,6 +14,8 @@
   readonly admittedAlone: number;
   readonly refused: number;
   readonly givenBack: number;
+  /** Requests that ended while they waited for a token. */
+  readonly withdrawn: number;
   /** Requests for tokens that were sent to keepers. */
   readonly borrowed: number;
   /** Responses to those of other daemons. */
@@ -28,7 +30,15 @@
 type MutableTotals = { -readonly [Key in keyof Totals]: number };
 
 function createTotals(): MutableTotals {
-  return { admitted: 0, admittedAlone: 0, refused: 0, givenBack: 0, borrowed: 0, lent: 0 };
+  return {
+    admitted: 0,
+    admittedAlone: 0,
+    refused: 0,
+    givenBack: 0,
+    withdrawn: 0,
+    borrowed: 0,
+    lent: 0,
+  };
 }
 
 /** Counts until the next report. */
@@ -52,6 +62,10 @@
     this.totals.givenBack += 1;
   }
 
+  countWithdrawn(): void {
+    this.totals.withdrawn += 1;
+  }
+
   countMessage({ kind }: UsageMessage): void {
     this.totals.borrowed += kind === 'borrow' ? 1 : 0;
     this.totals.lent += kind === 'lend' ? 1 : 0;
--- a/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
+++ b/packages/daemon/gateway-daemon/test/fleet-usage-limits.test.ts
@@ -66,7 +66,7 @@
   const free = describeOrganisation('free', 0);
   const { limits, sent, reports } = createLimits([free], [describeMember('other', '127.0.0.2')]);
   limits.update();
-  assert.equal((await limits.admit(free)).kind, 'admitted');
+  assert.equal((await limits.admit(free, new AbortController().signal)).kind, 'admitted');
   await delay(1200);
   limits.close();
   assert.deepEqual(sent, []);
@@ -81,7 +81,7 @@
   await delay(SETTLE_MILLISECONDS);
   const decisions = [];
   for (let count = 0; count < 40; count += 1) {
-    decisions.push(await limits.admit(small));
+    decisions.push(await limits.admit(small, new AbortController().signal));
   }
   limits.close();
   const refused = decisions.filter(({ kind }) => kind === 'refused');
@@ -102,12 +102,33 @@
   );
   limits.update();
   const startedAt = performance.now();
-  await limits.admit(small);
+  await limits.admit(small, new AbortController().signal);
   limits.close();
   assert.ok(performance.now() - startedAt < 2000);
   assert.ok(sent.length > 0);
 });
 
+// Guards against requests that wait although their callers have left, and count as refused.
+test('a request whose signal is aborted while it waits is decided at once and counted as withdrawn', async () => {
+  const small = describeOrganisation('small', 10);
+  const { limits, reports } = createLimits([small], [describeMember('other', '127.0.0.2')]);
+  limits.update();
+  const controller = new AbortController();
+  const startedAt = performance.now();
+  const decision = limits.admit(small, controller.signal);
+  setTimeout(() => controller.abort(), 50);
+  assert.equal((await decision).kind, 'refused');
+  assert.ok(performance.now() - startedAt < 500);
+  await delay(1500);
+  limits.close();
+  const count = (name: 'withdrawn' | 'refused' | 'admitted' | 'admittedAlone'): number =>
+    reports.reduce((sum, report) => sum + report[name], 0);
+  assert.deepEqual(
+    [count('withdrawn'), count('refused'), count('admitted'), count('admittedAlone')],
+    [1, 0, 0, 0],
+  );
+});
+
 // Guards against a field that is lost on its way, such as one of the flags of a pledge.
 test('messages about usage limits are the same after their encoding', () => {
   const pledges = [false, true].flatMap((certain) =>
--- a/packages/routing/gateway/src/body-buffer.ts
+++ b/packages/routing/gateway/src/body-buffer.ts
@@ -2,6 +2,7 @@
  * Buffers request bodies in memory, within a limit on the total across all requests.
  */
 import type { IncomingMessage } from 'node:http';
+import { setImmediate as yieldToSockets } from 'node:timers/promises';
 import { FailureError } from '@dogwoodstall/results';
 import { BodyBlocks } from './body-blocks.js';
 import type { MemoryShare } from './memory-share.js';
@@ -38,6 +39,14 @@
   if ((contentLength ?? 0) > maximumBytes) {
     throw new FailureError('RequestBodyTooLarge');
   }
+  // A request that has been closed emits no further events.
+  if (request.destroyed) {
+    throw new FailureError('RequestBodyIncomplete');
+  }
+  if (signal.aborted) {
+    throw toError(signal.reason);
+  }
+  const isHeldBack = request.readableLength >= request.readableHighWaterMark;
   const blocks = new BodyBlocks(memoryShare, contentLength);
   const release = (): void => blocks.release();
   try {
@@ -63,6 +72,12 @@
     release();
     throw error;
   }
+  if (isHeldBack) {
+    // While the buffer of the request was full, nothing was read from the connection, not even that the caller has left.
+    // The last bytes are read in one turn of the event loop, and the end of the connection in the next.
+    await yieldToSockets();
+    await yieldToSockets();
+  }
   const [first, ...others] = blocks.list();
   const bytes = first !== undefined && others.length === 0 ? first : Buffer.concat(blocks.list());
   return { bytes, release };
--- a/packages/routing/gateway/src/caller-responder.ts
+++ b/packages/routing/gateway/src/caller-responder.ts
@@ -6,6 +6,7 @@
 import * as results from '@dogwoodstall/results';
 import type { EndpointResponse } from './attempt.js';
 import { listNoArrivalsHeaders } from './relay.js';
+import type { RequestLifetime } from './request-lifetime.js';
 import type { WireProtocol } from './wire-protocol.js';
 import type { RequestResult } from './request-execution.js';
 
@@ -19,6 +20,12 @@
   readonly response: http.ServerResponse;
   readonly requestId: string | undefined;
   readonly arrivedAt: number;
+  readonly lifetime: RequestLifetime;
+}
+
+/** Whether the connection of a caller takes a response; the HTTP server ends its side as soon as the caller has. */
+function canReceive({ request, response }: Pick<IncomingRequest, 'request' | 'response'>): boolean {
+  return !response.destroyed && request.socket.writable;
 }
 
 /** Sends responses to callers. During a graceful shutdown, each response closes its connection. */
@@ -43,7 +50,8 @@
     { response, request, requestId }: IncomingRequest,
     endpointResponse: EndpointResponse,
   ): void {
-    if (response.destroyed) {
+    if (!canReceive({ request, response })) {
+      response.destroy();
       return;
     }
     const { body } = endpointResponse;
@@ -71,6 +79,10 @@
     retryAfter: number | undefined,
     hasArrived: boolean,
   ): void {
+    if (!canReceive({ request, response })) {
+      response.destroy();
+      return;
+    }
     this.disableKeepAliveIfStopping(response);
     const { protocol } = this;
     const extraHeaders = hasArrived ? {} : listNoArrivalsHeaders(request.headers);
--- a/packages/routing/gateway/src/gateway-server.ts
+++ b/packages/routing/gateway/src/gateway-server.ts
@@ -20,6 +20,7 @@
 import { ConnectionPool } from './connection-pool.js';
 import { MemoryBudget } from './memory-budget.js';
 import { UnreadResponses } from './unread-responses.js';
+import { RequestLifetime } from './request-lifetime.js';
 import { type RequestOptions, RequestProcessor } from './request-processor.js';
 
 /** Options of `GatewayServer`. */
@@ -104,7 +105,6 @@
       onDescriptorShortage: () => this.connectionLimiter.handleShortage('connect-failed'),
       isRejecting: () => this.rejecting,
       stopEndsAt: () => this.stopEndsAt,
-      stopSignal: this.stopAbort.signal,
     });
     // Each request in flight listens.
     setMaxListeners(0, this.stopAbort.signal);
@@ -184,6 +184,8 @@
     });
     server.maxHeadersCount = 0;
     server.on('connection', (socket) => {
+      // Each of the requests that a caller has sent on one connection listens.
+      socket.setMaxListeners(0);
       this.callerConnections.track(socket);
       if (!this.connectionLimiter.admitConnection()) {
         socket.destroy();
@@ -235,21 +237,21 @@
     }
     this.callerConnections.beginRequest(socket);
     this.activeRequests += 1;
-    response.once('close', () => {
+    const lifetime = new RequestLifetime({ request, response, stopSignal: this.stopAbort.signal });
+    lifetime.onceClosed(() => {
       this.activeRequests -= 1;
       this.callerConnections.endRequest(socket);
     });
     const header = request.headers[this.options.protocol.requestIdHeader];
     const requestId = typeof header === 'string' ? header : undefined;
-    const incoming = { request, response, requestId, arrivedAt: performance.now() };
+    const arrivedAt = performance.now();
+    const incoming = { request, response, requestId, arrivedAt, lifetime };
     try {
       if (!(await this.connectionLimiter.admitRequest())) {
         this.refuseForDescriptors(incoming);
         return;
       }
-      if (response.destroyed) {
-        return;
-      }
+      lifetime.throwIfEnded();
       await this.processor.process(incoming);
     } catch (error) {
       if (!(error instanceof results.FailureError)) {
@@ -258,6 +260,8 @@
       const failure = results.toFailure(error);
       this.responder.sendFailure(incoming, failure, undefined, true);
       this.processor.reportUnsent(failure.kind, incoming);
+    } finally {
+      lifetime.end();
     }
   }
 
--- a/packages/routing/gateway/src/request-processor.ts
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -5,7 +5,12 @@
 import type * as http from 'node:http';
 import * as proxy from '@dogwoodstall/proxy';
 import * as results from '@dogwoodstall/results';
-import { type Route, type RouteIndex, chooseDestination } from '@dogwoodstall/traffic';
+import {
+  type Organisation,
+  type Route,
+  type RouteIndex,
+  chooseDestination,
+} from '@dogwoodstall/traffic';
 import type { AttemptOptions } from './attempt.js';
 import { type BufferedBody, readBody } from './body-buffer.js';
 import {
@@ -59,8 +64,8 @@
   readonly isDaemon: (host: string) => boolean;
   /** Returns the active routes; undefined until configuration and endpoints are known. */
   readonly findRoutes: () => RouteIndex | undefined;
-  /** Resolves when routes become active, or after the given time at the latest. */
-  readonly waitForRoutes: (milliseconds: number) => Promise<void>;
+  /** Resolves when routes become active or the signal is aborted, or after the given time at the latest. */
+  readonly waitForRoutes: (milliseconds: number, signal: AbortSignal) => Promise<void>;
   readonly onUnreadableAnnouncement: AttemptOptions['onUnreadableAnnouncement'];
   readonly onDecision: (decision: RequestDecision) => void;
 }
@@ -78,8 +83,6 @@
   readonly isRejecting: () => boolean;
   /** Monotonic milliseconds at which the graceful shutdown ends; `Infinity` before it begins. */
   readonly stopEndsAt: () => number;
-  /** Aborted when the graceful shutdown is over. */
-  readonly stopSignal: AbortSignal;
 }
 
 /** A request whose caller and route are known. */
@@ -91,6 +94,7 @@
   /** Set if another daemon relayed the request. */
   readonly relayed: RelayState | undefined;
   readonly caller: CallerIdentity;
+  readonly deadlineAt: number;
   readonly usageWaitMilliseconds: number;
 }
 
@@ -131,9 +135,10 @@
 
   /** Sends the response of a request; throws a `FailureError` if it ends before its first attempt. */
   async process(incoming: IncomingRequest): Promise<void> {
-    const { request } = incoming;
+    const { request, lifetime } = incoming;
     const checked = proxy.checkRequest(request);
-    const routes = await this.findRoutes(request);
+    const routes = await this.findRoutes(incoming);
+    lifetime.throwIfEnded();
     if (routes === undefined || this.server.isRejecting()) {
       this.rejectNotReady(incoming);
       return;
@@ -148,27 +153,14 @@
       relayed === undefined
         ? identifyCaller(request, routes, route, this.options.protocol)
         : readRelayedCaller(relayed, routes);
-    const known = { incoming, checked, routes, route, relayed, caller };
+    const deadlineAt = this.computeDeadline(incoming, route);
+    lifetime.setDeadline(deadlineAt);
+    const accepted = { incoming, checked, routes, route, relayed, caller, deadlineAt };
+    const mayRelay = relayHeaders === undefined;
     if (caller.organisation === undefined || relayed !== undefined) {
-      await this.execute({ ...known, usageWaitMilliseconds: 0 }, relayHeaders === undefined);
-      return;
-    }
-    const waitsFrom = performance.now();
-    const usage = await this.options.usageLimits.admit(caller.organisation);
-    const usageWaitMilliseconds = Math.round(performance.now() - waitsFrom);
-    const accepted = { ...known, usageWaitMilliseconds };
-    if (usage.kind === 'refused') {
-      this.refuseUsage(accepted, usage.retryAfter);
-      return;
-    }
-    let hasArrived = false;
-    try {
-      const result = await this.execute(accepted, relayHeaders === undefined);
-      hasArrived = result.kind === 'answer' || result.hasArrived;
-    } finally {
-      if (!hasArrived) {
-        usage.giveBack();
-      }
+      await this.execute({ ...accepted, usageWaitMilliseconds: 0 }, mayRelay);
+    } else {
+      await this.executeWithinUsage(accepted, caller.organisation, mayRelay);
     }
   }
 
@@ -195,31 +187,58 @@
     });
   }
 
+  private async executeWithinUsage(
+    known: Omit<AcceptedRequest, 'usageWaitMilliseconds'>,
+    organisation: Organisation,
+    mayRelay: boolean,
+  ): Promise<void> {
+    const { lifetime } = known.incoming;
+    const waitsFrom = performance.now();
+    const usage = await this.options.usageLimits.admit(organisation, lifetime.signal);
+    const usageWaitMilliseconds = Math.round(performance.now() - waitsFrom);
+    const accepted = { ...known, usageWaitMilliseconds };
+    const { unsentFailure } = lifetime;
+    if (unsentFailure !== undefined) {
+      if (usage.kind === 'admitted') {
+        usage.giveBack();
+      }
+      this.refuse(accepted, unsentFailure, undefined);
+      return;
+    }
+    if (usage.kind === 'refused') {
+      this.refuse(accepted, results.createFailure('OrganisationRateExceeded'), usage.retryAfter);
+      return;
+    }
+    let hasArrived = false;
+    try {
+      const result = await this.execute(accepted, mayRelay);
+      hasArrived = result.kind === 'answer' || result.hasArrived;
+    } finally {
+      if (!hasArrived) {
+        usage.giveBack();
+      }
+    }
+  }
+
   private async execute(
-    { incoming, checked, routes, route, relayed, caller, usageWaitMilliseconds }: AcceptedRequest,
+    {
+      incoming,
+      checked,
+      routes,
+      route,
+      relayed,
+      caller,
+      deadlineAt,
+      usageWaitMilliseconds,
+    }: AcceptedRequest,
     mayRelay: boolean,
   ): Promise<RequestResult> {
-    const { request, response, requestId, arrivedAt } = incoming;
+    const { request, response, requestId, arrivedAt, lifetime } = incoming;
     const { protocol, slots, retryBudgets, hedging } = this.options;
     const { server } = this;
+    lifetime.throwIfEnded();
     const responseShare = new MemoryShare(server.responseMemory);
-    response.once('close', () => responseShare.close());
-    const requestedMilliseconds =
-      protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
-    const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
-    const deadlineAt = Math.min(
-      arrivedAt + allowedMilliseconds - computeResponseMargin(allowedMilliseconds),
-      server.stopEndsAt(),
-    );
-    const abortController = new AbortController();
-    const onStop = (): void => abortController.abort(server.stopSignal.reason);
-    server.stopSignal.addEventListener('abort', onStop, { once: true });
-    const timer = setTimeout(
-      () => abortController.abort(new results.FailureError('BackendTimeout')),
-      Math.max(0, deadlineAt - performance.now()),
-    );
-    const onClose = (): void => abortController.abort(new results.FailureError('CallerCancelled'));
-    response.once('close', onClose);
+    lifetime.onceClosed(() => responseShare.close());
     let body: BufferedBody | undefined;
     const attempts: AttemptRecord[] = [];
     try {
@@ -227,8 +246,9 @@
         contentLength: checked.contentLength,
         maximumBytes: routes.configuration.limits.bodyBytes,
         memoryShare: new MemoryShare(server.bodyMemory),
-        signal: abortController.signal,
+        signal: lifetime.signal,
       });
+      lifetime.throwIfEnded();
       const context = {
         requestId,
         service: chooseService(route, relayed),
@@ -256,12 +276,12 @@
           onUnreadableAnnouncement: this.options.onUnreadableAnnouncement,
         },
         onDescriptorShortage: server.onDescriptorShortage,
-        signal: abortController.signal,
+        signal: lifetime.signal,
         recordAttempt: (record) => attempts.push(record),
       });
-      response.off('close', onClose);
+      lifetime.end();
       const { status, result } = server.responder.sendResult(incoming, requestResult);
-      server.unreadResponses.add({ response, memoryShare: responseShare, deadlineAt });
+      server.unreadResponses.add({ response, lifetime, memoryShare: responseShare, deadlineAt });
       this.options.onDecision({
         requestId: requestId ?? '',
         route: route.name,
@@ -277,9 +297,6 @@
       });
       return requestResult;
     } finally {
-      clearTimeout(timer);
-      server.stopSignal.removeEventListener('abort', onStop);
-      response.off('close', onClose);
       body?.release();
     }
   }
@@ -289,14 +306,27 @@
     return this.options.isDaemon(socket.remoteAddress ?? '');
   }
 
-  private async findRoutes(request: http.IncomingMessage): Promise<RouteIndex | undefined> {
+  private computeDeadline({ request, arrivedAt }: IncomingRequest, route: Route): number {
+    const requestedMilliseconds =
+      this.options.protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
+    const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
+    return Math.min(
+      arrivedAt + allowedMilliseconds - computeResponseMargin(allowedMilliseconds),
+      this.server.stopEndsAt(),
+    );
+  }
+
+  private async findRoutes({
+    request,
+    lifetime,
+  }: IncomingRequest): Promise<RouteIndex | undefined> {
     if (this.options.findRoutes() === undefined && !this.server.isRejecting()) {
       const deadlineMilliseconds = this.options.protocol.readDeadline(request.headers) ?? Infinity;
       const waitMilliseconds = Math.min(
         ROUTES_WAIT_MILLISECONDS,
         deadlineMilliseconds * ROUTES_WAIT_FRACTION,
       );
-      await this.options.waitForRoutes(waitMilliseconds);
+      await this.options.waitForRoutes(waitMilliseconds, lifetime.signal);
     }
     return this.options.findRoutes();
   }
@@ -311,13 +341,15 @@
     this.reportUnsent('NotReady', incoming);
   }
 
-  private refuseUsage(
+  /** Refuses a request that no endpoint has got. */
+  private refuse(
     { incoming, route, caller, usageWaitMilliseconds }: AcceptedRequest,
-    retryAfter: number,
+    failure: results.Failure,
+    retryAfter: number | undefined,
   ): void {
-    const result = 'OrganisationRateExceeded';
-    this.server.responder.sendFailure(incoming, results.createFailure(result), retryAfter, false);
+    this.server.responder.sendFailure(incoming, failure, retryAfter, false);
     const organisation = caller.name ?? '';
-    this.reportUnsent(result, incoming, { route: route.name, organisation, usageWaitMilliseconds });
+    const known = { route: route.name, organisation, usageWaitMilliseconds };
+    this.reportUnsent(failure.kind, incoming, known);
   }
 }
--- a/packages/routing/gateway/src/unread-responses.ts
+++ b/packages/routing/gateway/src/unread-responses.ts
@@ -4,10 +4,12 @@
  */
 import type * as http from 'node:http';
 import type { MemoryShare } from './memory-share.js';
+import type { RequestLifetime } from './request-lifetime.js';
 
 /** A response that a caller has not read completely. */
 interface UnreadResponse {
   readonly response: http.ServerResponse;
+  readonly lifetime: RequestLifetime;
   readonly memoryShare: MemoryShare;
   /** Monotonic milliseconds until which the caller waits. */
   readonly deadlineAt: number;
@@ -22,10 +24,10 @@
 
   /** Adds a response until its connection has taken it or is closed. */
   add(entry: UnreadResponse): void {
-    const { response } = entry;
-    if (!response.writableFinished && !response.destroyed) {
+    const { response, lifetime } = entry;
+    if (!response.writableFinished && !lifetime.isClosed) {
       this.unread.add(entry);
-      response.once('close', () => this.unread.delete(entry));
+      lifetime.onceClosed(() => this.unread.delete(entry));
     }
   }
 
--- a/packages/routing/gateway/src/usage-limits.ts
+++ b/packages/routing/gateway/src/usage-limits.ts
@@ -12,7 +12,11 @@
 
 /** Applies the usage caps of organisations, across all daemons. */
 export interface UsageLimits {
-  readonly admit: (organisation: Organisation) => Promise<UsageDecision> | UsageDecision;
+  /** Refuses the request, without counting it, when the signal is aborted before there is a decision. */
+  readonly admit: (
+    organisation: Organisation,
+    signal: AbortSignal,
+  ) => Promise<UsageDecision> | UsageDecision;
 }
 
 const unlimited: UsageDecision = { kind: 'admitted', giveBack: () => {} };
--- a/packages/routing/gateway/test/fixture.ts
+++ b/packages/routing/gateway/test/fixture.ts
@@ -154,7 +154,7 @@
       slots,
       retryBudgets: this.retryBudgets,
       usageLimits: {
-        admit: ({ name }) => {
+        admit: ({ name }, signal) => {
           this.usage.admitted.push(name);
           if (this.usageRetryAfter !== undefined) {
             return { kind: 'refused', retryAfter: this.usageRetryAfter };
@@ -170,6 +170,7 @@
           }
           return new Promise((resolve) => {
             this.usage.waiting.push(() => resolve(admitted));
+            signal.addEventListener('abort', () => resolve({ kind: 'refused', retryAfter: 0 }));
           });
         },
       },
@@ -240,6 +241,11 @@
     this.holdsUsage = true;
   }
 
+  /** Admits further requests of organisations at once, as at first. */
+  passUsage(): void {
+    this.holdsUsage = false;
+  }
+
   /** Admits the requests that wait for their usage limit. */
   admitWaiting(): void {
     for (const admit of this.usage.waiting.splice(0)) {
--- a/packages/routing/grants/src/usage-agent.ts
+++ b/packages/routing/grants/src/usage-agent.ts
@@ -123,8 +123,11 @@
     return this.keepers.target;
   }
 
-  /** Decides about a request of an organisation with a limit; responds at once where it can. */
-  admit(organisation: string, respond: (admission: UsageAdmission) => void): void {
+  /**
+   * Decides about a request of an organisation with a limit; responds at once where it can. Returns a function that withdraws
+   * a request that waits.
+   */
+  admit(organisation: string, respond: (admission: UsageAdmission) => void): () => void {
     const now = this.options.now();
     const tokens = this.getTokens(organisation);
     tokens.countRequest(now);
@@ -132,24 +135,25 @@
     const giveBack = pending === undefined ? tokens.tryTake(now) : undefined;
     if (giveBack !== undefined) {
       respond({ kind: 'admitted', source: 'token', giveBack });
-      return;
+      return noChange;
     }
     if (tokens.blockedUntil > now) {
       respond({ kind: 'refused', retryAfter: tokens.blockedUntil - now });
-      return;
+      return noChange;
     }
     const waiter = { since: now, respond };
     if (pending !== undefined) {
       if (pending.waiters.length >= this.computeMaximumWaiters(organisation)) {
         respond({ kind: 'refused', retryAfter: UNKNOWN_RETRY_MILLISECONDS });
-      } else {
-        pending.waiters.push(waiter);
+        return noChange;
       }
-      return;
+      pending.waiters.push(waiter);
+      return () => UsageAgent.withdraw(pending, waiter);
     }
     const created = { waiters: [waiter], sentAt: new Map<number, number>(), askAt: now };
     this.pending.set(organisation, created);
     this.borrow(organisation, created, now);
+    return () => UsageAgent.withdraw(created, waiter);
   }
 
   receive(from: string, message: UsageMessage): void {
@@ -193,10 +197,12 @@
     this.keepers.tick();
     for (const [organisation, pending] of this.pending) {
       this.endWaits(organisation, pending, now);
-      if (pending.waiters.length === 0) {
-        this.pending.delete(organisation);
-      } else if (now >= pending.askAt) {
+      const isDue = now >= pending.askAt;
+      if (isDue && pending.waiters.length > 0) {
         this.borrow(organisation, pending, now);
+      } else if (isDue) {
+        // Until then, tokens that were lent for requests that have been withdrawn are kept for others.
+        this.pending.delete(organisation);
       }
     }
     for (const [organisation, tokens] of this.tokens) {
@@ -278,6 +284,13 @@
     }
   }
 
+  private static withdraw({ waiters }: Pending, waiter: Waiter): void {
+    const index = waiters.indexOf(waiter);
+    if (index >= 0) {
+      waiters.splice(index, 1);
+    }
+  }
+
   /** Admits waiting requests while there are tokens, and returns their number. */
   private static serve(pending: Pending, held: UsageTokens, now: number): number {
     let served = 0;
