End pipelined requests when their connection closes

Callers saw: of several requests on a connection that its caller closes, all but the first kept endpoints at work, and counted as in flight with the memory of their responses until the process ended. Large responses of others got 502 in the end.

Cause: Node.js emits `close` only for the response whose turn it is when the connection closes; the end of a request was recognised by that event alone.

Change: RequestLifetime watches the socket, too; count, memory and the entry among unread responses are returned by it. Sockets may have a listener for each of their requests.

Why it works: `close` of the socket comes once for each connection, whatever is queued on it.

--- a/packages/routing/gateway/src/request-lifetime.ts
+++ b/packages/routing/gateway/src/request-lifetime.ts
@@ -47,6 +47,8 @@
     const { request, response, stopSignal } = options;
     this.socket = request.socket;
     response.once('close', this.onClose);
+    // Node.js emits no `close` for a response that is queued behind another one when its connection closes.
+    this.socket.once('close', this.onClose);
     this.socket.once('end', this.onCallerEnd);
     stopSignal.addEventListener('abort', this.onStop, { once: true });
     if (stopSignal.aborted) {
@@ -103,6 +105,7 @@
 
   private readonly onClose = (): void => {
     this.options.response.off('close', this.onClose);
+    this.socket.off('close', this.onClose);
     this.socket.off('end', this.onCallerEnd);
     this.hasClosed = true;
     this.endEarly(earlyEnds.caller);
