Cancel pipelined requests of callers that left at their backend servers

Callers saw: on the project's own interface, of several requests on a connection that its caller closes, all but the first kept backend servers at work until they were answered.

Cause: as for the transparent gateway, Node.js emits `close` only for the response whose turn it is. Requests in flight were counted by the socket, but cancelled by that event alone.

Change: Exchange listens to the socket, too. Requests that continue for a resend (keys) do so as before.

--- a/packages/routing/proxy/src/caller-connections.ts
+++ b/packages/routing/proxy/src/caller-connections.ts
@@ -38,6 +38,8 @@
       idleSince: performance.now(),
       finSentAt: undefined,
     });
+    // Each of the requests that a caller has sent on one connection listens.
+    socket.setMaxListeners(0);
     socket.once('close', () => this.remove(socket));
   };
 
--- a/packages/routing/proxy/src/exchange.ts
+++ b/packages/routing/proxy/src/exchange.ts
@@ -57,6 +57,8 @@
       Math.min(remaining, MAXIMUM_TIMER_MILLISECONDS),
     );
     response.once('close', this.onClose);
+    // The response to a pipelined request emits no `close` before its turn has come.
+    request.socket.once('close', this.onClose);
   }
 
   get contract(): Contract {
@@ -97,6 +99,7 @@
   finish(): void {
     clearTimeout(this.deadlineTimer);
     this.response.off('close', this.onClose);
+    this.request.socket.off('close', this.onClose);
   }
 
   private readonly onClose = (): void => {
--- a/packages/routing/proxy/test/stop.test.ts
+++ b/packages/routing/proxy/test/stop.test.ts
@@ -3,10 +3,14 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import * as results from '@dogwoodstall/results';
 import { call, callRaw, createFleet, startBackend, startDaemon } from './fixture.js';
 import { READY_PATH } from '../src/index.js';
 
+/** Longer than a cancellation takes to reach a backend server, and shorter than the deadline of a request. */
+const CANCEL_MILLISECONDS = 300;
+
 async function waitUntilRefused(port: number): Promise<void> {
   for (;;) {
     const socket = net.connect(port, '127.0.0.1');
@@ -127,6 +131,25 @@
   assert.equal(daemon.server.inFlight.count, 0);
 });
 
+// Guards against backend servers that work for callers that have left.
+test('a caller that disconnects cancels all pipelined requests of its connection', async (context) => {
+  const responses: http.ServerResponse[] = [];
+  const backend = await startBackend(context, (_request, response) => responses.push(response));
+  const daemon = await startDaemon(context, createFleet([backend.address]));
+  const socket = net.connect(daemon.port, '127.0.0.1');
+  socket.write('GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n'.repeat(3));
+  while (backend.requests.length < 3) {
+    await new Promise(setImmediate);
+  }
+  socket.destroy();
+  await delay(CANCEL_MILLISECONDS);
+  assert.deepEqual(
+    responses.map(({ destroyed }) => destroyed),
+    [true, true, true],
+  );
+  assert.equal(daemon.decisions.length, 3);
+});
+
 test('closing while a request is in flight is reported as a violation', async (context) => {
   const backend = await startBackend(context, () => {});
   const daemon = await startDaemon(context, createFleet([backend.address]));
