Test that leaving callers end hedges and waits at other daemons

Whether a caller that leaves ends the wait for a slot at a daemon to which its request was relayed, and a hedge in flight, was tested in part only.

--- a/packages/routing/gateway/test/hedged-requests.test.ts
+++ b/packages/routing/gateway/test/hedged-requests.test.ts
@@ -55,6 +55,31 @@
   });
 });
 
+// Guards against an endpoint that works on a hedge for a caller that has left.
+test('a caller that leaves cancels its request and the hedge', async () => {
+  await withGateway([silent, silent], options, async ({ gateway, slots, endpoints }) => {
+    gateway.limitHedging(settings);
+    const controller = new AbortController();
+    const response = gateway.send({ signal: controller.signal });
+    await delay(150);
+    assert.deepEqual(
+      endpoints.map(({ requests }) => requests.length),
+      [1, 1],
+    );
+    controller.abort();
+    await response;
+    await delay(150);
+    assert.deepEqual(
+      endpoints.map(({ sockets }) => sockets.size),
+      [0, 0],
+    );
+    assert.deepEqual(
+      slots.reports.map(({ outcome }) => outcome),
+      ['abandoned', 'abandoned'],
+    );
+  });
+});
+
 // Guards against a request that hangs until its deadline because no slot was free at the first moment.
 test('a hedge that is refused is tried again, and is sent once at most', async () => {
   await withGateway([silent, respondOk], options, async ({ gateway, slots, endpoints }) => {
--- a/packages/routing/gateway/test/relay.test.ts
+++ b/packages/routing/gateway/test/relay.test.ts
@@ -3,6 +3,7 @@
  */
 import * as assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Route } from '@dogwoodstall/traffic';
 import type * as gateway from '../src/index.js';
 import { classifyRelayedResponse } from '../src/relay.js';
@@ -10,6 +11,9 @@
 import type { Script } from './scripted-endpoint.js';
 import { respondOk, withGateway, type Setup } from './with-gateway.js';
 
+/** Longer than a request, or its cancellation, takes through two daemons. */
+const LEAVE_MILLISECONDS = 200;
+
 /** Grants each request the next of the given daemons. */
 class PeerSlots implements gateway.SlotSource {
   readonly reports: string[] = [];
@@ -190,3 +194,40 @@
     await waitFor(() => endpoint?.sockets.size === 0);
   });
 });
+
+// Guards against a slot that another daemon acquires for a caller that has left.
+test('a caller that leaves ends the wait for a slot at the other daemon', async () => {
+  const signals: AbortSignal[] = [];
+  const waitingSlots: gateway.SlotSource = {
+    acquire: (_options, signal) => {
+      signals.push(signal);
+      return new Promise((resolve) => {
+        const refuse = (): void =>
+          resolve({ kind: 'refused', reason: 'overload', retryAfter: 100 });
+        signal.addEventListener('abort', refuse, { once: true });
+      });
+    },
+  };
+  const peer = await new TestGateway(waitingSlots).listen();
+  const entry = await new TestGateway(new PeerSlots([peer.address])).listen();
+  try {
+    const controller = new AbortController();
+    const response = entry.send({ body: 'x', signal: controller.signal });
+    await delay(LEAVE_MILLISECONDS);
+    assert.deepEqual(
+      signals.map(({ aborted }) => aborted),
+      [false],
+    );
+    controller.abort();
+    await response;
+    await delay(LEAVE_MILLISECONDS);
+    assert.deepEqual(
+      signals.map(({ aborted }) => aborted),
+      [true],
+    );
+    assert.equal(peer.server.inFlight, 0);
+  } finally {
+    entry.close();
+    peer.close();
+  }
+});
