--- a/packages/daemon/gateway-daemon/test/usage-limits.test.ts
+++ b/packages/daemon/gateway-daemon/test/usage-limits.test.ts
@@ -14,13 +14,20 @@
 const SETTLE_MILLISECONDS = 2500;
 const TRAFFIC_MILLISECONDS = 7000;
 const KILL_MILLISECONDS = 1200;
+const PATIENCE_MILLISECONDS = 300;
+const SILENCE_AFTER_MILLISECONDS = 2000;
+/** Shorter than a request waits for a keeper. */
+const SILENCE_MILLISECONDS = 1400;
+/** Callers may leave unnoticed for as long. */
+const LATE_MILLISECONDS = 500;
 const limited = createOrganisation('limited', 20, 5);
 const modest = createOrganisation('modest', 40, 10);
 
 /** Runs a test with an organisation that sends four times its limit and one that sends half of it. */
 async function checkLimits(
   play: (fleet: Fleet, running: FleetDaemon[]) => Promise<void>,
-): Promise<{ over: UsageTraffic; below: UsageTraffic; excess: number }> {
+  patienceMilliseconds?: number,
+): Promise<{ over: UsageTraffic; below: UsageTraffic; excess: number; late: number[] }> {
   const fleet = new Fleet();
   fleet.store.configure(1, 'valuation', [limited, modest]);
   const endpoints = await Promise.all(
@@ -28,7 +35,7 @@
   );
   endpoints.forEach((endpoint) => fleet.store.put(endpoint.describe({ slots: 20 })));
   const over = new UsageTraffic(limited);
-  const below = new UsageTraffic(modest);
+  const below = new UsageTraffic(modest, patienceMilliseconds);
   try {
     const running: FleetDaemon[] = [];
     for (let number = 1; number <= DAEMONS; number += 1) {
@@ -46,7 +53,7 @@
     fleet.close();
     endpoints.forEach((endpoint) => endpoint.close());
   }
-  return { over, below, excess: over.findExcess(endpoints) };
+  return { over, below, excess: over.findExcess(endpoints), late: below.listLate(endpoints) };
 }
 
 const summarise = ({ served, refused, failed }: UsageTraffic): string =>
@@ -98,3 +105,19 @@
   context.diagnostic(`over: ${summarise(over)}; below: ${summarise(below)}; excess ${excess}`);
   assert.ok(excess <= 0, `${excess} beyond the limit`);
 });
+
+// Guards against endpoints that work for callers that left while their requests waited for a keeper.
+test('no request reaches an endpoint long after its caller has left while no keeper responds', async (context) => {
+  const { below, late } = await checkLimits(async () => {
+    await delay(SILENCE_AFTER_MILLISECONDS);
+    context.mock.method(dgram.Socket.prototype, 'send', () => {});
+    await delay(SILENCE_MILLISECONDS);
+    context.mock.restoreAll();
+  }, PATIENCE_MILLISECONDS);
+  context.diagnostic(`${below.left} callers left, requests arrived late by ${late.join(', ')} ms`);
+  assert.ok(below.left >= 5, `only ${below.left} callers left`);
+  assert.deepEqual(
+    late.filter((milliseconds) => milliseconds > LATE_MILLISECONDS),
+    [],
+  );
+});
--- a/packages/daemon/gateway-daemon/test/usage-traffic.ts
+++ b/packages/daemon/gateway-daemon/test/usage-traffic.ts
@@ -11,6 +11,9 @@
 const OVERAGE = 0.1;
 const SLACK = 20;
 
+/** Longer than any deadline. */
+const LONGEST_REQUEST_MILLISECONDS = 60_000;
+
 /** An organisation with a token of the same name. */
 export function createOrganisation(
   name: string,
@@ -20,10 +23,22 @@
   return { name, tokenDigests: [digestToken(name)], requestsPerSecond, burst };
 }
 
-function send(host: string, token: string, id: string): Promise<http.IncomingMessage | undefined> {
+function send(
+  host: string,
+  token: string,
+  id: string,
+  signal: AbortSignal,
+): Promise<http.IncomingMessage | undefined> {
   return new Promise((resolve) => {
     const headers = { Host: 'shop.example', 'Request-Id': id, Token: token };
-    const request = http.request({ host, port: CALLER_PORT, path: '/', agent: false, headers });
+    const request = http.request({
+      host,
+      port: CALLER_PORT,
+      path: '/',
+      agent: false,
+      headers,
+      signal,
+    });
     request.on('error', () => resolve(undefined));
     request.on('response', (response) => {
       response.on('error', () => {});
@@ -48,9 +63,16 @@
 
   readonly retryAfter: number[] = [];
 
+  /** Times at which callers left before they had a response, by the id of their request. */
+  private readonly leftAt = new Map<string, number>();
+
   private sent = 0;
 
-  constructor(private readonly organisation: Organisation) {}
+  /** Callers leave that have no response after the given time. */
+  constructor(
+    private readonly organisation: Organisation,
+    private readonly patienceMilliseconds = Infinity,
+  ) {}
 
   async send(
     daemons: () => readonly FleetDaemon[],
@@ -92,13 +114,35 @@
     return worst - limit * (1 + OVERAGE) - SLACK;
   }
 
+  /** Returns the number of callers that have left. */
+  get left(): number {
+    return this.leftAt.size;
+  }
+
+  /** Returns for each request that reached an endpoint after its caller had left, how many milliseconds after it. */
+  listLate(endpoints: readonly CountingEndpoint[]): number[] {
+    return endpoints
+      .flatMap(({ arrivedAt }) => [...arrivedAt])
+      .map(([id, arrivedAt]) => arrivedAt - (this.leftAt.get(id) ?? Infinity))
+      .filter((milliseconds) => milliseconds > 0);
+  }
+
   private async sendOne(daemons: readonly FleetDaemon[]): Promise<void> {
     const { name } = this.organisation;
     this.sent += 1;
     const { host } = daemons[this.sent % daemons.length] as FleetDaemon;
     const id = `${name}-${this.sent}`;
     this.sentAt.set(id, performance.now());
-    const response = await send(host, name, id);
+    const leaving = new AbortController();
+    const timer = setTimeout(
+      () => {
+        this.leftAt.set(id, performance.now());
+        leaving.abort();
+      },
+      Math.min(this.patienceMilliseconds, LONGEST_REQUEST_MILLISECONDS),
+    );
+    const response = await send(host, name, id, leaving.signal);
+    clearTimeout(timer);
     if (response?.statusCode === 200) {
       this.served += 1;
     } else if (response?.statusCode === 429) {
