Move the computation of deadlines to a module of its own

The usage limits also refuse at once a request whose lifetime has ended before it is decided about; no caller of theirs asks so late.

--- a/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
+++ b/packages/daemon/gateway-daemon/src/fleet-usage-limits.ts
@@ -104,6 +104,9 @@
     if (!FleetUsageLimits.hasLimit(organisation) || agent === undefined) {
       return { kind: 'admitted', giveBack: () => {} };
     }
+    if (signal.aborted) {
+      return withdrawn;
+    }
     let decision: gateway.UsageDecision | undefined;
     let settle: ((decided: gateway.UsageDecision) => void) | undefined;
     const withdraw = agent.admit(organisation.name, (admission) => {
--- a/packages/routing/gateway/src/request-processor.ts
+++ b/packages/routing/gateway/src/request-processor.ts
@@ -28,6 +28,7 @@
 import { computeFingerprint, selectForwardedHeaders } from './incoming-request.js';
 import type { MemoryBudget } from './memory-budget.js';
 import { MemoryShare } from './memory-share.js';
+import { computeDeadline } from './request-deadline.js';
 import { type RelayState, readRelayHeaders } from './relay.js';
 import { type AttemptRecord, type RequestResult, executeRequest } from './request-execution.js';
 import type { RetryBudgets, SlotSource } from './slots.js';
@@ -98,11 +99,6 @@
   readonly usageWaitMilliseconds: number;
 }
 
-/** Share of the time allowed that is kept for the way of the response to the caller. */
-const RESPONSE_MARGIN_SHARE = 0.01;
-/** Bounds of that time: the ways within a region, and between distant callers and the fleet. */
-const MINIMUM_RESPONSE_MARGIN_MILLISECONDS = 4;
-const MAXIMUM_RESPONSE_MARGIN_MILLISECONDS = 50;
 /** A newly started daemon receives the routes within this time, so that waiting saves the caller a retry. */
 const ROUTES_WAIT_MILLISECONDS = 500;
 /** Maximum fraction of the caller's deadline spent waiting for the routes. */
@@ -118,14 +114,6 @@
   return chooseDestination(route, Math.random());
 }
 
-function computeResponseMargin(allowedMilliseconds: number): number {
-  const margin = Math.max(
-    MINIMUM_RESPONSE_MARGIN_MILLISECONDS,
-    allowedMilliseconds * RESPONSE_MARGIN_SHARE,
-  );
-  return Math.min(MAXIMUM_RESPONSE_MARGIN_MILLISECONDS, margin);
-}
-
 /** Processes the requests of one server. */
 export class RequestProcessor {
   constructor(
@@ -310,10 +298,7 @@
     const requestedMilliseconds =
       this.options.protocol.readDeadline(request.headers) ?? route.timeoutMilliseconds;
     const allowedMilliseconds = Math.min(requestedMilliseconds, route.timeoutMilliseconds);
-    return Math.min(
-      arrivedAt + allowedMilliseconds - computeResponseMargin(allowedMilliseconds),
-      this.server.stopEndsAt(),
-    );
+    return Math.min(computeDeadline(arrivedAt, allowedMilliseconds), this.server.stopEndsAt());
   }
 
   private async findRoutes({
