--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -123,6 +123,15 @@
     });
   }
 
+  /** Removes the machine for good, with SIGTERM. */
+  async remove() {
+    this.isStopped = true;
+    this.signal('SIGTERM');
+    while (this.child !== undefined) {
+      await delay(20);
+    }
+  }
+
   async stop() {
     this.isStopped = true;
     while (this.child !== undefined) {
