--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -24,8 +24,8 @@
 
 const lines = [];
 const startedAt = performance.now();
-function record(text) {
-  lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} s  ${text}`);
+function record(text, at = performance.now()) {
+  lines.push(`${((at - startedAt) / 1000).toFixed(3)} s  ${text}`);
 }
 
 function createRoutes(version) {
@@ -43,15 +43,17 @@
 let sent = 0;
 
 /** Sends a request on a connection of its own; resolves with its status, or the reason why there is none. */
-function look({ front }, path) {
+function look({ front, name }, path) {
   sent += 1;
+  const id = `look-${sent}`;
+  record(`${id} is sent to ${name}: GET ${path}`);
   return new Promise((resolve) => {
     const request = http.get(
       {
         ...front,
         agent: false,
         path,
-        headers: { Host: HOST, 'Request-Id': `look-${sent}`, 'Deadline-Ms': 1200 },
+        headers: { Host: HOST, 'Request-Id': id, 'Deadline-Ms': 1200 },
       },
       (response) => {
         response.resume();
@@ -113,13 +115,16 @@
       for (let count = 0; count < LOOKS; count += 1) {
         for (const looked of running) {
           const status = await look(looked, `/r${version}/x`);
-          record(`${looked.name} answers ${status} for the new route`);
+          record(`look-${sent} is answered: ${status}`);
           old += status === 404 ? 1 : 0;
         }
         await delay(100);
       }
     }
-    record(`${old} requests were refused as only an older version allows`);
+    for (const { id, at, endpoint } of endpoints.flatMap(({ runs }) => runs)) {
+      record(`${id} is run by ${endpoint}`, at);
+    }
+    record(`${old} of ${sent} requests were refused as only an older version allows`);
     record(old > 0 ? 'the rule is broken' : 'the rule held');
     return old > 0 ? 1 : 0;
   } finally {
--- a/review/stand-ins-3/gone-machine.mjs
+++ b/review/stand-ins-3/gone-machine.mjs
@@ -29,20 +29,31 @@
 
   static async create(host, port) {
     const gone = new GoneMachine();
-    gone.child = spawn(process.execPath, ['-e', LISTEN, host, String(port)], {
+    try {
+      await gone.open(host, port);
+    } catch (error) {
+      gone.close();
+      throw error;
+    }
+    return gone;
+  }
+
+  async open(host, port) {
+    this.child = spawn(process.execPath, ['-e', LISTEN, host, String(port)], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
-    await new Promise((resolve) => {
-      gone.child.stdout.once('data', resolve);
+    await new Promise((resolve, reject) => {
+      this.child.stdout.once('data', resolve);
+      this.child.once('exit', () => reject(new Error('the address is not free')));
     });
-    gone.child.kill('SIGSTOP');
+    this.child.kill('SIGSTOP');
     await delay(100);
     for (let count = 0; count < MAXIMUM_FILLERS; count += 1) {
       const filler = await tryToConnect(host, port);
       if (filler === undefined) {
-        return gone;
+        return;
       }
-      gone.fillers.push(filler);
+      this.fillers.push(filler);
     }
     throw new Error('the address goes on accepting connections');
   }
