Bound requests for the state of daemons that are gone

Cause: requestState was bounded by a signal of 700 ms, which undici heeds only once the connection is established; its connect timeout is ten seconds. A daemon that starts asks its provider first. While it waits for one that is gone without a trace, it ignores the news of all others, and it leaves the store to others as soon as it is ready.

Change: rejectOnAbort ends a call with its signal whether or not the client heeds it. Requests for a state use it, with connections that are established within 250 ms or given up, as those to endpoints are, and end when the requesting daemon closes.

Why it works: the promise of the call no longer depends on the phase that the client is in. A request that is given up before it had a connection is not sent later: undici checks the signal when it takes the request from its queue.

Tests: state-server.test.ts on: 10,504 ms at a silent address, where 1,000 are allowed, and no end when the daemon closes; both pass now. That news are ignored while any request is under way is a fault of its own and not part of this change.

--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -58,7 +58,7 @@
     return this.joinTime;
   }
 
-  /** Aborts calls to the store. */
+  /** Aborts calls to the store and to other daemons. */
   close(): void {
     this.closing.abort();
   }
@@ -102,15 +102,19 @@
     this.fetching = true;
     this.lastFetchAt = performance.now();
     try {
-      const state = await requestState(address, {
-        configurationVersion: this.options.directory.configurationVersion,
-        directoryRevision: this.options.directory.position.revision,
-        directoryEra: this.options.directory.position.era,
-        memberDigest: this.options.members.digest,
-        members: [this.options.members.self],
-        waitMilliseconds,
-        acceptsChanges: true,
-      });
+      const state = await requestState(
+        address,
+        {
+          configurationVersion: this.options.directory.configurationVersion,
+          directoryRevision: this.options.directory.position.revision,
+          directoryEra: this.options.directory.position.era,
+          memberDigest: this.options.members.digest,
+          members: [this.options.members.self],
+          waitMilliseconds,
+          acceptsChanges: true,
+        },
+        this.closing.signal,
+      );
       this.importState(state, address);
     } finally {
       this.fetching = false;
--- a/packages/daemon/gateway-daemon/src/state-server.ts
+++ b/packages/daemon/gateway-daemon/src/state-server.ts
@@ -5,7 +5,8 @@
 import * as http from 'node:http';
 import { promisify } from 'node:util';
 import * as zlib from 'node:zlib';
-import { FailureError } from '@dogwoodstall/results';
+import * as gateway from '@dogwoodstall/gateway';
+import { FailureError, callWithTimeout, rejectOnAbort } from '@dogwoodstall/results';
 import * as undici from 'undici';
 import * as z from 'zod';
 import { type State, stateSchema } from './directory.js';
@@ -109,21 +110,41 @@
   }
 }
 
-/** Requests the state of a daemon; throws `PeerUnreachable` or `PeerMessageInvalid`. */
-export async function requestState(address: string, request: StateRequest): Promise<State> {
-  let value: unknown;
-  try {
-    const { statusCode, body } = await undici.request(`http://${address}${STATE_PATH}`, {
+const agent = new undici.Agent({ connect: gateway.connectSocket });
+
+async function postRequest(
+  address: string,
+  request: StateRequest,
+  signal: AbortSignal,
+): Promise<unknown> {
+  const { statusCode, body } = await rejectOnAbort(
+    signal,
+    undici.request(`http://${address}${STATE_PATH}`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(request),
-      signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
-    });
-    const bytes = await body.arrayBuffer();
-    if (statusCode !== 200) {
-      throw new Error(`unexpected status ${statusCode}`);
-    }
-    value = JSON.parse((await decompress(bytes)).toString('utf8'));
+      dispatcher: agent,
+      signal,
+    }),
+  );
+  const bytes = await body.arrayBuffer();
+  if (statusCode !== 200) {
+    throw new Error(`unexpected status ${statusCode}`);
+  }
+  return JSON.parse((await decompress(bytes)).toString('utf8'));
+}
+
+/** Requests the state of a daemon; throws `PeerUnreachable` or `PeerMessageInvalid`. */
+export async function requestState(
+  address: string,
+  request: StateRequest,
+  closing: AbortSignal,
+): Promise<State> {
+  let value: unknown;
+  try {
+    value = await callWithTimeout(REQUEST_TIMEOUT_MILLISECONDS, closing, (signal) =>
+      postRequest(address, request, signal),
+    );
   } catch (cause) {
     throw new FailureError('PeerUnreachable', String(cause), { cause });
   }
--- a/packages/foundation/results/src/index.ts
+++ b/packages/foundation/results/src/index.ts
@@ -13,6 +13,7 @@
   toFailure,
 } from './failure.js';
 export { callWithTimeout } from './call-with-timeout.js';
+export { rejectOnAbort } from './reject-on-abort.js';
 export {
   type InvariantName,
   type ViolationListener,
--- a/packages/routing/gateway/src/connect-socket.ts
+++ b/packages/routing/gateway/src/connect-socket.ts
@@ -1,6 +1,6 @@
 /**
- * Establishes the connections to endpoints. The connect timeout of undici is measured in steps of half a second, too
- * coarse for a caller that waits for a second.
+ * Establishes connections to endpoints and to other daemons. The connect timeout of undici is measured in steps of half
+ * a second, too coarse for a caller that waits for a second.
  */
 import net from 'node:net';
 import type { buildConnector } from 'undici';
@@ -11,25 +11,24 @@
 const SUSPENDED_CONNECT_MILLISECONDS = 1000;
 const KEEP_ALIVE_PROBE_MILLISECONDS = 60_000;
 
-type Callback = (error: Error | null, socket: net.Socket | null) => void;
-
 /** Opens a connection; calls back with an error if it is not established within the connect timeout. */
 export function connectSocket(
   { hostname, port }: Pick<buildConnector.Options, 'hostname' | 'port'>,
-  callback: Callback,
+  callback: buildConnector.Callback,
 ): void {
   const startedAt = performance.now();
   const socket = net.connect({ host: hostname, port: Number(port) });
   let settled = false;
-  const settle: Callback = (error, connected) => {
+  const settle: buildConnector.Callback = (...outcome) => {
     if (settled) {
       return;
     }
     settled = true;
+    const [, connected] = outcome;
     if (connected === null) {
       socket.destroy();
     }
-    callback(error, connected);
+    callback(...outcome);
   };
   // A connection that was established while the event loop was busy is reported before the immediate runs.
   const timer = setTimeout(
--- a/packages/routing/gateway/src/endpoint-connection.ts
+++ b/packages/routing/gateway/src/endpoint-connection.ts
@@ -71,13 +71,9 @@
       pipelining: 1,
       connect: (connectOptions, callback) => {
         options.onSocketOpened();
-        connectSocket(connectOptions, (error, socket) => {
-          this.watchSocket(socket);
-          if (socket === null) {
-            callback(error ?? new Error('no connection'), null);
-          } else {
-            callback(null, socket);
-          }
+        connectSocket(connectOptions, (...outcome) => {
+          this.watchSocket(outcome[1]);
+          callback(...outcome);
         });
       },
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
--- a/packages/routing/gateway/src/index.ts
+++ b/packages/routing/gateway/src/index.ts
@@ -25,6 +25,7 @@
   computeConnectionLimits,
   isDescriptorShortage,
 } from './connection-limits.js';
+export { connectSocket } from './connect-socket.js';
 export { ConnectionPool } from './connection-pool.js';
 export { type AttemptResult, sendAttempt } from './attempt.js';
 export {
--- a/packages/testing/stand-ins/src/index.ts
+++ b/packages/testing/stand-ins/src/index.ts
@@ -15,5 +15,6 @@
 export { LoopbackNetwork } from './network/loopback-network.js';
 export { FaultLink, type LinkFaults } from './network/fault-link.js';
 export { FaultProxy } from './network/fault-proxy.js';
+export { SilentAddress } from './network/silent-address.js';
 export { type ListedVm, VmListStandIn } from './network/vm-list.js';
 export { type CertificateFiles, CertificateAuthority } from './certificates.js';
