Look at announcements that arrive while a state is fetched

Callers saw: refusals with 404 of routes that were in force elsewhere, or requests to endpoints that were draining, at daemons that happened to ask another one that does not respond. A daemon that is suspended or gone has to be asked first, so that nothing fails while all respond.

Cause: one flag for all daemons. What was announced while a fetch was under way was dropped, not deferred, and nothing asked for it before the next datagram. With the bound of 700 ms a daemon that starts drops the announcements of live daemons as long as it asks those before it in turn.

Change: StateFetcher keeps the latest announcement of each daemon while a fetch is under way, and looks at the last one first when it has ended; if that is no longer newer, at the next. The daemons that are asked at a start wait for it, too. Failed fetches are logged with duration and reason, dogwoodstall_state_fetches_total counts fetches and deferred announcements.

Why it works: an announcement of a live daemon waits for one fetch at most, 700 ms, and 700 ms more for each other daemon that falls silent right after it has announced something, too. Still only one of several daemons that announce the same is asked.

Tests: of state-fetcher.test.ts, on the commit before, three failed after 2,000 ms (a configuration, a drain, a start while those before are gone); all four pass now. The fourth guards the single fetch and needs the counters, so that it can't tell the two commits apart.

--- a/packages/daemon/gateway-daemon/src/gateway-daemon.ts
+++ b/packages/daemon/gateway-daemon/src/gateway-daemon.ts
@@ -521,6 +521,7 @@
       storeAgeMilliseconds: this.roleAssignment.storeAge,
       logLinesLeftOut: this.options.log.linesLeftOut,
       portWaitMilliseconds: this.ports.waitMilliseconds,
+      stateFetches: this.peerState.fetchCounts,
       signals: this.signals,
     };
   }
--- a/packages/daemon/gateway-daemon/src/metrics-server.ts
+++ b/packages/daemon/gateway-daemon/src/metrics-server.ts
@@ -28,6 +28,8 @@
   readonly logLinesLeftOut: number;
   /** Time for which the start waited for each port that was in use. */
   readonly portWaitMilliseconds: ReadonlyMap<string, number>;
+  /** Number of fetches of the state of other daemons, and of announcements that waited for one, by event. */
+  readonly stateFetches: ReadonlyMap<string, number>;
   /** Number of signals that the process received, by their labels as JSON. */
   readonly signals: ReadonlyMap<string, number>;
 }
@@ -266,6 +268,18 @@
         }
       },
     });
+    const stateFetches: promClient.Counter<'event'> = new library.Counter({
+      name: 'dogwoodstall_state_fetches_total',
+      help: 'Fetches of the state of other daemons, and announcements that waited for one, by event',
+      labelNames: ['event'],
+      registers,
+      collect: () => {
+        stateFetches.reset();
+        for (const [event, count] of read().stateFetches) {
+          stateFetches.inc({ event }, count);
+        }
+      },
+    });
     const leftOut: promClient.Counter = new library.Counter({
       name: 'dogwoodstall_log_lines_left_out_total',
       help: 'Log lines that standard output did not take',
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -2,15 +2,16 @@
  * Joins the fleet and exchanges members, configuration and endpoints with other daemons.
  */
 import { setTimeout as delay } from 'node:timers/promises';
-import type * as datagrams from '@dogwoodstall/datagrams';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
+import type { StateNews } from './deferred-news.js';
 import type { DirectorySource } from './directory-source.js';
 import type { Directory, State } from './directory.js';
 import { type Member, type MemberTable, STORE_WATCHER_ROLE } from './member.js';
 import { findStartPlace } from './start-tree.js';
-import { type StateRequest, requestState } from './state-server.js';
-import { type ReportedPosition, isLater, readPosition } from './store-position.js';
+import { type StateFetchEvent, StateFetcher } from './state-fetcher.js';
+import type { StateRequest } from './state-server.js';
+import { isLater, readPosition } from './store-position.js';
 
 /** Wait before the members are read again, so that daemons that start together have all registered. */
 const JOIN_PAUSE_MILLISECONDS = 700;
@@ -22,8 +23,6 @@
 const LOGGED_MEMBERS = 3;
 /** Time for which a daemon that starts as well may wait for its own state before it answers. */
 const FIRST_STATE_WAIT_MILLISECONDS = 300;
-/** Minimum interval between fetches of changed endpoints by a daemon that does not dispatch, unless one drains. */
-const LAZY_FETCH_MILLISECONDS = 2000;
 
 /** Options of `PeerState`. */
 export interface PeerStateOptions {
@@ -40,9 +39,7 @@
 
 /** Keeps members, configuration and endpoints of one daemon in step with other daemons. */
 export class PeerState {
-  private fetching = false;
-
-  private lastFetchAt = -Infinity;
+  private readonly fetcher: StateFetcher;
 
   private joinTime: number | undefined;
 
@@ -51,7 +48,13 @@
   /** States by content, so that daemons that request the same state get the same object and its cached encoding. */
   private readonly states = new Map<string, State>();
 
-  constructor(private readonly options: PeerStateOptions) {}
+  constructor(private readonly options: PeerStateOptions) {
+    this.fetcher = new StateFetcher({
+      ...options,
+      importState: (state, source) => this.importState(state, source),
+      closing: this.closing.signal,
+    });
+  }
 
   /** Monotonic milliseconds at which the members had been read from the store; undefined before. */
   get joinedAt(): number | undefined {
@@ -63,62 +66,14 @@
     this.closing.abort();
   }
 
-  /** Fetches the state of a daemon whose ping or pong shows a newer configuration, newer endpoints or other members. */
-  fetchIfNewer(
-    known: Pick<datagrams.Pong, 'configurationVersion'> &
-      Partial<Pick<datagrams.Pong, 'drains'>> &
-      ReportedPosition,
-    host: string,
-    membersDiffer: boolean,
-  ): void {
-    const { position } = this.options.directory;
-    const reported = readPosition(known, position);
-    const hasNewerEndpoints = isLater(reported, position);
-    const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
-    const mustFetchEndpoints = (): boolean =>
-      isDue ||
-      !this.options.directory.hasEndpoints ||
-      reported.era > position.era ||
-      (known.drains?.[0] ?? 0) > position.revision ||
-      this.options.isDispatching();
-    const shouldFetch =
-      known.configurationVersion > this.options.directory.configurationVersion ||
-      (hasNewerEndpoints && mustFetchEndpoints()) ||
-      (membersDiffer && isDue);
-    const member = this.options.members.findByHost(host);
-    if (shouldFetch && !this.fetching && member !== undefined) {
-      this.fetchState(member.peerAddress).catch((error: unknown) => {
-        const { kind, message } = results.toFailure(error);
-        this.options.logger.warn('fetching the state of another daemon failed', {
-          from: member.name,
-          result: kind,
-          reason: message,
-        });
-      });
-    }
+  /** Fetches the state of a daemon whose ping or pong shows that it has something newer. */
+  fetchIfNewer(news: StateNews, host: string): void {
+    this.fetcher.fetchIfNewer(news, host);
   }
 
-  private async fetchState(address: string, waitMilliseconds?: number): Promise<void> {
-    this.fetching = true;
-    this.lastFetchAt = performance.now();
-    try {
-      const state = await requestState(
-        address,
-        {
-          configurationVersion: this.options.directory.configurationVersion,
-          directoryRevision: this.options.directory.position.revision,
-          directoryEra: this.options.directory.position.era,
-          memberDigest: this.options.members.digest,
-          members: [this.options.members.self],
-          waitMilliseconds,
-          acceptsChanges: true,
-        },
-        this.closing.signal,
-      );
-      this.importState(state, address);
-    } finally {
-      this.fetching = false;
-    }
+  /** Number of events of the fetches so far. */
+  get fetchCounts(): ReadonlyMap<StateFetchEvent, number> {
+    return this.fetcher.eventCounts;
   }
 
   private importState(state: State, source: string): void {
@@ -240,16 +195,15 @@
   private async fetchFirstState(): Promise<void> {
     const { members, directory, isStopping, logger } = this.options;
     const { providers } = findStartPlace(members.rank(STORE_WATCHER_ROLE), members.self);
-    for (const { name, peerAddress } of providers) {
+    for (const { name: from, peerAddress } of providers) {
+      await this.fetcher.reportedFetch;
       if (directory.isComplete || isStopping()) {
         return;
       }
-      try {
-        await this.fetchState(peerAddress, FIRST_STATE_WAIT_MILLISECONDS);
-      } catch (error) {
-        const result = results.toFailure(error).kind;
-        logger.info('fetching the first state failed', { from: name, result });
-      }
+      await this.fetcher.fetch(peerAddress, {
+        waitMilliseconds: FIRST_STATE_WAIT_MILLISECONDS,
+        onFailure: (fields) => logger.info('fetching the first state failed', { from, ...fields }),
+      });
     }
   }
 
@@ -290,14 +244,11 @@
     const ownAddress = this.options.members.self.peerAddress;
     for (const seed of this.options.seeds()) {
       if (seed !== ownAddress) {
-        try {
-          await this.fetchState(seed);
-        } catch (error) {
-          this.options.logger.info('fetching the state from a seed failed', {
-            seed,
-            result: results.toFailure(error).kind,
-          });
-        }
+        await this.fetcher.reportedFetch;
+        await this.fetcher.fetch(seed, {
+          onFailure: (fields) =>
+            this.options.logger.info('fetching the state from a seed failed', { seed, ...fields }),
+        });
       }
     }
   }
--- a/packages/daemon/gateway-daemon/src/ping-exchange.ts
+++ b/packages/daemon/gateway-daemon/src/ping-exchange.ts
@@ -52,7 +52,7 @@
     this.subscribers.set(from.host, { from, standby: ping.standby, isNew, lastPingAt });
     this.sendPong(from, ping.sequence, ping.standby);
     this.options.crashRecords.sendWithPong(from, isNew);
-    this.options.peerState.fetchIfNewer(ping, from.host, false);
+    this.options.peerState.fetchIfNewer(ping, from.host);
   }
 
   /** Processes the state that another daemon reports; pongs of unknown daemons are ignored. */
@@ -66,7 +66,7 @@
     candidates().receivePong(member.name, pong);
     roleAssignment.recordStoreContact(member.name, pong.storeAge);
     dispatcherRole.importCellReports(pong.cells, member.name);
-    peerState.fetchIfNewer(pong, from.host, pong.memberDigest !== members.digest);
+    peerState.fetchIfNewer(pong, from.host);
     const mayConfirm = pong.settled && !pong.stopping && candidates().isCurrent(pong);
     const { position } = directory;
     if (mayConfirm && !isLater(readPosition(pong, position), position)) {
--- a/packages/daemon/gateway-daemon/test/ping-exchange.test.ts
+++ b/packages/daemon/gateway-daemon/test/ping-exchange.test.ts
@@ -103,7 +103,7 @@
     },
   });
   const learn = async (pong: { directoryRevision: number; drains: number[] }): Promise<number> => {
-    peerState.fetchIfNewer({ configurationVersion: 0, ...pong }, '127.0.0.2', false);
+    peerState.fetchIfNewer({ configurationVersion: 0, ...pong }, '127.0.0.2');
     await new Promise((resolve) => {
       setTimeout(resolve, 100);
     });
