End calls between daemons with their timeout

While a daemon is gone, calls to it (revisions, members, relayed decisions) ended seconds after their timeout, and what waited for them waited on.

Cause: the HTTP client heeds the signal of a call neither while a connection is being established nor while the call waits for one of the two control connections.

Change: PeerLink settles a call with its signal. A call that was given up still counts among the 16 that may run until it has left the pool, so that the queue to a daemon that is gone for hours stays as short as before.

--- a/packages/peers/peer-link/src/link.ts
+++ b/packages/peers/peer-link/src/link.ts
@@ -3,7 +3,7 @@
  * forwarded requests.
  */
 import * as tls from 'node:tls';
-import { FailureError, findResult, type ResultName } from '@dogwoodstall/results';
+import { FailureError, findResult, rejectOnAbort, type ResultName } from '@dogwoodstall/results';
 import { createTRPCClient, TRPCClientError } from '@trpc/client';
 import * as undici from 'undici';
 import { createCallLink } from './call-link.js';
@@ -177,11 +177,11 @@
     }, options.milliseconds ?? DEFAULT_CALL_MILLISECONDS);
     const abort = (): void => controller.abort();
     options.signal?.addEventListener('abort', abort);
-    this.runningCalls += 1;
     try {
       options.signal?.throwIfAborted();
       this.onCall(name);
-      const response = await this.client[name].mutate(input, { signal: controller.signal });
+      const { signal } = controller;
+      const response = await rejectOnAbort(signal, this.send(name, input, signal));
       this.lastActivityAt = performance.now();
       return this.parse(name, response);
     } catch (error) {
@@ -189,7 +189,6 @@
     } finally {
       clearTimeout(timer);
       options.signal?.removeEventListener('abort', abort);
-      this.runningCalls -= 1;
     }
   }
 
@@ -215,6 +214,16 @@
     await Promise.all([this.controlPool.destroy(), this.forwardPool?.destroy()]);
   }
 
+  /** Counts a call until it has left the pool: one that was given up may still wait there for a connection. */
+  private async send(name: ProcedureName, input: unknown, signal: AbortSignal): Promise<unknown> {
+    this.runningCalls += 1;
+    try {
+      return await this.client[name].mutate(input, { signal });
+    } finally {
+      this.runningCalls -= 1;
+    }
+  }
+
   private parse<Name extends ProcedureName>(name: Name, response: unknown): ProcedureOutput<Name> {
     const parsed = procedures[name].output.safeParse(response);
     if (!parsed.success) {
--- a/packages/peers/peer-link/test/peer-link.test.ts
+++ b/packages/peers/peer-link/test/peer-link.test.ts
@@ -3,6 +3,7 @@
 import { Readable } from 'node:stream';
 import { test, type TestContext } from 'node:test';
 import * as results from '@dogwoodstall/results';
+import { SilentAddress } from '@dogwoodstall/stand-ins';
 import * as undici from 'undici';
 import * as peerLink from '../src/index.js';
 
@@ -222,3 +223,28 @@
     );
   },
 );
+
+// Guards against calls that wait for connections to a daemon that is gone, one after the other, long after their timeout.
+test(
+  'calls to a daemon that is gone without a trace end with their timeout, and are counted until they left the queue',
+  DEADLINE,
+  async (context) => {
+    const silent = await SilentAddress.open();
+    const links = new peerLink.PeerLinks(await readTls('daemon-a', FIRST));
+    context.after(async () => {
+      silent.close();
+      await links.destroy();
+    });
+    const link = links.linkTo({ name: 'daemon-b', peerAddress: silent.address });
+    const startedAt = performance.now();
+    const calls = Array.from({ length: 16 }, () =>
+      assert.rejects(link.call('summary', summary, { milliseconds: 500 }), (error) =>
+        results.isFailure(error, 'PeerTimeout'),
+      ),
+    );
+    await Promise.all(calls);
+    const milliseconds = performance.now() - startedAt;
+    assert.ok(milliseconds < 800, `${milliseconds} ms`);
+    await assert.rejects(link.call('summary', summary), /too many calls/);
+  },
+);
