End polls of the list of VMs with their timeout

A daemon reported the loss of the list eight seconds late, and its stop waited as long for a poll under way.

Cause: a poll is bounded by 2 s, but the HTTP client does not heed the signal while it connects, for up to ten seconds.

Change: the poll settles with its signal.

--- a/packages/platform/machine-list/src/vm-list-poller.ts
+++ b/packages/platform/machine-list/src/vm-list-poller.ts
@@ -4,7 +4,7 @@
  */
 import { EventEmitter } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
-import { FailureError, callWithTimeout } from '@dogwoodstall/results';
+import { FailureError, callWithTimeout, rejectOnAbort } from '@dogwoodstall/results';
 import * as most from 'most';
 import * as undici from 'undici';
 import * as zod from 'zod';
@@ -110,7 +110,10 @@
       CALL_TIMEOUT_MILLISECONDS,
       this.stopController.signal,
       async (signal) => {
-        const response = await undici.request(`http://${address}/machines`, { signal });
+        const response = await rejectOnAbort(
+          signal,
+          undici.request(`http://${address}/machines`, { signal }),
+        );
         if (response.statusCode !== HTTP_OK) {
           await response.body.dump();
           throw new Error(`the list of VMs returned status ${response.statusCode}`);
--- a/packages/platform/machine-list/test/vm-list-poller.test.ts
+++ b/packages/platform/machine-list/test/vm-list-poller.test.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
+import { SilentAddress } from '@dogwoodstall/stand-ins';
 import * as machineList from '../src/index.js';
 
 const vm: machineList.Vm = {
@@ -66,3 +67,35 @@
     assert.equal(poller.machines[0]?.state, 'leaving');
   },
 );
+
+// Guards against a list whose loss is reported late, and a daemon whose stop waits for a connection to the platform.
+test(
+  'a poll of a list whose host is gone without a trace fails with its timeout and ends when the poller stops',
+  { timeout: 20_000 },
+  async (context) => {
+    const silent = await SilentAddress.open();
+    context.after(() => silent.close());
+    const failed = new Promise<void>((resolve) => {
+      const poller = new machineList.VmListPoller({
+        address: silent.address,
+        pollMilliseconds: 10,
+        onFailure: () => resolve(),
+      });
+      context.after(() => poller.stop());
+      poller.start();
+    });
+    const startedAt = performance.now();
+    await failed;
+    const untilFailure = performance.now() - startedAt;
+    assert.ok(untilFailure < 2300, `${untilFailure} ms until the failure`);
+    const poller = new machineList.VmListPoller({ address: silent.address });
+    poller.start();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    const stoppedAt = performance.now();
+    await poller.stop();
+    const untilStop = performance.now() - stoppedAt;
+    assert.ok(untilStop < 300, `${untilStop} ms until the stop`);
+  },
+);
