End calls to the store of the project's own interface with their timeout

While the store is gone without a trace, calls ended later than their timeout, the more the more of them waited.

Cause: the HTTP client heeds the signal of a call neither while a connection is being established nor while the call waits for one of four connections of an address.

Change: GatewayClient settles calls with their signal. Calls that were given up stay in the queue until a connection takes them out; the number of calls that wait is limited, so that they can't grow without end while the store is away for hours. A call beyond that was not executed, and says so (StoreUnavailable).

--- a/packages/platform/store-client/src/gateway-client.ts
+++ b/packages/platform/store-client/src/gateway-client.ts
@@ -1,12 +1,14 @@
 /**
  * HTTP client of the etcd JSON gateway, with failover between addresses and result codes for errors.
  */
-import { FailureError } from '@dogwoodstall/results';
+import { FailureError, rejectOnAbort } from '@dogwoodstall/results';
 import * as undici from 'undici';
 import type * as zod from 'zod';
 
 const CONNECT_MILLISECONDS = 500;
 const CONNECTIONS_PER_ADDRESS = 4;
+/** Bounds the memory of calls that were given up while they waited for a connection; they stay in the queue. */
+const MAXIMUM_QUEUED_CALLS = 256;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -136,14 +138,20 @@
     pool: undici.Pool,
     call: GatewayCall,
   ): Promise<undici.Dispatcher.ResponseData> {
+    if (pool.stats.queued >= MAXIMUM_QUEUED_CALLS) {
+      throw new FailureError('StoreUnavailable', `${call.path}: too many calls wait`);
+    }
     this.callCounts[call.kind] += 1;
-    const response = await pool.request({
-      path: call.path,
-      method: 'POST',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(call.body),
-      signal: call.signal,
-    });
+    const response = await rejectOnAbort(
+      call.signal,
+      pool.request({
+        path: call.path,
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(call.body),
+        signal: call.signal,
+      }),
+    );
     if (response.statusCode === HTTP_OK) {
       return response;
     }
--- a/packages/platform/store-client/test/client.test.ts
+++ b/packages/platform/store-client/test/client.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import * as results from '@dogwoodstall/results';
+import { SilentAddress } from '@dogwoodstall/stand-ins';
 import * as storeClient from '../src/index.js';
 import { FakeStore } from './fake-store.js';
 
@@ -118,3 +119,31 @@
   await client.revokeLease(lease);
   assert.equal(store.calls.at(-1), '/v3/lease/revoke');
 });
+
+// Guards against calls that wait for connections to a store that is gone, long after their timeout.
+test(
+  'calls of a store that is gone without a trace end with their timeout, and the number of those that wait is limited',
+  DEADLINE,
+  async (context) => {
+    const silent = await SilentAddress.open();
+    const client = new storeClient.StoreClient({
+      addresses: [silent.address],
+      callMilliseconds: 500,
+    });
+    context.after(async () => {
+      silent.close();
+      await client.close();
+    });
+    for (const count of [1, 20, 300]) {
+      const startedAt = performance.now();
+      const calls = Array.from({ length: count }, () => client.range({ key: 'a' }));
+      const outcomes = await Promise.allSettled(calls);
+      const milliseconds = performance.now() - startedAt;
+      assert.ok(milliseconds < 800, `${count} calls: ${milliseconds} ms`);
+      const reasons = outcomes.map((outcome) => 'reason' in outcome && String(outcome.reason));
+      assert.ok(reasons.every((reason) => reason !== false));
+      const refused = reasons.filter((reason) => /too many calls wait/.test(String(reason)));
+      assert.equal(refused.length > 0, count === 300, `${refused.length} of ${count} were refused`);
+    }
+  },
+);
