--- a/packages/daemon/gateway-daemon/test/fleet.ts
+++ b/packages/daemon/gateway-daemon/test/fleet.ts
@@ -32,7 +32,8 @@
 /** Port on which the daemons accept requests of callers. */
 export const CALLER_PORT = 18_080;
 const READINESS_PORT = 18_081;
-const PEER_PORT = 18_082;
+/** Port of the state server. */
+export const PEER_PORT = 18_082;
 const DATAGRAM_PORT = 18_083;
 /** Port of the metrics server. */
 export const METRICS_PORT = 18_084;
