Name what datagrams report of a state

Cause: "news" in the names of the new parts said neither who reports nor what.

Change: StateVersions, VersionReport and DeferredReports, after ReportedPosition; rejectOnAbort without a function that returns functions. No change of behaviour.

--- a/packages/daemon/gateway-daemon/src/deferred-news.ts
+++ b/packages/daemon/gateway-daemon/src/deferred-reports.ts
@@ -1,11 +1,11 @@
 /**
- * What other daemons report of their state while this daemon fetches one: kept until the fetch has ended, because it may
- * fail, and nothing else may report the same in time.
+ * What other daemons report of their state while this daemon fetches one. It is kept until the fetch has ended, because
+ * the fetch may fail, and no other datagram may report the same in time.
  */
 import type { ReportedPosition } from './store-position.js';
 
-/** What a ping or pong reports of the state of its sender. */
-export interface StateNews extends ReportedPosition {
+/** Versions of the state of a daemon, as its pings and pongs report them. */
+export interface StateVersions extends ReportedPosition {
   readonly configurationVersion: number;
   /** Revision at which an endpoint last began to drain; empty if none did, absent from pings and older daemons. */
   readonly drains?: readonly number[] | undefined;
@@ -13,26 +13,26 @@
   readonly memberDigest?: string;
 }
 
-/** News of one daemon. */
-export interface ReceivedNews {
+/** The versions that one daemon reported. */
+export interface VersionReport {
   readonly host: string;
-  readonly news: StateNews;
+  readonly versions: StateVersions;
   /** Monotonic milliseconds. */
   readonly receivedAt: number;
 }
 
-/** The latest news of each daemon. */
-export class DeferredNews {
+/** The latest report of each daemon. */
+export class DeferredReports {
   /** By host, the latest last. */
-  private readonly byHost = new Map<string, ReceivedNews>();
+  private readonly byHost = new Map<string, VersionReport>();
 
-  add(received: ReceivedNews): void {
-    this.byHost.delete(received.host);
-    this.byHost.set(received.host, received);
+  add(report: VersionReport): void {
+    this.byHost.delete(report.host);
+    this.byHost.set(report.host, report);
   }
 
-  /** Removes and returns the news that arrived last; their sender is the most likely one to respond. */
-  takeLatest(): ReceivedNews | undefined {
+  /** Removes and returns the report that arrived last; its sender is the most likely one to respond. */
+  takeLatest(): VersionReport | undefined {
     const latest = [...this.byHost.values()].at(-1);
     if (latest !== undefined) {
       this.byHost.delete(latest.host);
--- a/packages/daemon/gateway-daemon/src/peer-state.ts
+++ b/packages/daemon/gateway-daemon/src/peer-state.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
-import type { StateNews } from './deferred-news.js';
+import type { StateVersions } from './deferred-reports.js';
 import type { DirectorySource } from './directory-source.js';
 import type { Directory, State } from './directory.js';
 import { type Member, type MemberTable, STORE_WATCHER_ROLE } from './member.js';
@@ -67,8 +67,8 @@
   }
 
   /** Fetches the state of a daemon whose ping or pong shows that it has something newer. */
-  fetchIfNewer(news: StateNews, host: string): void {
-    this.fetcher.fetchIfNewer(news, host);
+  fetchIfNewer(versions: StateVersions, host: string): void {
+    this.fetcher.fetchIfNewer(versions, host);
   }
 
   /** Number of events of the fetches so far. */
--- a/packages/daemon/gateway-daemon/src/state-fetcher.ts
+++ b/packages/daemon/gateway-daemon/src/state-fetcher.ts
@@ -1,10 +1,10 @@
 /**
- * Fetches the state of other daemons. Only one fetch is started for what a datagram reports at a time, because a
- * configuration may be large and many daemons report it at once; what is reported meanwhile is looked at afterwards.
+ * Fetches the state of other daemons when their datagrams report newer versions. One at a time, because a configuration
+ * may be large and many daemons report it at once; what is reported meanwhile is looked at afterwards.
  */
 import type * as observability from '@dogwoodstall/observability';
 import * as results from '@dogwoodstall/results';
-import { DeferredNews, type ReceivedNews, type StateNews } from './deferred-news.js';
+import { DeferredReports, type StateVersions, type VersionReport } from './deferred-reports.js';
 import type { Directory, State } from './directory.js';
 import type { MemberTable } from './member.js';
 import { requestState } from './state-server.js';
@@ -42,7 +42,7 @@
 
   private reported: Promise<void> = Promise.resolve();
 
-  private readonly deferred = new DeferredNews();
+  private readonly deferred = new DeferredReports();
 
   private readonly counts = new Map<StateFetchEvent, number>();
 
@@ -64,16 +64,16 @@
    * Fetches the state of a daemon that reports a newer configuration, newer endpoints or other members; if a fetch is
    * under way, after it.
    */
-  fetchIfNewer(news: StateNews, host: string): void {
-    if (!this.isWorthFetching(news)) {
+  fetchIfNewer(versions: StateVersions, host: string): void {
+    if (!this.isWorthFetching(versions)) {
       return;
     }
-    const received = { host, news, receivedAt: performance.now() };
+    const report = { host, versions, receivedAt: performance.now() };
     if (this.runningFetches > 0) {
-      this.deferred.add(received);
+      this.deferred.add(report);
       this.count('deferred');
     } else {
-      this.fetchReported(received);
+      this.fetchReported(report);
     }
   }
 
@@ -115,26 +115,27 @@
     );
   }
 
-  private isWorthFetching(news: StateNews): boolean {
+  private isWorthFetching(versions: StateVersions): boolean {
     const { directory, members, isDispatching } = this.options;
     const { position } = directory;
-    const reported = readPosition(news, position);
+    const reported = readPosition(versions, position);
     const isDue = performance.now() - this.lastFetchAt > LAZY_FETCH_MILLISECONDS;
     const mustFetchEndpoints = (): boolean =>
       isDue ||
       !directory.hasEndpoints ||
       reported.era > position.era ||
-      (news.drains?.[0] ?? 0) > position.revision ||
+      (versions.drains?.[0] ?? 0) > position.revision ||
       isDispatching();
-    const hasOtherMembers = news.memberDigest !== undefined && news.memberDigest !== members.digest;
+    const hasOtherMembers =
+      versions.memberDigest !== undefined && versions.memberDigest !== members.digest;
     return (
-      news.configurationVersion > directory.configurationVersion ||
+      versions.configurationVersion > directory.configurationVersion ||
       (isLater(reported, position) && mustFetchEndpoints()) ||
       (hasOtherMembers && isDue)
     );
   }
 
-  private fetchReported({ host, receivedAt }: ReceivedNews): void {
+  private fetchReported({ host, receivedAt }: VersionReport): void {
     const member = this.options.members.findByHost(host);
     if (member === undefined) {
       return;
@@ -154,12 +155,12 @@
   /** Fetches what was reported meanwhile and is still newer than the own state. */
   private fetchDeferred(): void {
     while (this.runningFetches === 0 && !this.options.closing.aborted) {
-      const received = this.deferred.takeLatest();
-      if (received === undefined) {
+      const report = this.deferred.takeLatest();
+      if (report === undefined) {
         return;
       }
-      if (this.isWorthFetching(received.news)) {
-        this.fetchReported(received);
+      if (this.isWorthFetching(report.versions)) {
+        this.fetchReported(report);
       }
     }
   }
--- a/packages/daemon/gateway-daemon/test/state-fetcher.test.ts
+++ b/packages/daemon/gateway-daemon/test/state-fetcher.test.ts
@@ -128,7 +128,7 @@
 }
 
 const self = createMember(1, '127.0.0.1:1');
-const news = { configurationVersion: VERSION, directoryRevision: REVISION };
+const versions = { configurationVersion: VERSION, directoryRevision: REVISION };
 
 // Guards against a new configuration that is missed because its announcement arrives while another daemon is asked.
 test('a configuration that is announced during a fetch from a daemon that does not respond is in force in time', async (context) => {
@@ -137,9 +137,9 @@
     const directory = createDirectory(1);
     const members = createTable(self, [unresponsive, live]);
     const peerState = createPeerState(context, members, directory);
-    peerState.fetchIfNewer(news, unresponsive.host);
+    peerState.fetchIfNewer(versions, unresponsive.host);
     await delay(50);
-    peerState.fetchIfNewer(news, live.host);
+    peerState.fetchIfNewer(versions, live.host);
     await waitUntil(
       `the new version is in force beside ${unresponsive.name}`,
       () => directory.configurationVersion === VERSION,
@@ -185,7 +185,7 @@
   const joined = peerState.join();
   await waitUntil('joined', () => peerState.joinedAt !== undefined, APPLY_MILLISECONDS);
   await delay(50);
-  peerState.fetchIfNewer(news, live.host);
+  peerState.fetchIfNewer(versions, live.host);
   await waitUntil('the state is complete', () => directory.isComplete, APPLY_MILLISECONDS);
   await joined;
 });
@@ -197,7 +197,7 @@
   );
   const directory = createDirectory(1);
   const peerState = createPeerState(context, createTable(self, announcing), directory);
-  announcing.forEach(({ host }) => peerState.fetchIfNewer(news, host));
+  announcing.forEach(({ host }) => peerState.fetchIfNewer(versions, host));
   await waitUntil(
     'the new version is in force',
     () => directory.configurationVersion === VERSION,
--- a/packages/foundation/results/src/reject-on-abort.ts
+++ b/packages/foundation/results/src/reject-on-abort.ts
@@ -10,17 +10,11 @@
 export function rejectOnAbort<Value>(signal: AbortSignal, call: Promise<Value>): Promise<Value> {
   return new Promise((resolve, reject) => {
     const onAbort = (): void => reject(signal.reason);
-    const settle =
-      <Result>(end: (result: Result) => void) =>
-      (result: Result): void => {
-        signal.removeEventListener('abort', onAbort);
-        end(result);
-      };
-    call.then(settle(resolve), settle(reject));
     if (signal.aborted) {
       onAbort();
     } else {
       signal.addEventListener('abort', onAbort, { once: true });
     }
+    call.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort));
   });
 }
