End the process behind a silent address with the test that started it

Cause: a stopped process does not notice that its parent has ended, so that a test that fails before it closes its silent address would leave one behind.

Change: SilentAddress ends it when this process exits.

--- a/packages/foundation/results/src/call-with-timeout.ts
+++ b/packages/foundation/results/src/call-with-timeout.ts
@@ -5,7 +5,7 @@
 
 /**
  * Runs a call with a signal that is aborted after a timeout or together with `parent`. Settles as the call does; a call
- * that ignores the signal is not interrupted.
+ * that ignores the signal is not interrupted, unless it uses `rejectOnAbort`.
  */
 export async function callWithTimeout<Value>(
   milliseconds: number,
--- a/packages/testing/stand-ins/src/network/silent-address.ts
+++ b/packages/testing/stand-ins/src/network/silent-address.ts
@@ -40,11 +40,18 @@
 export class SilentAddress {
   private readonly queued: net.Socket[] = [];
 
+  /** A stopped process would not notice that this one has ended. */
+  private readonly onExit = (): void => {
+    this.listener.kill('SIGKILL');
+  };
+
   private constructor(
     private readonly listener: ChildProcess,
     /** `host:port`. */
     readonly address: string,
-  ) {}
+  ) {
+    process.once('exit', this.onExit);
+  }
 
   /** Takes a port, by default a free one; throws `ListenFailed` if the address can't be made silent. */
   static async open(host = '127.0.0.1', port = 0): Promise<SilentAddress> {
@@ -72,6 +79,7 @@
 
   /** Frees the address; connections that are being established are refused or reset. */
   close(): void {
+    process.off('exit', this.onExit);
     this.listener.kill('SIGKILL');
     this.queued.forEach((socket) => socket.destroy());
   }
