--- a/packages/daemon/gateway-daemon/test/state-fetcher.test.ts
+++ b/packages/daemon/gateway-daemon/test/state-fetcher.test.ts
@@ -14,6 +14,7 @@
 import { waitUntil } from './fleet.js';
 import { MemorySource } from './memory-source.js';
 import { MemoryStore } from './memory-store.js';
+import { listenWithoutResponse } from './unresponsive-server.js';
 
 /** Time after which an accepted change of the configuration or an announced drain is in force, as the users allow. */
 const APPLY_MILLISECONDS = 2000;
@@ -101,18 +102,8 @@
   return createMember(number, `127.0.0.1:${port}`);
 }
 
-/** Starts a daemon that accepts connections and never responds, as while it is suspended, and returns its entry. */
 async function suspend(context: TestContext, number: number): Promise<Member> {
-  const sockets = new Set<net.Socket>();
-  const server = net.createServer((socket) => sockets.add(socket));
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  context.after(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
-  return createMember(number, `127.0.0.1:${(server.address() as net.AddressInfo).port}`);
+  return createMember(number, await listenWithoutResponse(context));
 }
 
 async function removeForGood(context: TestContext, number: number): Promise<Member> {
--- a/packages/daemon/gateway-daemon/test/state-server.test.ts
+++ b/packages/daemon/gateway-daemon/test/state-server.test.ts
@@ -1,9 +1,9 @@
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
-import { type TestContext, test } from 'node:test';
+import { test } from 'node:test';
 import { isFailure } from '@dogwoodstall/results';
 import { SilentAddress } from '@dogwoodstall/stand-ins';
 import { requestState } from '../src/state-server.js';
+import { listenWithoutResponse } from './unresponsive-server.js';
 
 /** The timeout of a request and the delay of its timer. */
 const LONGEST_MILLISECONDS = 1000;
@@ -17,19 +17,6 @@
   return performance.now() - startedAt;
 }
 
-async function listenWithoutResponse(context: TestContext): Promise<string> {
-  const sockets = new Set<net.Socket>();
-  const server = net.createServer((socket) => sockets.add(socket));
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  context.after(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
-  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-}
-
 // Guards against a daemon that waits ten seconds for a connection to one that is gone, and learns nothing meanwhile.
 test('a request for the state of a daemon that is gone without a trace ends within its timeout', async (context) => {
   const silent = await SilentAddress.open();
